--- /dev/null
+++ b/Makefile
@@ -0,0 +1,13 @@
+# Two entry points for newcomers: "make demo" and "make test". Both install packages when some are missing.
+.PHONY: demo test build
+
+build:
+	@.ci/setup
+	@cmake -S . -B build -G Ninja > /dev/null
+	@cmake --build build
+
+demo: build
+	@build/endivetrestle demo
+
+test: build
+	@cd build && RC_PARAMS=seed=20261204 ctest --output-on-failure -j 8
--- /dev/null
+++ b/src/base/lock_order.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <mutex>
+
+namespace endivetrestle {
+
+// Order in which a thread takes locks: from the lowest level to the highest. This is the only place that states it.
+enum class LockLevel {
+    ConfigurationVersion = 1,
+    Membership = 2,
+    DatabaseController = 3,
+    TimerService = 4,
+    Journal = 5,
+    Burn = 6,
+    Metrics = 7,
+};
+
+// Mutex with a level. In debug builds (NDEBUG not defined) locking a level that is not above every level the thread
+// already holds stops the process, since the order is a broken invariant and would allow a deadlock.
+class OrderedMutex {
+public:
+    explicit OrderedMutex(LockLevel level)
+        : level(level)
+    {
+    }
+
+    void lock();
+    void unlock();
+
+private:
+    LockLevel level;
+    std::mutex mutex;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/cli/command.cc
@@ -0,0 +1,11 @@
+#include "cli/command.h"
+
+namespace endivetrestle {
+
+const std::vector<Command>& allCommands()
+{
+    static const std::vector<Command> commands = {};
+    return commands;
+}
+
+} // namespace endivetrestle
