--- /dev/null
+++ b/src/request/read_router.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifier.h"
+#include "base/position.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace endivetrestle {
+
+// Weights of the choice. Deployments use different values: a low primaryPenalty and replicaWait favour latency, high
+// values favour reads at replicas.
+struct ReadRouterSettings {
+    // Added to the cost of a read at the primary, as if it took this much longer.
+    Duration primaryPenalty = std::chrono::milliseconds(20);
+    // Longest wait for a replica to apply the required position before the primary is used.
+    Duration replicaWait = std::chrono::milliseconds(20);
+    // Added to a predicted apply time, since a read that arrives too early costs a refused call.
+    Duration waitMargin = std::chrono::milliseconds(2);
+    // Multiplies the cost of waiting in the comparison of replicas.
+    double waitWeight = 1;
+    // Multiplies the expected time at the endpoint: latency times (1 + statements per slot).
+    double loadWeight = 1;
+    // Share of the replica's lag that is added to its cost, so that reads without a bound tend to current replicas.
+    double lagWeight = 0.05;
+
+    bool operator==(const ReadRouterSettings&) const = default;
+};
+
+// What a read needs.
+struct ReadNeed {
+    // Later one of the session's position and the position for the age bound.
+    Position required;
+    // The read has to run at the primary, for example because there is no confirmed sample for its age bound.
+    bool requiresPrimary = false;
+    // A wait that ends after the deadline is not chosen.
+    Time deadline = Time::max();
+
+    bool operator==(const ReadNeed&) const = default;
+};
+
+// What is known about an endpoint at the moment of the choice.
+struct ReadCandidate {
+    EndpointId endpoint;
+    bool primary = false;
+    // Gets no new reads. A leaving primary is still used for reads that need the primary.
+    bool leaving = false;
+    // No contact for the suspicion time. Not used.
+    bool suspected = false;
+    // Outlier. Used only if nothing else is left.
+    bool ejected = false;
+    Position applied;
+    // When the required position will be applied; no value if unknown.
+    std::optional<Time> predictedApply;
+    Duration latency {};
+    Duration lag {};
+    // Statements running, statements that can run at once, and statements queued for this endpoint.
+    int busy = 0;
+    int slots = 1;
+    int queued = 0;
+
+    bool operator==(const ReadCandidate&) const = default;
+};
+
+enum class ReadChoiceKind {
+    // Run at the replica now.
+    Replica,
+    // Run at the primary now.
+    Primary,
+    // Run at the replica at the time until.
+    WaitFor,
+    // No endpoint can serve the read at present.
+    NoneAvailable,
+};
+
+struct ReadChoice {
+    ReadChoiceKind kind = ReadChoiceKind::NoneAvailable;
+    EndpointId endpoint;
+    // Time to wait for; only for WaitFor.
+    Time until;
+    // Stable name for the journal and metrics: "replica_current", "replica_expected", "primary_required",
+    // "primary_cheaper", "no_replica_in_time", "no_primary", "ejected_only", "policy".
+    std::string_view reason;
+
+    bool operator==(const ReadChoice&) const = default;
+};
+
+// Chooses among the candidates. Every choice is checked by the endpoint, so a policy cannot cause a wrong answer.
+using ReadPolicy = std::function<ReadChoice(const ReadNeed&, const std::vector<ReadCandidate>&, Time now)>;
+
+// Cheapest endpoint by the settings' weights. This is the policy used in production.
+ReadPolicy weightedReadPolicy(ReadRouterSettings settings);
+
+// Every read runs at the primary. For comparisons in the load tool.
+ReadPolicy primaryOnlyReadPolicy();
+
+// A random replica that is not leaving or suspected, waiting for it if it is behind; the primary if the wait would be
+// longer than the settings allow. For comparisons in the load tool.
+ReadPolicy randomReplicaReadPolicy(ReadRouterSettings settings, std::function<std::uint64_t()> random);
+
+// Later of the session's position and the position for the age bound, if there is a bound.
+Position requiredPosition(const Position& session, const std::optional<Position>& forAge);
+
+} // namespace endivetrestle
