Implement failover and write tracker

The failover fences endpoints that should not become primary only if the others are no majority, so that a planned switchover does not choose the old primary merely because its log is a few records ahead.

--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -101,7 +101,7 @@
     // How long endpoints that should not become primary are left out of the fence calls when the others are a majority.
     Duration fenceAllAfter = std::chrono::milliseconds(200);
     // How long a promoted primary may stay unseen before suspicion starts again.
-    Duration settleLimit = std::chrono::milliseconds(1000);
+    Duration settleLimit = std::chrono::milliseconds(500);
     // Longest step between two ticks that counts towards silence. Ticks should come at least this often.
     Duration longestStep = std::chrono::milliseconds(100);
 
@@ -212,7 +212,6 @@
         bool reachable = false;
         std::optional<EndpointStatus> status;
         Time sentAt;
-        Time receivedAt;
     };
     struct PeerView {
         Opinion opinion;
@@ -242,21 +241,27 @@
     void stepPromoting(Time now, Actions& actions);
     void stepSettling(Time now, Actions& actions);
 
+    void step(Time now, Actions& actions);
+    void learn(const EndpointStatus& status, Time now, Actions& actions);
     void learnTerm(std::uint64_t term, Time now, Actions& actions);
-    void learnPrimary(const EndpointId& endpoint, std::uint64_t term, bool promotedHere, Time now, Actions& actions);
+    void learnPrimary(const KnownPrimary& found, Time now, Actions& actions);
+    void changePrimary(const KnownPrimary& found, bool promotedHere, Time now, Actions& actions);
     void enter(FailoverState state, std::string_view reason, Actions& actions);
-    void sendFences(Actions& actions);
-    void storeStatus(Member& member, const EndpointStatus& status, Time sentAt, Time receivedAt);
+    void addFence(const EndpointId& endpoint, const FenceAnswer& answer, Time now, Actions& actions);
+    void sendFences(Time now, Actions& actions);
+    void askOpinions(Time now, Actions& actions);
+    void fenceEveryone(Time now, Actions& actions);
     [[nodiscard]] bool isConfirmed(Time now) const;
     [[nodiscard]] bool peersConfirm(Time now) const;
     [[nodiscard]] bool isFresh(const Member& member, Time now) const;
-    [[nodiscard]] Duration primaryContactAge(const Member& member, Time now) const;
+    [[nodiscard]] Duration primaryContactAge(const Member& member) const;
     [[nodiscard]] bool isAvoided(const EndpointId& endpoint) const;
     [[nodiscard]] bool othersAreMajority(Time now) const;
+    [[nodiscard]] bool isAttempt(FailoverState state, std::uint64_t term) const;
     [[nodiscard]] std::size_t majority() const { return this->members.size() / 2 + 1; }
     [[nodiscard]] Duration silence() const { return this->observed.value() - this->contactAt; }
     [[nodiscard]] EndpointId choose() const;
-    [[nodiscard]] bool attemptUnderWay() const;
+    [[nodiscard]] bool mayPromote(Time now) const;
 
     Options options;
     Duration suspectAfter;
@@ -274,7 +279,8 @@
     // Last contact with any primary, for the gap.
     std::optional<Time> servedAt;
 
-    Time suspectedAt;
+    // Observed time at which the suspicion began.
+    Duration suspectedAt {};
     Time askAgainAt;
     std::optional<Time> confirmedAt;
     std::optional<Time> backOffUntil;
--- a/src/request/write_tracker.h
+++ b/src/request/write_tracker.h
@@ -34,6 +34,9 @@
     // When the call was sent to the primary.
     Time sentAt;
     Time deadline;
+    // True if the record was written by an earlier call: a replayed answer, or the answer to a resolve. It is then held
+    // once a majority holds a record of the answering primary's term, which follows it in the log.
+    bool recordedBefore = false;
 
     bool operator==(const ExecutedWrite&) const = default;
 };
