--- a/src/process/failover.cc
+++ b/src/process/failover.cc
@@ -138,7 +138,7 @@
 {
     Actions actions;
     this->observed.advance(now);
-    if (this->currentState != FailoverState::Watching) {
+    if (this->currentState != FailoverState::Watching || !this->isMajorityFresh(now)) {
         actions.push_back(Note { "switchover_ignored",
             { { "reason", reason }, { "state", std::string(failoverStateName(this->currentState)) } } });
         return actions;
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -141,9 +141,9 @@
 // Failover state machine of one database at one owner. Detects that the group has no working primary, fences a majority
 // in a term that is higher than every term seen, and promotes the fenced endpoint with the highest last log position.
 // Two daemons that act at once, a daemon that dies after any step and late or repeated answers are harmless as long as
-// endpoints keep the rules of FenceCall and PromoteCall, and as long as the claimant sent with the calls is different
-// for every start of a process: a restarted process does not know what it promoted before, and a reused claimant would
-// let it promote a second endpoint in the same term.
+// endpoints keep the rules of FenceCall and PromoteCall. The claimant sent with the calls should be different for every
+// start of a process, since a restarted process does not know what it promoted before. A claimant that is used again is
+// still harmless here: an attempt starts only after a majority has answered, and its term is above all of their terms.
 //
 // Not thread-safe. No call blocks. Every call returns the actions to carry out, in order.
 //
@@ -185,8 +185,9 @@
     Actions onPromoteAnswer(const EndpointId& endpoint, std::uint64_t term, const FenceAnswer& answer, Time now);
     Actions onPromoteFailed(const EndpointId& endpoint, std::uint64_t term, Time now);
 
-    // Starts a planned change of the primary without suspicion. Ignored, with a note, unless the state is Watching.
-    // Excluded endpoints are treated as leaving during this attempt. The reason goes into the journal.
+    // Starts a planned change of the primary without suspicion. Ignored, with a note, unless the state is Watching and
+    // a majority of the endpoints answers. Excluded endpoints and the present primary are treated as leaving during
+    // this attempt. The reason goes into the journal.
     Actions requestSwitchover(std::string reason, std::set<EndpointId> exclude, Time now);
 
     // Takes over the group's members from a configuration. An attempt under way is given up, since its majority was
@@ -251,6 +252,7 @@
     void sendFences(Time now, Actions& actions);
     void askOpinions(Time now, Actions& actions);
     void fenceEveryone(Time now, Actions& actions);
+    [[nodiscard]] bool isMajorityFresh(Time now) const;
     [[nodiscard]] bool isConfirmed(Time now) const;
     [[nodiscard]] bool peersConfirm(Time now) const;
     [[nodiscard]] bool isFresh(const Member& member, Time now) const;
--- a/src/process/failover_transitions.cc
+++ b/src/process/failover_transitions.cc
@@ -202,8 +202,17 @@
     return member.reachable && member.status && now - member.sentAt <= this->suspectAfter / 2;
 }
 
+bool Failover::isMajorityFresh(Time now) const
+{
+    const auto fresh = std::count_if(this->members.begin(), this->members.end(),
+        [&](const auto& entry) { return this->isFresh(entry.second, now); });
+    return static_cast<std::size_t>(fresh) >= this->majority();
+}
+
 bool Failover::isConfirmed(Time now) const
 {
+    if (!this->isMajorityFresh(now))
+        return false;
     std::size_t reachable = 0;
     std::size_t withoutContact = 0;
     bool veto = false;
@@ -215,8 +224,6 @@
         withoutContact += age >= this->suspectAfter ? 1 : 0;
         veto |= age < this->suspectAfter / 2;
     }
-    if (reachable < this->majority())
-        return false;
     const bool overdue = this->observed.value() - this->suspectedAt >= this->options.settings.vetoLimit;
     if (veto)
         return overdue && this->peersConfirm(now);
--- a/src/request/write_tracker.cc
+++ b/src/request/write_tracker.cc
@@ -28,6 +28,7 @@
         events.emplace_back(WriteSuperseded { write, this->term });
         return events;
     }
+    this->forget(write.ticket);
     const PendingKey key { write.position.index, write.ticket };
     this->pending.emplace(key, write);
     this->byTicket.emplace(write.ticket, key);
