--- /dev/null
+++ b/src/request/write_tracker_test.cc
@@ -0,0 +1,159 @@
+#include "request/write_tracker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const EndpointId a { "a" };
+const EndpointId b { "b" };
+const EndpointId c { "c" };
+const Time start { 100s };
+
+EndpointStatus statusOf(const EndpointId& id, std::uint64_t term, Position lastLog)
+{
+    const auto role = id == a ? EndpointRole::Primary : EndpointRole::Replica;
+    return { id, term, role, lastLog, {}, 0ms, 0 };
+}
+
+ExecutedWrite writeAt(std::uint64_t ticket, Position position, Time sentAt = start)
+{
+    return { ticket, RequestId("r" + std::to_string(ticket)), a, position, sentAt, sentAt + 1s };
+}
+
+template <typename Kind> std::vector<std::uint64_t> tickets(const WriteTracker::Events& events)
+{
+    std::vector<std::uint64_t> found;
+    for (const auto& event : events)
+        if (const auto* kind = std::get_if<Kind>(&event))
+            found.push_back(kind->write.ticket);
+    return found;
+}
+
+using Tickets = std::vector<std::uint64_t>;
+
+struct Fixture {
+    WriteTracker tracker { {}, { a, b, c } };
+
+    WriteTracker::Events execute(std::uint64_t ticket, Position position, Time sentAt = start)
+    {
+        return this->tracker.writeExecuted(
+            writeAt(ticket, position, sentAt), statusOf(a, position.term, position), sentAt + 1ms);
+    }
+};
+
+} // namespace
+
+// Guards against acknowledging a write that only the primary holds, or more writes than the replica has received.
+TEST_CASE("WriteTracker, reports writes held in order when a second endpoint has them")
+{
+    Fixture fixture;
+    CHECK(fixture.execute(1, { 2, 11 }).empty());
+    CHECK(fixture.execute(2, { 2, 13 }).empty());
+    CHECK(fixture.execute(3, { 2, 12 }).empty());
+    CHECK(fixture.tracker.onStatus(statusOf(a, 2, { 2, 13 }), start, start + 2ms).empty());
+    CHECK(tickets<WriteHeld>(fixture.tracker.onStatus(statusOf(b, 2, { 2, 12 }), start, start + 3ms))
+        == Tickets { 1, 3 });
+    CHECK(tickets<WriteHeld>(fixture.tracker.onStatus(statusOf(c, 2, { 2, 13 }), start, start + 4ms)) == Tickets { 2 });
+    CHECK(fixture.tracker.pendingCount() == 0);
+}
+
+// Guards against counting a replica whose longer log comes from an older term and will be cut back.
+TEST_CASE("WriteTracker, does not count a replica when its last record is of an older term")
+{
+    Fixture fixture;
+    fixture.execute(1, { 2, 11 });
+    CHECK(fixture.tracker.onStatus(statusOf(b, 2, { 1, 50 }), start, start + 1ms).empty());
+    CHECK(fixture.tracker.onStatus(statusOf(b, 1, { 1, 60 }), start, start + 1ms).empty());
+}
+
+// Guards against counting an endpoint that has lost records, without being misled by answers that overtook each other.
+TEST_CASE("WriteTracker, believes a lower position when it was asked for later")
+{
+    Fixture fixture;
+    const bool askedLater = GENERATE(true, false);
+    CAPTURE(askedLater);
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 20 }), start, start + 5ms);
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 5 }), askedLater ? start + 5ms : start + 4ms, start + 7ms);
+    CHECK(fixture.execute(1, { 2, 11 }, start + 8ms).size() == (askedLater ? 0 : 1));
+}
+
+// Guards against an acknowledgement on behalf of a primary that has been replaced.
+TEST_CASE("WriteTracker, supersedes pending writes and evidence when a higher term is seen")
+{
+    Fixture fixture;
+    fixture.execute(1, { 2, 11 });
+    const auto held = fixture.tracker.onStatus(statusOf(b, 2, { 2, 11 }), start, start + 1ms);
+    REQUIRE(held.size() == 1);
+    const auto evidence = std::get<WriteHeld>(held[0]).evidence;
+    CHECK(fixture.tracker.canAcknowledge(evidence, start + 2ms));
+    fixture.execute(2, { 2, 12 });
+    CHECK(tickets<WriteSuperseded>(fixture.tracker.onStatus(statusOf(c, 3, { 1, 4 }), start, start + 2ms))
+        == Tickets { 2 });
+    CHECK_FALSE(fixture.tracker.canAcknowledge(evidence, start + 2ms));
+    CHECK(tickets<WriteSuperseded>(fixture.execute(3, { 2, 13 })) == Tickets { 3 });
+}
+
+// Guards against a daemon that resumes after a pause and answers from old evidence.
+TEST_CASE("WriteTracker, refuses the last check when the evidence is older than 250 ms")
+{
+    Fixture fixture;
+    fixture.execute(1, { 2, 11 });
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 11 }), start - 100ms, start + 1ms);
+    const auto evidence = fixture.tracker.evidence();
+    REQUIRE(evidence);
+    CHECK(evidence->observedAt == start);
+    CHECK(fixture.tracker.canAcknowledge(*evidence, start + 249ms));
+    CHECK_FALSE(fixture.tracker.canAcknowledge(*evidence, start + 250ms));
+}
+
+// Guards against evidence that looks recent because an old record was confirmed by a later call.
+TEST_CASE("WriteTracker, dates evidence by the status's own call when the record was written before")
+{
+    Fixture fixture;
+    auto write = writeAt(1, { 1, 9 });
+    write.recordedBefore = true;
+    CHECK(fixture.tracker.writeExecuted(write, statusOf(a, 2, { 2, 12 }), start + 1ms).empty());
+    const auto events = fixture.tracker.onStatus(statusOf(b, 2, { 2, 12 }), start - 1s, start + 2ms);
+    REQUIRE(events.size() == 1);
+    CHECK(std::get<WriteHeld>(events[0]).evidence == MajorityEvidence { 2, start - 1s });
+}
+
+// Guards against writes that wait for ever, and against a second event for a write that has ended.
+TEST_CASE("WriteTracker, ends a write once when its deadline passes")
+{
+    Fixture fixture;
+    fixture.execute(1, { 2, 11 });
+    fixture.execute(2, { 2, 12 }, start + 5ms);
+    fixture.tracker.forget(2);
+    CHECK(fixture.tracker.nextDeadline() == start + 1s);
+    CHECK(tickets<WriteDeadlineReached>(fixture.tracker.tick(start + 2s)) == Tickets { 1 });
+    CHECK(fixture.tracker.onStatus(statusOf(b, 2, { 2, 12 }), start, start + 2s).empty());
+    CHECK(fixture.tracker.nextDeadline() == Time::max());
+}
+
+// Guards against an executed write that is believed although its answer contradicts itself.
+TEST_CASE("WriteTracker, asks for a resolution when the answer is not from a primary of the write's term")
+{
+    Fixture fixture;
+    auto status = statusOf(a, 2, { 2, 11 });
+    status.role = EndpointRole::Fenced;
+    CHECK(
+        tickets<WriteSuperseded>(fixture.tracker.writeExecuted(writeAt(1, { 2, 11 }), status, start)) == Tickets { 1 });
+    status = statusOf(a, 2, { 2, 10 });
+    CHECK(
+        tickets<WriteSuperseded>(fixture.tracker.writeExecuted(writeAt(2, { 2, 11 }), status, start)) == Tickets { 2 });
+}
+
+// Guards against groups of one endpoint that never acknowledge and groups of five that acknowledge at two holders.
+TEST_CASE("WriteTracker, needs a majority when the group has another size")
+{
+    WriteTracker one({}, { a });
+    CHECK(one.writeExecuted(writeAt(1, { 2, 1 }), statusOf(a, 2, { 2, 1 }), start).size() == 1);
+    WriteTracker five({}, { a, b, c, EndpointId("d"), EndpointId("e") });
+    CHECK(five.writeExecuted(writeAt(1, { 2, 1 }), statusOf(a, 2, { 2, 1 }), start).empty());
+    CHECK(five.onStatus(statusOf(b, 2, { 2, 1 }), start, start).empty());
+    CHECK(five.onStatus(statusOf(c, 2, { 2, 1 }), start, start).size() == 1);
+}
