Implement freshness of a database

Samples of the primary's position are confirmed by a majority that was asked at or after the sample. Replicas are predicted by their lag or, when they have fallen behind, by their apply rate.

--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -87,30 +87,34 @@
     [[nodiscard]] std::size_t sampleCount() const { return this->confirmed.size(); }
 
 private:
+    // What an endpoint has shown in the current term, and how fast it applies.
     struct Progress {
-        std::optional<Time> answeredInTerm;
+        std::optional<Time> answeredAt;
         Position lastLog;
         Position applied;
         std::optional<Time> appliedAt;
-        double rate = 0;
+        bool behind = false;
+        std::optional<double> rate;
         std::optional<Duration> lag;
-        // Primary position, and when it was seen, that the lag is being measured with.
+        // Position of the primary that the lag is being measured with, and when it was seen.
         std::optional<Position> awaited;
         Time awaitedSince;
     };
+    // Position of the primary and when it was first seen.
     struct Seen {
         Position position;
         Time at;
     };
 
     void startTerm(std::uint64_t term);
-    void addSample(const EndpointStatus& status, Time sentAt, Time receivedAt);
+    void addSample(const FreshnessSample& sample);
     void confirmPending();
     void addConfirmed(const FreshnessSample& sample);
-    void thinOut();
-    void measure(Progress& progress, const EndpointStatus& status, Time receivedAt);
-    void measureLag(Progress& progress, const EndpointStatus& status, Time receivedAt);
-    [[nodiscard]] std::optional<Time> seenAt(const Position& position) const;
+    void notePrimary(const Position& position, Time at);
+    void noteApplied(Progress& progress, const Position& applied, Time at);
+    void noteRate(Progress& progress, const Position& applied, Time at);
+    void append(std::deque<FreshnessSample>& samples, const FreshnessSample& sample, std::size_t limit) const;
+    [[nodiscard]] Time firstSeen(const Position& position, Time now) const;
 
     FreshnessSettings settings;
     std::map<EndpointId, Progress> endpoints;
