--- a/src/request/read_router.h
+++ b/src/request/read_router.h
@@ -83,7 +83,7 @@
     // Time to wait for; only for WaitFor.
     Time until;
     // Stable name for the journal and metrics: "replica_current", "replica_expected", "primary_required",
-    // "primary_cheaper", "no_replica_in_time", "no_primary", "ejected_only", "policy".
+    // "primary_cheaper", "no_replica_in_time", "ejected_only", "replica_late", "no_primary", "no_endpoint", "policy".
     std::string_view reason;
 
     bool operator==(const ReadChoice&) const = default;
