--- a/src/process/endpoint_health.h
+++ b/src/process/endpoint_health.h
@@ -5,6 +5,7 @@
 #include "process/observed_time.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -24,7 +25,7 @@
     // Weight of a new result in the smoothed latency and in the error rate.
     double smoothing = 0.1;
     // An endpoint is an outlier if its latency is above outlierFactor times the median of the other endpoints and above
-    // that median by outlierFloor, or if its error rate exceeds outlierErrorRate.
+    // that median by outlierFloor, or if its error rate exceeds theirs by outlierErrorRate.
     double outlierFactor = 3;
     Duration outlierFloor = std::chrono::milliseconds(5);
     double outlierErrorRate = 0.5;
@@ -95,7 +96,9 @@
     // Suspicion timeout of one endpoint.
     [[nodiscard]] Duration suspectAfter(const EndpointId& endpoint) const;
 
-    // Age of the last contact for a peer's opinion; no value if there was none.
+    // Time without contact for a peer's opinion, counted like EndpointHealthView::silence and from the addition of an
+    // endpoint that never answered, so that neither a pause nor a recent start looks like a lost contact. No value for
+    // an endpoint outside the group.
     [[nodiscard]] std::optional<Duration> contactAge(const EndpointId& endpoint, Time now) const;
 
 private:
@@ -112,11 +115,13 @@
     };
 
     void addProbeTime(Record& record, Duration time) const;
-    [[nodiscard]] Duration silence(const Record& record) const;
+    void endEjections(Time now, const EndpointId& primary);
+    void restoreReplicas(const EndpointId& primary);
     [[nodiscard]] bool isSuspected(const Record& record) const;
     [[nodiscard]] bool isOutlier(const EndpointId& endpoint, const Record& record) const;
-    [[nodiscard]] std::optional<double> medianOfOthers(const EndpointId& endpoint) const;
-    [[nodiscard]] bool otherReplicaInUse(const EndpointId& endpoint, const EndpointId& primary) const;
+    [[nodiscard]] std::optional<double> medianOfOthers(
+        const EndpointId& endpoint, const std::function<std::optional<double>(const Record&)>& value) const;
+    [[nodiscard]] bool isReplicaInUse(const EndpointId& primary, const EndpointId& besides) const;
 
     EndpointHealthSettings settings;
     ObservedTime observed;
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -124,7 +124,8 @@
     EndpointId endpoint;
     // Highest term that the peer knows.
     std::uint64_t term = 0;
-    // Time since the peer's last contact with the endpoint; no value if it never had contact.
+    // Time that the peer has observed without contact, from EndpointHealth::contactAge(). An opinion without a value
+    // does not count.
     std::optional<Duration> contactAge;
 
     bool operator==(const Opinion&) const = default;
--- a/src/process/failover_transitions.cc
+++ b/src/process/failover_transitions.cc
@@ -239,10 +239,10 @@
     for (const auto& [daemon, view] : this->peers) {
         const auto& opinion = view.opinion;
         const bool counts = opinion.dataCentre != this->options.dataCentre && opinion.endpoint == current->endpoint
-            && now - view.receivedAt <= this->suspectAfter;
+            && opinion.contactAge && now - view.receivedAt <= this->suspectAfter;
         if (!counts)
             continue;
-        if (opinion.term > this->highTerm || (opinion.contactAge && *opinion.contactAge < this->suspectAfter))
+        if (opinion.term > this->highTerm || *opinion.contactAge < this->suspectAfter)
             return false;
         confirmed = true;
     }
--- a/src/process/observed_time.h
+++ b/src/process/observed_time.h
@@ -20,13 +20,17 @@
     // Moves to the given time. Returns the observed time since construction.
     Duration advance(Time now)
     {
-        if (now > this->last) {
-            this->observed += std::min(now - this->last, this->longestStep);
-            this->last = now;
-        }
+        this->observed = this->at(now);
+        this->last = std::max(this->last, now);
         return this->observed;
     }
 
+    // What advance() would return.
+    [[nodiscard]] Duration at(Time now) const
+    {
+        return this->observed + std::clamp(now - this->last, Duration::zero(), this->longestStep);
+    }
+
     [[nodiscard]] Duration value() const { return this->observed; }
 
 private:
