--- a/src/process/failover_property_test.cc
+++ b/src/process/failover_property_test.cc
@@ -96,3 +96,40 @@
 {
     CHECK(violationsWith(SeededFault::ReuseClaimant) == 0);
 }
+
+// Guards against a failover gap above the targets of 1 s in the median and 3 s at worst, in simulated time.
+TEST_CASE("Failover, replaces the primary within the targets when it is killed or cut off")
+{
+    const auto kind = GENERATE(FaultKind::CrashEndpoint, FaultKind::Isolate);
+    std::mt19937_64 random(propertySeed);
+    std::vector<Duration> gaps;
+    for (int run = 0; run < 100; ++run) {
+        Simulation simulation(3, random(), SeededFault::None);
+        simulation.run({ { 3000 + run, kind, primaryNode, 0, 60000 } });
+        gaps.push_back(simulation.longestGap);
+    }
+    std::sort(gaps.begin(), gaps.end());
+    std::cout << "failover gap kind=" << static_cast<int>(kind) << " seed=" << propertySeed
+              << " medianMs=" << toMilliseconds(gaps[50]) << " worstMs=" << toMilliseconds(gaps.back()) << "\n";
+    CAPTURE(static_cast<int>(kind), propertySeed, gaps[50].count(), gaps.back().count());
+    CHECK(gaps[50] <= 1s);
+    CHECK(gaps.back() <= 3s);
+}
+
+// Guards against false failovers when calls are late or lost, or when one daemon is cut off or paused.
+TEST_CASE("Failover, keeps the primary when only a daemon is disturbed")
+{
+    const int size = 3;
+    const auto fault = GENERATE(Fault { 3000, FaultKind::CutLink, primaryNode, size, 10000 },
+        Fault { 3000, FaultKind::CutLink, primaryNode, size + 1, 10000 },
+        Fault { 3000, FaultKind::Isolate, size, 0, 10000 }, Fault { 3000, FaultKind::PauseDaemon, 1, 0, 4000 },
+        Fault { 3000, FaultKind::CrashDaemon, 1, 0, 2000 });
+    CAPTURE(fault, propertySeed);
+    std::mt19937_64 random(propertySeed);
+    for (int run = 0; run < 50; ++run) {
+        Simulation simulation(size, random(), SeededFault::None);
+        simulation.run({ fault });
+        CAPTURE(run);
+        CHECK(simulation.promotions == 1);
+    }
+}
--- a/src/process/failover_simulation_test.h
+++ b/src/process/failover_simulation_test.h
@@ -22,6 +22,9 @@
 
 enum class FaultKind { CutLink, Isolate, CrashEndpoint, CrashDaemon, PauseDaemon, Switchover };
 
+// As a fault's node: the endpoint that is primary when the fault starts.
+constexpr int primaryNode = -1;
+
 // Fault that starts at a time and ends after a length, both in milliseconds.
 struct Fault {
     int at = 0;
@@ -84,6 +87,7 @@
     std::vector<std::string> violations;
     std::size_t acknowledged = 0;
     Time lastAcknowledged;
+    Duration longestGap {};
     std::size_t promotions = 0;
 
 private:
@@ -124,8 +128,10 @@
         daemon.tracker = std::make_unique<WriteTracker>(WriteTrackerSettings {}, this->ids());
     }
 
-    void inject(const Fault& fault)
+    void inject(Fault fault)
     {
+        if (fault.node == primaryNode)
+            fault.node = std::stoi(this->primaries.rbegin()->second.id.value.substr(1));
         const int nodes = static_cast<int>(this->endpoints.size() + this->daemons.size());
         const auto until = this->now + std::chrono::milliseconds(fault.length);
         auto& daemon = this->daemons[fault.node % this->daemons.size()];
@@ -343,7 +349,8 @@
     // acknowledgement.
     void acknowledge(const ExecutedWrite& write)
     {
-        ++this->acknowledged;
+        if (this->acknowledged++ > 0)
+            this->longestGap = std::max(this->longestGap, this->now - this->lastAcknowledged);
         this->lastAcknowledged = this->now;
         this->accepted.push_back(write);
         for (const auto& [term, promoted] : this->primaries)
