--- /dev/null
+++ b/src/connection/connection_use.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/identifier.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+
+namespace endivetrestle {
+
+// A connection of an owner to an endpoint. Numbers are never given out twice by a pool.
+struct ConnectionId {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const ConnectionId&) const = default;
+};
+
+inline std::ostream& operator<<(std::ostream& stream, const ConnectionId& connection)
+{
+    return stream << connection.value;
+}
+
+// One use of a connection: a checkout, a pin or one statement on a pinned connection. The generation differs between
+// any two uses of a connection, so an answer for an earlier use is never taken for a later one.
+struct ConnectionUse {
+    ConnectionId connection;
+    std::uint64_t generation = 0;
+    EndpointId endpoint;
+
+    auto operator<=>(const ConnectionUse&) const = default;
+};
+
+} // namespace endivetrestle
+
+template <> struct std::hash<endivetrestle::ConnectionId> {
+    std::size_t operator()(const endivetrestle::ConnectionId& connection) const noexcept
+    {
+        return std::hash<std::uint64_t>()(connection.value);
+    }
+};
