--- /dev/null
+++ b/src/process/membership.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifier.h"
+#include "base/socket_address.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace endivetrestle {
+
+// State of a daemon in this daemon's view, in the order in which a state overrules another of the same incarnation.
+enum class DaemonState { Alive, Suspected, Leaving, Dead };
+
+// "alive", "suspected", "leaving" or "dead".
+std::string_view daemonStateName(DaemonState state);
+
+// What is known of one daemon.
+struct DaemonInfo {
+    DaemonId id;
+    SocketAddress peersAddress;
+    DataCentre dataCentre;
+    Region region;
+    // Raised only by the daemon itself, to refute a suspicion or after a restart.
+    std::uint64_t incarnation = 0;
+    DaemonState state = DaemonState::Alive;
+
+    bool operator==(const DaemonInfo&) const = default;
+};
+
+// Entry of the platform's live list.
+struct LiveListEntry {
+    DaemonId id;
+    SocketAddress peersAddress;
+    DataCentre dataCentre;
+    Region region;
+    bool leaving = false;
+
+    bool operator==(const LiveListEntry&) const = default;
+};
+
+struct MembershipSettings {
+    // Failed calls in a row after which a daemon is suspected.
+    int failuresToSuspect = 2;
+    // Time that a suspected daemon has to refute.
+    Duration suspicionTimeout = std::chrono::seconds(3);
+    // A suspicion by others is ignored while this daemon's last successful call is younger.
+    Duration ownEvidenceAge = std::chrono::seconds(2);
+    // Time for which a dead daemon is remembered, so that old messages do not revive it.
+    Duration deadRetention = std::chrono::minutes(10);
+    std::size_t maxDaemons = 4096;
+};
+
+// View of the fleet's daemons from the live list, this daemon's own calls and gossip. The live list lags: it introduces
+// daemons and declares them leaving, but own observations decide between alive, suspected and dead. A gossiped death is
+// only taken as a suspicion, so that a cut-off daemon cannot remove others: everyone gives the daemon time to refute.
+class Membership {
+public:
+    // The incarnation of self should be higher than in earlier runs, for example the Unix time in milliseconds.
+    Membership(DaemonInfo self, MembershipSettings settings = {});
+
+    // A new live list. Daemons that it no longer lists are suspected unless this daemon reached them recently.
+    void applyLiveList(Time now, const std::vector<LiveListEntry>& list);
+    // Result of a call to a daemon.
+    void reportSuccess(Time now, const DaemonId& daemon);
+    void reportFailure(Time now, const DaemonId& daemon);
+    // Gossiped knowledge. Returns whether the view changed. A suspicion of self raises the own incarnation.
+    bool merge(Time now, const DaemonInfo& info);
+    // Declares that this daemon is shutting down.
+    void leave(Time now);
+    // Turns expired suspicions into deaths and forgets old deaths. Call at nextDue() or later.
+    void tick(Time now);
+    [[nodiscard]] Time nextDue() const;
+
+    [[nodiscard]] DaemonInfo self() const;
+    [[nodiscard]] std::optional<DaemonInfo> find(const DaemonId& daemon) const;
+    // All known daemons with self, ordered by id.
+    [[nodiscard]] std::vector<DaemonInfo> view() const;
+    [[nodiscard]] std::size_t size() const { return this->entries.size(); }
+
+    // Number of the latest change. Whoever caches something derived from the view compares it.
+    [[nodiscard]] std::uint64_t sequence() const { return this->lastSequence; }
+
+    struct Delta {
+        std::uint64_t sequence = 0;
+        DaemonInfo info;
+    };
+    // Entries changed after the given sequence number, oldest change first, at most limit.
+    [[nodiscard]] std::vector<Delta> deltasSince(std::uint64_t sequence, std::size_t limit) const;
+
+private:
+    struct Entry {
+        DaemonInfo info;
+        std::uint64_t sequence = 0;
+        int failures = 0;
+        Time lastSuccess = Time::min();
+        // When the state was last changed.
+        Time changedAt;
+        bool listed = false;
+    };
+
+    Entry* findEntry(const DaemonId& daemon);
+    bool add(Time now, const DaemonInfo& info);
+    void setState(Time now, Entry& entry, DaemonState state);
+    void markChanged(Time now, Entry& entry);
+    bool mergeSelf(Time now, const DaemonInfo& info);
+    [[nodiscard]] bool reachedRecently(Time now, const Entry& entry) const;
+    [[nodiscard]] Time dueTime(const Entry& entry) const;
+
+    DaemonId selfId;
+    MembershipSettings settings;
+    std::map<DaemonId, Entry> entries;
+    std::map<std::uint64_t, DaemonId> bySequence;
+    std::uint64_t lastSequence = 0;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/version/configuration.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifier.h"
+#include "base/socket_address.h"
+#include "base/strict_json.h"
+#include "request/request.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace endivetrestle {
+
+// Part of an endpoint in its group, as declared by operators.
+enum class EndpointState {
+    // Being filled: counted in no majority and given no reads.
+    Joining,
+    Active,
+    // Gets no new work.
+    Leaving,
+};
+
+// "joining", "active" or "leaving".
+std::string_view endpointStateName(EndpointState state);
+
+// One member of a database group.
+struct EndpointDeclaration {
+    EndpointId id;
+    SocketAddress address;
+    DataCentre dataCentre;
+    EndpointState state = EndpointState::Active;
+
+    bool operator==(const EndpointDeclaration&) const = default;
+};
+
+// Objectives that operators set for the service of one database.
+struct Objectives {
+    // Part of the requests that must not fail, below 1.
+    double availability = 0.999;
+    // Time within which a request of the kind must be answered.
+    Duration readLatency = std::chrono::milliseconds(100);
+    Duration writeLatency = std::chrono::milliseconds(200);
+
+    bool operator==(const Objectives&) const = default;
+};
+
+// One replicated database group. Endpoints are ordered by id.
+struct DatabaseDeclaration {
+    DatabaseId id;
+    Region region;
+    std::vector<EndpointDeclaration> endpoints;
+    // Statements that one endpoint runs concurrently.
+    int slots = 1;
+    // Connections that one endpoint accepts from all daemons together.
+    int connectionsPerEndpoint = 1;
+    Objectives objectives;
+
+    bool operator==(const DatabaseDeclaration&) const = default;
+
+    [[nodiscard]] const EndpointDeclaration* findEndpoint(const EndpointId& endpoint) const;
+    // Endpoints that count for a majority: all but the joining ones. A leaving one still holds acknowledged writes.
+    [[nodiscard]] std::size_t votingCount() const;
+};
+
+// Request kinds that a caller may use. Resolving an earlier request is always allowed.
+struct AllowedKinds {
+    bool read = true;
+    bool write = true;
+    bool transaction = true;
+
+    bool operator==(const AllowedKinds&) const = default;
+    [[nodiscard]] bool allows(RequestKind kind) const;
+};
+
+// What a caller may do at one database.
+struct DatabaseGrant {
+    // Largest read age that the caller may state. No value: any age.
+    std::optional<Duration> maxReadAge;
+
+    bool operator==(const DatabaseGrant&) const = default;
+};
+
+// One client application.
+struct CallerDeclaration {
+    CallerId id;
+    // SHA-256 of the caller's key, 64 lower-case hexadecimal digits.
+    std::string keySha256;
+    std::map<DatabaseId, DatabaseGrant> databases;
+    AllowedKinds kinds;
+
+    bool operator==(const CallerDeclaration&) const = default;
+};
+
+// Content of one configuration version. Databases and callers are ordered by id.
+struct ConfigurationDocument {
+    std::uint64_t version = 0;
+    std::vector<DatabaseDeclaration> databases;
+    std::vector<CallerDeclaration> callers;
+
+    bool operator==(const ConfigurationDocument&) const = default;
+};
+
+// Checks rules that span several values: unique identifiers, addresses and caller keys, a majority of each group's
+// endpoints not leaving, and grants for known databases only. Returns every violation.
+std::vector<JsonProblem> validateConfiguration(const ConfigurationDocument& document, const std::string& source);
+
+// Canonical text: compact JSON with ordered keys and identifiers. Equal documents give equal texts.
+std::string serialiseConfiguration(const ConfigurationDocument& document);
+
+// SHA-256 of a text as 64 lower-case hexadecimal digits. Used as content hash and for caller keys.
+std::string sha256Hex(std::string_view text);
+
+// One valid configuration version with lookups. Immutable; shared as std::shared_ptr<const Configuration>.
+class Configuration {
+public:
+    // The document must satisfy validateConfiguration(). Orders databases, endpoints and callers by id.
+    explicit Configuration(ConfigurationDocument document);
+
+    [[nodiscard]] std::uint64_t version() const { return this->content.version; }
+    // SHA-256 of text().
+    [[nodiscard]] const std::string& hash() const { return this->contentHash; }
+    // Canonical text, which peers and the object store hold.
+    [[nodiscard]] const std::string& text() const { return this->canonicalText; }
+    [[nodiscard]] const ConfigurationDocument& document() const { return this->content; }
+
+    // Lookups return nullptr for an unknown identifier. The pointers live as long as the configuration.
+    [[nodiscard]] const DatabaseDeclaration* findDatabase(const DatabaseId& id) const;
+    [[nodiscard]] const CallerDeclaration* findCaller(const CallerId& id) const;
+    // Finds a caller by the SHA-256 of the presented key in lower-case hexadecimal digits.
+    [[nodiscard]] const CallerDeclaration* findCallerByKey(const std::string& keySha256) const;
+
+private:
+    ConfigurationDocument content;
+    std::string canonicalText;
+    std::string contentHash;
+    std::unordered_map<DatabaseId, std::size_t> databaseIndex;
+    std::unordered_map<CallerId, std::size_t> callerIndex;
+    std::unordered_map<std::string, std::size_t> keyIndex;
+};
+
+// Result of parseConfiguration(): a configuration or problems.
+struct ConfigurationResult {
+    std::shared_ptr<const Configuration> configuration;
+    std::vector<JsonProblem> problems;
+};
+
+// Parses and validates a document and reports every problem at once.
+//
+// Example:
+//     const auto result = parseConfiguration(text, "samples/prism.configuration.jsonc");
+//     if (result.configuration)
+//         use(result.configuration->findDatabase(DatabaseId("ledger-1")));
+ConfigurationResult parseConfiguration(std::string_view text, const std::string& source);
+
+// Parses one database or caller, as used by documents and intents. Problems are added to the list.
+DatabaseDeclaration parseDatabase(const nlohmann::json& value, const std::string& source, const std::string& path,
+    std::vector<JsonProblem>& problems);
+CallerDeclaration parseCaller(const nlohmann::json& value, const std::string& source, const std::string& path,
+    std::vector<JsonProblem>& problems);
+EndpointDeclaration parseEndpoint(const nlohmann::json& value, const std::string& source, const std::string& path,
+    std::vector<JsonProblem>& problems);
+
+// Readable lines for what differs between two documents, one change a line. Empty if only the version differs.
+std::vector<std::string> describeDifference(const ConfigurationDocument& before, const ConfigurationDocument& after);
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/version/confirm_machine.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "version/plan.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace endivetrestle {
+
+// Key of the table row that names the accepted configuration.
+inline constexpr std::string_view configurationRowKey = "configuration";
+
+// One accepted version in the history of the row.
+struct AcceptedOperation {
+    std::uint64_t version = 0;
+    std::string operationId;
+
+    bool operator==(const AcceptedOperation&) const = default;
+};
+
+// Value of the configuration row.
+struct ConfigurationRow {
+    std::uint64_t version = 0;
+    // Content hash of the body at configurationObjectKey().
+    std::string hash;
+    // Latest operations, newest first, at most historyLimit. A confirmation that is repeated after later changes finds
+    // its own operation id here.
+    std::vector<AcceptedOperation> history;
+
+    static constexpr std::size_t historyLimit = 128;
+
+    bool operator==(const ConfigurationRow&) const = default;
+};
+
+std::string serialiseRow(const ConfigurationRow& row);
+std::optional<ConfigurationRow> parseRow(std::string_view text);
+
+// Object key of a body. It holds the hash, so that two plans on one base never overwrite each other's body.
+std::string configurationObjectKey(std::uint64_t version, const std::string& hash);
+
+// Actions of the machine. Exactly one is outstanding at a time.
+struct ReadRow {
+    std::string key;
+    bool operator==(const ReadRow&) const = default;
+};
+// Writes only if the row's revision is still the expected one; 0 means that the row must not exist.
+struct WriteRow {
+    std::string key;
+    std::string value;
+    std::uint64_t expectedRevision = 0;
+    std::string operationId;
+    bool operator==(const WriteRow&) const = default;
+};
+struct PutObject {
+    std::string key;
+    std::string body;
+    bool operator==(const PutObject&) const = default;
+};
+struct GetObject {
+    std::string key;
+    bool operator==(const GetObject&) const = default;
+};
+
+enum class ConfirmStatus {
+    // The configuration row holds the plan's version through this confirmation.
+    Accepted,
+    // An earlier confirmation of the same plan was accepted.
+    AlreadyAccepted,
+    // The plan has not been accepted; see code and lines.
+    Refused,
+    // The outcome is unknown if a write was sent. Confirming again resumes.
+    StoreUnavailable,
+};
+
+// Last action: the confirmation is over.
+struct ConfirmResult {
+    ConfirmStatus status = ConfirmStatus::StoreUnavailable;
+    // None, PlanUnknown, PlanOutdated, PlanInvalid or StoreUnavailable.
+    ErrorCode code = ErrorCode::None;
+    // Accepted version; 0 if there is none.
+    std::uint64_t version = 0;
+    // The accepted configuration for Accepted and AlreadyAccepted.
+    std::shared_ptr<const Configuration> configuration;
+    // Whether a conditional write was sent whose effect is not known.
+    bool outcomeUnknown = false;
+    // Reasons; for PlanOutdated the difference between the plan's base and the current version.
+    std::vector<std::string> lines;
+};
+
+using ConfirmAction = std::variant<ReadRow, WriteRow, PutObject, GetObject, ConfirmResult>;
+
+// Answers of the platform. Unavailable covers refused connections, timeouts and malformed answers: the effect of the
+// call is not known.
+enum class StoreStatus { Ok, NotFound, Conflict, Unavailable };
+
+// Answer to any action. Text is the value of the row or the object; revision is that of the row read.
+struct StoreAnswer {
+    StoreStatus status = StoreStatus::Unavailable;
+    std::string text;
+    std::uint64_t revision = 0;
+};
+
+// Confirms a plan: reads the plan, checks its base against the row, writes the body, writes the row on the condition
+// that it is unchanged, and reads back by operation id whenever an answer is lost or the condition failed. It may be
+// run again at any time and by any daemon with the same plan id, because the operation id is the plan id and the
+// condition admits at most one write per base version.
+//
+// Example:
+//     ConfirmMachine machine(planId, nowMs);
+//     auto action = machine.start();
+//     while (!std::holds_alternative<ConfirmResult>(action))
+//         action = machine.onAnswer(perform(action));
+class ConfirmMachine {
+public:
+    // The time is Unix time in milliseconds and is only used to refuse expired plans.
+    ConfirmMachine(PlanId plan, std::int64_t nowMs);
+
+    ConfirmAction start();
+    // Takes the answer to the outstanding action.
+    ConfirmAction onAnswer(const StoreAnswer& answer);
+
+private:
+    enum class Step {
+        ReadingPlan,
+        ReadingRow,
+        PuttingBody,
+        WritingRow,
+        ReadingBack,
+        GettingBase,
+        GettingCurrent,
+        Done
+    };
+
+    ConfirmAction onPlan(const StoreAnswer& answer);
+    ConfirmAction onRow(const StoreAnswer& answer);
+    ConfirmAction onBody(const StoreAnswer& answer);
+    ConfirmAction onWritten(const StoreAnswer& answer);
+    ConfirmAction onReadBack(const StoreAnswer& answer);
+    ConfirmAction onBase(const StoreAnswer& answer);
+    ConfirmAction onCurrent(const StoreAnswer& answer);
+    ConfirmAction decide(const ConfigurationRow& row);
+    ConfirmAction proceed();
+    ConfirmAction write();
+    ConfirmAction readRow(Step next);
+    ConfirmAction startDifference();
+    ConfirmAction accepted(ConfirmStatus status);
+    ConfirmAction refused(ErrorCode code, std::vector<std::string> lines);
+    ConfirmAction unavailable(std::string line);
+
+    PlanId planId;
+    std::int64_t nowMs;
+    Step step = Step::ReadingPlan;
+    std::optional<Plan> plan;
+    std::shared_ptr<const Configuration> result;
+    ConfigurationRow row;
+    std::uint64_t revision = 0;
+    std::optional<ConfigurationDocument> base;
+    bool bodyStored = false;
+    bool writeSent = false;
+    int writesLeft = 3;
+};
+
+} // namespace endivetrestle
