--- a/src/connection/endpoint_pool.h
+++ b/src/connection/endpoint_pool.h
@@ -188,8 +188,9 @@
     // Resetting to Idle, or to Closing if the reset failed.
     bool onResetDone(ConnectionId connection, std::uint64_t generation, bool succeeded, Time now);
 
-    // Any state to closed. Returns the use that was interrupted: the running statement, or the pin if none was running;
-    // no value if the connection was not in use or its use had ended before.
+    // Any state to closed. Returns the use that was interrupted: the running statement, or the pin if none was running.
+    // No value if the connection was not in use or the owner ended the use itself, which release(), unpin() and
+    // abandon() do even when they return false because the pool is closing the connection.
     std::optional<ConnectionUse> onClosed(ConnectionId connection, Time now);
 
     // Ends the backoff of an endpoint, for an endpoint that has been seen alive by other means.
@@ -221,6 +222,10 @@
         std::uint64_t pinGeneration = 0;
         // Whether a statement or reset occupies a slot.
         bool usesSlot = false;
+        // Whether onOpened() was received.
+        bool opened = false;
+        // The use that the pool itself cut off by closing the connection.
+        std::optional<ConnectionUse> interrupted;
         // When the state was entered.
         Time since;
     };
@@ -239,9 +244,35 @@
         Time openNotBefore;
     };
 
+    using Connections = std::map<ConnectionId, Connection>;
+
+    Connections::iterator findInState(ConnectionId connection, ConnectionState state);
+    Connections::iterator findPin(const ConnectionUse& pin);
+    Endpoint& endpointOf(const Connection& connection) { return this->endpoints.at(connection.endpoint); }
+
+    int& countOf(EndpointCounts& counts, ConnectionState state) const;
+    void enter(Connections::iterator connection, ConnectionState state, Time now);
+    void useSlot(Connection& connection, bool used);
+    void close(Connections::iterator connection, CloseReason reason, Time now);
+    // Closes a connection whose use has not ended, and remembers that use for onClosed().
+    void interrupt(Connections::iterator connection, CloseReason reason, Time now);
+    void forgetInterrupted(const ConnectionUse& use);
+    void remove(Connections::iterator connection, Time now);
+    void returnConnection(Connections::iterator connection, ReleaseState state, Time now);
+
+    [[nodiscard]] bool surplus(const Endpoint& endpoint) const;
+    [[nodiscard]] bool graceOver(const Endpoint& endpoint, Time now) const;
+    void applyLimits(const EndpointId& id, Time now);
+    void noteOpenFailure(Endpoint& endpoint, Time now);
+    [[nodiscard]] bool wantsOpen(const Endpoint& endpoint) const;
+    [[nodiscard]] bool mayOpen(const Endpoint& endpoint) const;
+    void replenish(Time now);
+    [[nodiscard]] std::optional<Time> idleCloseDue(const Endpoint& endpoint) const;
+    [[nodiscard]] Time dueOf(const Connection& connection) const;
+
     EndpointPoolSettings settings;
     std::map<EndpointId, Endpoint> endpoints;
-    std::map<ConnectionId, Connection> connections;
+    Connections connections;
     std::uint64_t lastConnection = 0;
     int opening = 0;
     std::vector<PoolAction> actions;
