--- a/src/version/configuration.h
+++ b/src/version/configuration.h
@@ -157,15 +157,4 @@
 //         use(result.configuration->findDatabase(DatabaseId("ledger-1")));
 ConfigurationResult parseConfiguration(std::string_view text, const std::string& source);
 
-// Parses one database or caller, as used by documents and intents. Problems are added to the list.
-DatabaseDeclaration parseDatabase(const nlohmann::json& value, const std::string& source, const std::string& path,
-    std::vector<JsonProblem>& problems);
-CallerDeclaration parseCaller(const nlohmann::json& value, const std::string& source, const std::string& path,
-    std::vector<JsonProblem>& problems);
-EndpointDeclaration parseEndpoint(const nlohmann::json& value, const std::string& source, const std::string& path,
-    std::vector<JsonProblem>& problems);
-
-// Readable lines for what differs between two documents, one change a line. Empty if only the version differs.
-std::vector<std::string> describeDifference(const ConfigurationDocument& before, const ConfigurationDocument& after);
-
 } // namespace endivetrestle
