Add view of daemons and owner ranks

Own calls and incarnation numbers override the lagging live list; a gossiped death is only a suspicion. Owners are ranked by rendezvous hashing.

--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -59,17 +60,22 @@
 // only taken as a suspicion, so that a cut-off daemon cannot remove others: everyone gives the daemon time to refute.
 class Membership {
 public:
+    // Largest number that every JSON library keeps exact.
+    static constexpr std::uint64_t maxIncarnation = 1ULL << 53U;
+
     // The incarnation of self should be higher than in earlier runs, for example the Unix time in milliseconds.
     Membership(DaemonInfo self, MembershipSettings settings = {});
 
-    // A new live list. Daemons that it no longer lists are suspected unless this daemon reached them recently.
+    // A new live list. Daemons that it no longer lists are suspected unless this daemon reached them recently. If it
+    // lists this daemon's host as leaving, self is leaving too. An empty list is ignored as a fault of the service.
     void applyLiveList(Time now, const std::vector<LiveListEntry>& list);
     // Result of a call to a daemon.
     void reportSuccess(Time now, const DaemonId& daemon);
     void reportFailure(Time now, const DaemonId& daemon);
     // Gossiped knowledge. Returns whether the view changed. A suspicion of self raises the own incarnation.
+    // Incarnations above maxIncarnation are ignored as malformed.
     bool merge(Time now, const DaemonInfo& info);
-    // Declares that this daemon is shutting down.
+    // Declares that this daemon is shutting down. Nothing makes it alive again.
     void leave(Time now);
     // Turns expired suspicions into deaths and forgets old deaths. Call at nextDue() or later.
     void tick(Time now);
@@ -96,22 +102,31 @@
         DaemonInfo info;
         std::uint64_t sequence = 0;
         int failures = 0;
-        Time lastSuccess = Time::min();
+        std::optional<Time> lastSuccess;
         // When the state was last changed.
         Time changedAt;
         bool listed = false;
+        bool listedLeaving = false;
     };
 
-    Entry* findEntry(const DaemonId& daemon);
+    [[nodiscard]] Entry& own() { return this->entries.at(this->selfId); }
+    Entry* findOther(const DaemonId& daemon);
     bool add(Time now, const DaemonInfo& info);
+    bool makeRoom();
     void setState(Time now, Entry& entry, DaemonState state);
-    void markChanged(Time now, Entry& entry);
-    bool mergeSelf(Time now, const DaemonInfo& info);
+    void markChanged(Entry& entry);
+    void applyEntry(Time now, const LiveListEntry& listed);
+    void onListedLeaving(Time now, Entry& entry, bool leaving);
+    void onDelisted(Time now, Entry& entry);
+    bool mergeSelf(const DaemonInfo& info);
+    bool mergeOther(Time now, Entry& entry, const DaemonInfo& info);
+    void remove(const DaemonId& daemon);
     [[nodiscard]] bool reachedRecently(Time now, const Entry& entry) const;
     [[nodiscard]] Time dueTime(const Entry& entry) const;
 
     DaemonId selfId;
     MembershipSettings settings;
+    bool shuttingDown = false;
     std::map<DaemonId, Entry> entries;
     std::map<std::uint64_t, DaemonId> bySequence;
     std::uint64_t lastSequence = 0;
--- /dev/null
+++ b/src/process/ownership.cc
@@ -0,0 +1,103 @@
+#include "process/ownership.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+namespace {
+
+struct Candidate {
+    const DaemonInfo* info = nullptr;
+    std::uint64_t weight = 0;
+};
+
+bool isHeavier(const Candidate& left, const Candidate& right)
+{
+    return left.weight != right.weight ? left.weight > right.weight : left.info->id < right.info->id;
+}
+
+bool holdsRank(const std::vector<DaemonInfo>& chosen, const DataCentre& dataCentre)
+{
+    return std::any_of(
+        chosen.begin(), chosen.end(), [&](const DaemonInfo& info) { return info.dataCentre == dataCentre; });
+}
+
+// Heaviest candidate of a data centre that holds no rank yet, or else the heaviest one. The list must not be empty.
+std::vector<Candidate>::iterator best(std::vector<Candidate>& ordered, const std::vector<DaemonInfo>& chosen)
+{
+    const auto inNewDataCentre
+        = [&](const Candidate& candidate) { return !holdsRank(chosen, candidate.info->dataCentre); };
+    const auto found = std::find_if(ordered.begin(), ordered.end(), inNewDataCentre);
+    return found == ordered.end() ? ordered.begin() : found;
+}
+
+} // namespace
+
+Ownership::Ownership(std::size_t ownersPerDatabase)
+    : count(ownersPerDatabase)
+{
+}
+
+void Ownership::update(const std::vector<DaemonInfo>& view)
+{
+    this->byRegion.clear();
+    for (const auto& info : view) {
+        if (info.state == DaemonState::Dead)
+            continue;
+        auto& tiers = this->byRegion[info.region];
+        const std::size_t tier = info.state == DaemonState::Alive ? 0 : info.state == DaemonState::Suspected ? 1 : 2;
+        tiers[tier].push_back(info);
+    }
+}
+
+std::uint64_t Ownership::weight(const DaemonId& daemon, const DatabaseId& database)
+{
+    const auto seed = XXH3_64bits(database.value.data(), database.value.size());
+    return XXH3_64bits_withSeed(daemon.value.data(), daemon.value.size(), seed);
+}
+
+void Ownership::pick(const Tiers& tiers, const DatabaseId& database, std::vector<DaemonInfo>& chosen) const
+{
+    for (const auto& tier : tiers) {
+        std::vector<Candidate> ordered;
+        ordered.reserve(tier.size());
+        for (const auto& info : tier)
+            ordered.push_back({ &info, weight(info.id, database) });
+        std::sort(ordered.begin(), ordered.end(), isHeavier);
+        while (chosen.size() < this->count && !ordered.empty()) {
+            const auto next = best(ordered, chosen);
+            chosen.push_back(*next->info);
+            ordered.erase(next);
+        }
+    }
+}
+
+std::vector<DaemonInfo> Ownership::owners(const DatabaseId& database, const Region& region) const
+{
+    std::vector<DaemonInfo> chosen;
+    const auto found = this->byRegion.find(region);
+    if (found != this->byRegion.end())
+        this->pick(found->second, database, chosen);
+    if (!chosen.empty())
+        return chosen;
+    Tiers others;
+    for (const auto& [name, tiers] : this->byRegion) {
+        for (std::size_t tier = 0; tier < tiers.size(); ++tier)
+            others[tier].insert(others[tier].end(), tiers[tier].begin(), tiers[tier].end());
+    }
+    this->pick(others, database, chosen);
+    return chosen;
+}
+
+int Ownership::rankOf(const DaemonId& daemon, const DatabaseId& database, const Region& region) const
+{
+    const auto ranks = this->owners(database, region);
+    const auto hasId = [&](const DaemonInfo& info) { return info.id == daemon; };
+    const auto found = std::find_if(ranks.begin(), ranks.end(), hasId);
+    return found == ranks.end() ? -1 : static_cast<int>(found - ranks.begin());
+}
+
+} // namespace endivetrestle
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -3,15 +3,17 @@
 #include "base/identifier.h"
 #include "process/membership.h"
 
+#include <array>
 #include <cstdint>
-#include <unordered_map>
+#include <map>
 #include <vector>
 
 namespace endivetrestle {
 
 // Computes the daemons that own a database by rendezvous hashing. Every daemon with the same view gets the same ranks.
-// Order: daemons of the database's region before others; alive before suspected before leaving, dead ones never; within
-// these, data centres that hold no earlier rank first, and the highest hash first. When a daemon comes or goes, only
+// Daemons of another region are used only if the database's region has none that is not dead. Within the region the
+// order is alive, suspected, leaving; within these, data centres that hold no earlier rank first, and the highest hash
+// first. When a daemon comes or goes, only
 // databases change for which it holds or gets a rank.
 //
 // Example:
@@ -34,13 +36,13 @@
     static std::uint64_t weight(const DaemonId& daemon, const DatabaseId& database);
 
 private:
-    struct Group;
-    void pick(
-        const std::vector<DaemonInfo>& candidates, const DatabaseId& database, std::vector<DaemonInfo>& chosen) const;
+    // Daemons by state in the order of preference: alive, suspected, leaving.
+    using Tiers = std::array<std::vector<DaemonInfo>, 3>;
+
+    void pick(const Tiers& tiers, const DatabaseId& database, std::vector<DaemonInfo>& chosen) const;
 
     std::size_t count;
-    // Daemons by region and then by state, in the order of preference.
-    std::unordered_map<Region, std::vector<std::vector<DaemonInfo>>> byRegion;
+    std::map<Region, Tiers> byRegion;
 };
 
 } // namespace endivetrestle
--- /dev/null
+++ b/src/process/ownership_test.cc
@@ -0,0 +1,155 @@
+#include "process/ownership.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+using namespace endivetrestle;
+
+namespace {
+
+// Daemons spread evenly over regions, with three data centres in each.
+std::vector<DaemonInfo> fleet(std::size_t daemons, std::size_t regions)
+{
+    std::vector<DaemonInfo> view;
+    for (std::size_t index = 0; index < daemons; ++index) {
+        const auto region = "region-" + std::to_string(index % regions);
+        const auto centre = region + "-" + std::to_string(index / regions % 3);
+        view.push_back({ DaemonId("daemon-" + std::to_string(index)), { "10.0.0.1", 7000 }, DataCentre(centre),
+            Region(region), 1, DaemonState::Alive });
+    }
+    return view;
+}
+
+DatabaseId databaseAt(std::size_t index) { return DatabaseId("database-" + std::to_string(index)); }
+
+Region regionAt(std::size_t index, std::size_t regions) { return Region("region-" + std::to_string(index % regions)); }
+
+std::vector<DaemonId> idsOf(const std::vector<DaemonInfo>& owners)
+{
+    std::vector<DaemonId> ids;
+    for (const auto& owner : owners)
+        ids.push_back(owner.id);
+    return ids;
+}
+
+Ownership ownershipOf(const std::vector<DaemonInfo>& view)
+{
+    Ownership ownership(2);
+    ownership.update(view);
+    return ownership;
+}
+
+// Smallest load that a bin exceeds with a probability of at most the limit, summed over all bins, when balls are
+// thrown at random: bins * P(Binomial(balls, 1 / bins) > load) <= limit.
+std::size_t unionBound(std::size_t balls, std::size_t bins, double limit)
+{
+    const auto n = static_cast<double>(balls);
+    const auto p = 1.0 / static_cast<double>(bins);
+    double tail = 1;
+    for (std::size_t load = 0;; ++load) {
+        const auto k = static_cast<double>(load);
+        const auto choose = std::lgamma(n + 1) - std::lgamma(k + 1) - std::lgamma(n - k + 1);
+        tail -= std::exp(choose + k * std::log(p) + (n - k) * std::log1p(-p));
+        if (static_cast<double>(bins) * tail <= limit)
+            return load;
+    }
+}
+
+} // namespace
+
+// Guards against failing over databases whose owners did not change when a daemon dies or joins.
+TEST_CASE("Ownership, moves only databases of the daemon when one daemon goes or comes")
+{
+    rc::prop("databases keep their owners", [] {
+        const auto regions = *rc::gen::inRange<std::size_t>(1, 4);
+        const auto all = fleet(*rc::gen::inRange<std::size_t>(2, 60), regions);
+        const auto gone = *rc::gen::inRange<std::size_t>(0, all.size());
+        auto fewer = all;
+        fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(gone));
+        const auto before = ownershipOf(all);
+        const auto after = ownershipOf(fewer);
+        for (std::size_t index = 0; index < 100; ++index) {
+            const auto old = idsOf(before.owners(databaseAt(index), regionAt(index, regions)));
+            const auto now = idsOf(after.owners(databaseAt(index), regionAt(index, regions)));
+            const bool owned = std::find(old.begin(), old.end(), all[gone].id) != old.end();
+            if (!owned)
+                RC_ASSERT(old == now);
+            else if (old[0] != all[gone].id)
+                RC_ASSERT(old[0] == now[0]);
+        }
+    });
+}
+
+// Guards against a hash that loads some daemons far above the mean at the future size. The bound is that of throwing
+// databases at daemons at random, exceeded by any daemon with a probability of at most one in a thousand.
+TEST_CASE("Ownership, stays within the bound of random placement at the future size")
+{
+    constexpr std::size_t daemons = 1600;
+    constexpr std::size_t databases = 3600;
+    constexpr std::size_t regions = 1;
+    const auto ownership = ownershipOf(fleet(daemons, regions));
+    std::map<DaemonId, std::size_t> active;
+    std::map<DaemonId, std::size_t> standby;
+    for (std::size_t index = 0; index < databases; ++index) {
+        const auto owners = ownership.owners(databaseAt(index), regionAt(index, regions));
+        ++active[owners[0].id];
+        ++standby[owners[1].id];
+    }
+    const auto largest = [](const auto& loads) {
+        std::size_t load = 0;
+        for (const auto& [id, databasesOfDaemon] : loads)
+            load = std::max(load, databasesOfDaemon);
+        return load;
+    };
+    const auto bound = unionBound(databases, daemons, 0.001);
+    CAPTURE(largest(active), largest(standby), bound);
+    CHECK(largest(active) <= bound);
+    CHECK(largest(standby) <= bound);
+    // Expected part of daemons without a database: e^-2.25 = 10.5 %; five standard deviations of it are 4 %.
+    CHECK(std::abs(static_cast<double>(daemons - active.size()) / daemons - std::exp(-2.25)) < 0.04);
+}
+
+// Guards against both owners being lost with one data centre, and against owners far from the database.
+TEST_CASE("Ownership, chooses owners of the region in different data centres")
+{
+    const auto ownership = ownershipOf(fleet(28, 7));
+    for (std::size_t index = 0; index < 100; ++index) {
+        const auto owners = ownership.owners(databaseAt(index), regionAt(index, 7));
+        REQUIRE(owners.size() == 2);
+        CHECK(owners[0].dataCentre != owners[1].dataCentre);
+        CHECK(owners[0].region == regionAt(index, 7));
+        CHECK(owners[1].region == regionAt(index, 7));
+    }
+}
+
+// Guards against owners that are about to stop, and against a region that is served from elsewhere too early.
+TEST_CASE("Ownership, ranks suspected and leaving daemons last when others are alive")
+{
+    auto view = fleet(6, 2);
+    for (auto& info : view)
+        info.state = info.region == Region("region-0") ? DaemonState::Leaving : DaemonState::Alive;
+    view[0].state = DaemonState::Alive;
+    view[2].state = DaemonState::Suspected;
+    for (std::size_t index = 0; index < 20; ++index) {
+        const auto owners = idsOf(ownershipOf(view).owners(databaseAt(index), Region("region-0")));
+        CHECK(owners == std::vector<DaemonId> { view[0].id, view[2].id });
+    }
+    for (auto& info : view)
+        info.state = info.region == Region("region-0") ? DaemonState::Dead : DaemonState::Alive;
+    const auto elsewhere = ownershipOf(view).owners(databaseAt(0), Region("region-0"));
+    REQUIRE(elsewhere.size() == 2);
+    CHECK(elsewhere[0].region == Region("region-1"));
+    CHECK(ownershipOf(view).rankOf(elsewhere[1].id, databaseAt(0), Region("region-0")) == 1);
+    CHECK(ownershipOf(view).rankOf(view[0].id, databaseAt(0), Region("region-0")) == -1);
+    CHECK(ownershipOf({}).owners(databaseAt(0), Region("region-0")).empty());
+}
+
+// Guards against a changed hash, which would move every database during a rolling upgrade.
+TEST_CASE("Ownership, keeps weights when the library changes")
+{
+    CHECK(Ownership::weight(DaemonId("prism-1"), DatabaseId("ledger-1")) == 13057595910913481424U);
+}
