Rename the read section of the settings

Cause: ReadPolicy names both the settings and the function type of the read router. Change: the settings type is ReadSettings. Conclusion: both headers can be included together.

--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -142,7 +142,7 @@
     return word == "leastLoaded" ? ReplicaPreference::LeastLoaded : ReplicaPreference::Fastest;
 }
 
-void parseReads(ObjectReader& reader, ReadPolicy& reads)
+void parseReads(ObjectReader& reader, ReadSettings& reads)
 {
     reads.maxReplicaWait = reader.milliseconds("maxReplicaWaitMs", { 0, 10000 }, reads.maxReplicaWait);
     reads.replicaPreference
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -105,12 +105,12 @@
 };
 
 // How reads are given to replicas.
-struct ReadPolicy {
+struct ReadSettings {
     // Longest time that a read waits for a replica to apply a position before it goes to the primary.
     Duration maxReplicaWait = std::chrono::milliseconds(50);
     ReplicaPreference replicaPreference = ReplicaPreference::Fastest;
 
-    bool operator==(const ReadPolicy&) const = default;
+    bool operator==(const ReadSettings&) const = default;
 };
 
 // Exchange of digests with other daemons.
@@ -141,7 +141,7 @@
     SecretFiles secrets;
     LimitSettings limits;
     EndpointPolicy endpoints;
-    ReadPolicy reads;
+    ReadSettings reads;
     GossipPolicy gossip;
     PollPolicy poll;
     // Threads that parse requests and run decisions.
