--- a/src/edge/network_loop.cc
+++ b/src/edge/network_loop.cc
@@ -46,6 +46,14 @@
     this->waker = nullptr;
 }
 
+void NetworkLoop::runSoon(Task task)
+{
+    if (std::this_thread::get_id() == this->thread.get_id() && this->context != nullptr)
+        task(*this->context);
+    else
+        this->post(std::move(task));
+}
+
 void NetworkLoop::run(Task task)
 {
     std::promise<void> done;
@@ -101,6 +109,7 @@
     auto io = kj::setupAsyncIo();
     Tasks loopTasks;
     this->tasks = &loopTasks;
+    this->context = &io;
     while (true) {
         this->nextWake().wait(io.waitScope);
         this->runPending(io);
@@ -108,6 +117,7 @@
         if (this->stopping && this->pending.empty())
             break;
     }
+    this->context = nullptr;
     this->tasks = nullptr;
 }
 
--- a/src/edge/network_loop.h
+++ b/src/edge/network_loop.h
@@ -34,6 +34,9 @@
     // before post() returns when called from the loop. Tasks posted after stop() are dropped.
     void post(Task task);
 
+    // Runs a task at once if called on the loop's thread, which saves a wake-up; otherwise like post().
+    void runSoon(Task task);
+
     // Runs a task on the loop's thread and waits for its end. Must not be called from the loop's thread.
     void run(Task task);
 
@@ -56,6 +59,7 @@
     std::vector<Task> pending;
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> waker;
     Tasks* tasks = nullptr;
+    kj::AsyncIoContext* context = nullptr;
     bool stopping = false;
     bool running = false;
 };
--- /dev/null
+++ b/src/process/controller_action.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "connection/connection_use.h"
+#include "process/journal.h"
+#include "request/endpoint_call.h"
+#include "request/request.h"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace endivetrestle::controller {
+
+// What the owner of a DatabaseController carries out for it. Answers and failures go back through the function named
+// with each action.
+
+// Open a connection to an endpoint: onOpened() or onOpenFailed().
+struct Open {
+    ConnectionId connection;
+    EndpointId endpoint;
+
+    bool operator==(const Open&) const = default;
+};
+
+// Close a connection: onClosed().
+struct Close {
+    ConnectionId connection;
+
+    bool operator==(const Close&) const = default;
+};
+
+// Roll back and clear a connection: onResetDone().
+struct Reset {
+    ConnectionId connection;
+    std::uint64_t generation = 0;
+
+    bool operator==(const Reset&) const = default;
+};
+
+// Run a statement: onExecuteAnswer() or onExecuteFailed().
+struct Execute {
+    ConnectionUse use;
+    ExecuteCall call;
+    Duration timeout {};
+
+    bool operator==(const Execute&) const = default;
+};
+
+// Ask an endpoint for its status: onProbeAnswer() or onProbeFailed().
+struct Probe {
+    EndpointId endpoint;
+    // Identifies the probe in the answer. Probes of one kind are not outstanding twice.
+    std::uint64_t number = 0;
+    // With a wait above zero the endpoint answers when its log has passed this position or the wait is over.
+    Position after;
+    Duration wait {};
+    Duration timeout {};
+
+    bool operator==(const Probe&) const = default;
+};
+
+// Fence an endpoint: onFenceAnswer() or onFenceFailed().
+struct FenceEndpoint {
+    EndpointId endpoint;
+    FenceCall call;
+
+    bool operator==(const FenceEndpoint&) const = default;
+};
+
+// Promote an endpoint: onPromoteAnswer() or onPromoteFailed().
+struct PromoteEndpoint {
+    EndpointId endpoint;
+    PromoteCall call;
+
+    bool operator==(const PromoteEndpoint&) const = default;
+};
+
+// Ask the primary for the outcome of a request: onResolveAnswer() or onResolveFailed().
+struct Resolve {
+    std::uint64_t ticket = 0;
+    // Identifies the attempt in the answer.
+    std::uint64_t number = 0;
+    EndpointId endpoint;
+    ResolveCall call;
+    Duration timeout {};
+
+    bool operator==(const Resolve&) const = default;
+};
+
+// Ask other daemons for their last contact with an endpoint: onOpinion() for each answer.
+struct AskOpinions {
+    EndpointId endpoint;
+    std::uint64_t term = 0;
+
+    bool operator==(const AskOpinions&) const = default;
+};
+
+// The request has an outcome. takeOutcome() must be called directly before the answer is handed to the socket.
+struct Complete {
+    std::uint64_t ticket = 0;
+
+    bool operator==(const Complete&) const = default;
+};
+
+// Add an entry to the journal.
+struct Record {
+    JournalRecord record;
+
+    bool operator==(const Record&) const = default;
+};
+
+// The primary is suspected; a failover is under way until PrimaryReplaced or FailoverEnded.
+struct FailoverStarted {
+    JournalRecord record;
+
+    bool operator==(const FailoverStarted&) const = default;
+};
+
+// Another primary serves from now on.
+struct PrimaryReplaced {
+    EndpointId endpoint;
+    std::uint64_t term = 0;
+    // Time since the last contact with the previous primary; zero if none was known.
+    Duration gap {};
+    bool promotedHere = false;
+    bool planned = false;
+
+    bool operator==(const PrimaryReplaced&) const = default;
+};
+
+// The suspicion ended without a new primary.
+struct FailoverEnded {
+    bool operator==(const FailoverEnded&) const = default;
+};
+
+using Action = std::variant<Open, Close, Reset, Execute, Probe, FenceEndpoint, PromoteEndpoint, Resolve, AskOpinions,
+    Complete, Record, FailoverStarted, PrimaryReplaced, FailoverEnded>;
+using Actions = std::vector<Action>;
+
+} // namespace endivetrestle::controller
--- /dev/null
+++ b/src/process/controller_failover.cc
@@ -0,0 +1,147 @@
+#include "process/database_controller.h"
+
+namespace endivetrestle {
+
+namespace {
+
+    // Time between two attempts to move the primary away from a leaving endpoint.
+    constexpr Duration switchoverInterval = std::chrono::seconds(1);
+
+    std::string joinFields(const failover::Note& note)
+    {
+        std::string text;
+        for (const auto& [key, value] : note.fields)
+            text += (text.empty() ? "" : " ") + key + "=" + value;
+        return text;
+    }
+
+} // namespace
+
+void DatabaseController::perform(const FailoverActions& wanted, Time now)
+{
+    for (const auto& action : wanted) {
+        if (const auto* ask = std::get_if<failover::AskOpinions>(&action)) {
+            this->actions.emplace_back(controller::AskOpinions { ask->endpoint, ask->term });
+        } else if (const auto* fence = std::get_if<failover::Fence>(&action)) {
+            this->actions.emplace_back(
+                controller::FenceEndpoint { fence->endpoint, { fence->term, this->identity.claimant } });
+        } else if (const auto* promote = std::get_if<failover::Promote>(&action)) {
+            this->actions.emplace_back(
+                controller::PromoteEndpoint { promote->endpoint, { promote->term, this->identity.claimant } });
+        } else if (const auto* change = std::get_if<failover::PrimaryChanged>(&action)) {
+            this->onPrimaryChanged(*change, now);
+        } else if (const auto* note = std::get_if<failover::Note>(&action)) {
+            JournalRecord record;
+            record.database = this->declaration.id;
+            record.kind = this->plannedChange ? JournalKind::Switchover : JournalKind::Failover;
+            record.seen = joinFields(*note);
+            record.decided = note->event;
+            record.fields = note->fields;
+            this->actions.emplace_back(controller::Record { std::move(record) });
+        }
+    }
+    const bool runs = this->failover.state() != FailoverState::Watching;
+    if (runs && !this->failoverRunning) {
+        JournalRecord record;
+        record.database = this->declaration.id;
+        record.kind = this->plannedChange ? JournalKind::Switchover : JournalKind::Failover;
+        const auto primary = this->failover.primary();
+        record.seen = primary ? "primary " + primary->endpoint.value + " in term " + std::to_string(primary->term)
+                              : std::string("no primary");
+        record.decided = this->plannedChange ? "replace the leaving primary" : "the primary is suspected";
+        record.done = "under way";
+        this->actions.emplace_back(controller::FailoverStarted { std::move(record) });
+    } else if (!runs && this->failoverRunning) {
+        this->actions.emplace_back(controller::FailoverEnded {});
+        this->plannedChange = false;
+    }
+    this->failoverRunning = runs;
+}
+
+void DatabaseController::onPrimaryChanged(const failover::PrimaryChanged& change, Time now)
+{
+    this->actions.emplace_back(controller::PrimaryReplaced {
+        change.endpoint, change.term, change.gap, change.promotedHere, this->plannedChange });
+    this->perform(this->writes.onTerm(change.term), now);
+    this->abandonOldPrimary(now);
+    this->abortTransactions(this->transactions.abortAll(now), now);
+    this->applyEndpoints(now);
+    if (const auto probe = this->probes.find(change.endpoint); probe != this->probes.end())
+        probe->second.statusDue = now;
+    for (const auto ticket : this->resolving) {
+        auto& entry = this->pending.at(ticket);
+        entry.resolveOutstanding = false;
+        entry.resolveDue = now;
+    }
+}
+
+// Gives up the answers of writes that were sent to a primary of an earlier term: they are resolved at the new one.
+void DatabaseController::abandonOldPrimary(Time now)
+{
+    std::vector<Ticket> affected;
+    for (const auto& [connection, ticket] : this->running) {
+        const auto kind = this->pending.at(ticket).request.kind;
+        if (kind == RequestKind::Write || kind == RequestKind::Commit)
+            affected.push_back(ticket);
+    }
+    for (const auto ticket : affected) {
+        this->abandon(this->pending.at(ticket), now);
+        this->startResolving(ticket, now);
+    }
+}
+
+void DatabaseController::requestSwitchoverIfLeaving(Time now)
+{
+    const auto primary = this->failover.primary();
+    if (this->rank != 0 || !primary || this->failover.state() != FailoverState::Watching || now < this->switchoverDue)
+        return;
+    std::set<EndpointId> leaving;
+    for (const auto& endpoint : this->declaration.endpoints) {
+        if (endpoint.state == EndpointState::Leaving)
+            leaving.insert(endpoint.id);
+    }
+    if (!leaving.contains(primary->endpoint))
+        return;
+    this->switchoverDue = now + switchoverInterval;
+    this->plannedChange = true;
+    this->perform(this->failover.requestSwitchover("the primary is leaving", leaving, now), now);
+}
+
+DatabaseController::Actions DatabaseController::onFenceAnswer(
+    const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now)
+{
+    this->noteResult(endpoint, sentAt, now, false, false);
+    this->perform(this->failover.onFenceAnswer(endpoint, term, answer, now), now);
+    this->observe(answer.status, sentAt, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onFenceFailed(const EndpointId& endpoint, std::uint64_t term, Time now)
+{
+    this->perform(this->failover.onFenceFailed(endpoint, term, now), now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onPromoteAnswer(
+    const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now)
+{
+    this->noteResult(endpoint, sentAt, now, false, false);
+    this->perform(this->failover.onPromoteAnswer(endpoint, term, answer, now), now);
+    this->observe(answer.status, sentAt, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onPromoteFailed(
+    const EndpointId& endpoint, std::uint64_t term, Time now)
+{
+    this->perform(this->failover.onPromoteFailed(endpoint, term, now), now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onOpinion(const Opinion& opinion, Time now)
+{
+    this->perform(this->failover.onOpinion(opinion, now), now);
+    return this->finish(now);
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/controller_reads.cc
@@ -0,0 +1,181 @@
+#include "process/database_controller.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+std::vector<ReadCandidate> DatabaseController::readCandidates(const Position& required, Time now) const
+{
+    std::vector<ReadCandidate> result;
+    for (const auto& endpoint : this->declaration.endpoints) {
+        if (endpoint.state == EndpointState::Joining)
+            continue;
+        const auto view = this->health.view(endpoint.id);
+        const auto counts = this->pool.counts(endpoint.id);
+        ReadCandidate candidate;
+        candidate.endpoint = endpoint.id;
+        candidate.primary = this->isPrimary(endpoint.id);
+        candidate.leaving = endpoint.state == EndpointState::Leaving;
+        candidate.suspected = view.suspected;
+        candidate.ejected = view.ejected;
+        candidate.applied = this->freshness.applied(endpoint.id);
+        candidate.predictedApply = this->freshness.predictApplied(endpoint.id, required, now);
+        candidate.latency = view.latency;
+        candidate.lag = candidate.primary ? Duration::zero() : this->freshness.applyLag(endpoint.id);
+        candidate.busy = counts.usedSlots;
+        candidate.slots = this->declaration.slots;
+        candidate.queued = this->queuedFor(endpoint.id);
+        result.push_back(std::move(candidate));
+    }
+    return result;
+}
+
+// Requests in the queue for one endpoint.
+int DatabaseController::queuedFor(const EndpointId& endpoint) const
+{
+    auto length = this->queue.sizeOf(QueueTarget { QueueTargetKind::Endpoint, endpoint });
+    if (this->isPrimary(endpoint))
+        length += this->queue.sizeOf(QueueTarget { QueueTargetKind::Primary, {} });
+    return static_cast<int>(length);
+}
+
+// Routes queued reads away from endpoints that have become unusable.
+void DatabaseController::rerouteReads(Time now)
+{
+    for (const auto& endpoint : this->declaration.endpoints) {
+        const bool leaving = endpoint.state == EndpointState::Leaving;
+        if (leaving || this->health.view(endpoint.id).suspected)
+            this->queue.refuseEndpoint(endpoint.id, ErrorCode::EndpointUnreachable);
+    }
+    this->takeRefusals(now);
+}
+
+void DatabaseController::routeRead(Ticket ticket, Time now)
+{
+    auto& entry = this->pending.at(ticket);
+    const auto& request = entry.request;
+    ReadNeed need;
+    const auto forAge = request.maxAge ? this->freshness.positionForAge(*request.maxAge, now) : std::nullopt;
+    need.required = requiredPosition(request.minPosition, forAge);
+    need.requiresPrimary = entry.primaryOnly || request.requiresPrimary || (request.maxAge && !forAge);
+    need.deadline = request.deadline;
+    const auto choice = this->settings.readPolicy(need, this->readCandidates(need.required, now), now);
+    entry.endpoint = choice.endpoint;
+    entry.atPrimary = choice.kind == ReadChoiceKind::Primary || choice.kind == ReadChoiceKind::NoneAvailable;
+    if (choice.kind != ReadChoiceKind::WaitFor) {
+        // With no endpoint available the read waits in the queue for a primary until its deadline.
+        this->enqueue(ticket, now);
+        return;
+    }
+    entry.stage = Stage::AwaitingReplica;
+    entry.replicaDue = choice.until;
+    this->awaitingReplica.insert(ticket);
+}
+
+// Queues the waiting reads whose replica has applied the position or was expected to have by now. One status serves all
+// of them.
+void DatabaseController::releaseWaitingReads(Time now)
+{
+    std::vector<Ticket> due;
+    for (const auto ticket : this->awaitingReplica) {
+        const auto& entry = this->pending.at(ticket);
+        const auto forAge
+            = entry.request.maxAge ? this->freshness.positionForAge(*entry.request.maxAge, now) : std::nullopt;
+        const auto required = requiredPosition(entry.request.minPosition, forAge);
+        if (now >= entry.replicaDue || this->freshness.applied(entry.endpoint) >= required)
+            due.push_back(ticket);
+    }
+    for (const auto ticket : due) {
+        this->awaitingReplica.erase(ticket);
+        this->enqueue(ticket, now);
+    }
+}
+
+void DatabaseController::onReadAnswer(Ticket ticket, const ExecuteAnswer& answer, Time now)
+{
+    auto& entry = this->pending.at(ticket);
+    switch (answer.code) {
+    case ErrorCode::None:
+        entry.answer = answer;
+        if (this->completeReadIfFresh(ticket, now))
+            return;
+        if (!entry.atPrimary) {
+            // The answer has become older than the bound on its way.
+            entry.primaryOnly = true;
+            this->routeRead(ticket, now);
+            return;
+        }
+        entry.stage = Stage::AwaitingConfirmation;
+        this->awaitingConfirmation.insert(ticket);
+        this->requestConfirmation(now);
+        return;
+    case ErrorCode::StatementFailed:
+        this->complete(ticket, didNotRun(ErrorCode::StatementFailed, answer.detail));
+        return;
+    case ErrorCode::PositionDiverged:
+        if (entry.atPrimary) {
+            this->complete(ticket, didNotRun(ErrorCode::PositionDiverged, "the session's position is not in the log"));
+            return;
+        }
+        entry.primaryOnly = true;
+        break;
+    default:
+        // A second refusal of a replica means that the view of it is wrong; the primary can serve the read.
+        entry.primaryOnly = entry.primaryOnly || entry.attempts > 1;
+        break;
+    }
+    if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
+        this->complete(ticket, didNotRun(answer.code, "no endpoint could serve the read"));
+}
+
+// Whether the answer satisfies the age bound, or the confirmation that the token asks for, at this moment.
+bool DatabaseController::isFresh(const Pending& entry, Time now) const
+{
+    const auto& request = entry.request;
+    if (request.requiresPrimary) {
+        const auto sample = this->freshness.confirmedSince(entry.arrival);
+        return sample && sample->term == entry.answer.status.term;
+    }
+    if (!request.maxAge)
+        return true;
+    const auto oldest = this->freshness.positionForAge(*request.maxAge, now);
+    return oldest && entry.answer.position >= *oldest;
+}
+
+bool DatabaseController::completeReadIfFresh(Ticket ticket, Time now)
+{
+    const auto& entry = this->pending.at(ticket);
+    if (!this->isFresh(entry, now))
+        return false;
+    Outcome outcome;
+    outcome.state = OutcomeState::Completed;
+    outcome.rows = entry.answer.rows;
+    outcome.position = entry.answer.position;
+    outcome.servedBy = entry.endpoint;
+    outcome.servedByReplica = !entry.atPrimary;
+    this->complete(ticket, std::move(outcome));
+    return true;
+}
+
+void DatabaseController::confirmReads(Time now)
+{
+    if (this->awaitingConfirmation.empty())
+        return;
+    const std::vector<Ticket> waiting(this->awaitingConfirmation.begin(), this->awaitingConfirmation.end());
+    const auto primary = this->failover.primary();
+    for (const auto ticket : waiting) {
+        if (this->completeReadIfFresh(ticket, now))
+            continue;
+        auto& entry = this->pending.at(ticket);
+        if (primary && primary->term == entry.answer.status.term)
+            continue;
+        // The primary that answered has been replaced: read again.
+        this->awaitingConfirmation.erase(ticket);
+        if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
+            this->complete(ticket, didNotRun(ErrorCode::NoPrimary, "the primary changed during the read"));
+    }
+    if (!this->awaitingConfirmation.empty())
+        this->requestConfirmation(now);
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/controller_writes.cc
@@ -0,0 +1,142 @@
+#include "process/database_controller.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+void DatabaseController::onWriteAnswer(Ticket ticket, const ExecuteAnswer& answer, Time now)
+{
+    auto& entry = this->pending.at(ticket);
+    switch (answer.code) {
+    case ErrorCode::None:
+        entry.answer = answer;
+        this->trackWrite(ticket, answer.position, answer.status, entry.sentAt, now);
+        return;
+    case ErrorCode::StatementFailed:
+    case ErrorCode::RequestAborted:
+        this->complete(ticket, didNotRun(answer.code, answer.detail));
+        return;
+    default:
+        if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
+            this->complete(ticket, didNotRun(answer.code, "the primary refused the request"));
+        return;
+    }
+}
+
+// Waits until a majority holds the record. A record of an earlier term counts as held once a majority holds a record of
+// the primary's term behind it, so the position is looked for in the primary's term.
+void DatabaseController::trackWrite(
+    Ticket ticket, const Position& position, const EndpointStatus& status, Time sentAt, Time now)
+{
+    auto& entry = this->pending.at(ticket);
+    entry.stage = Stage::AwaitingHolders;
+    ExecutedWrite write;
+    write.ticket = ticket;
+    write.requestId = entry.request.id;
+    write.primary = status.endpoint;
+    write.position = { status.lastLog.term, position.index };
+    write.sentAt = sentAt;
+    write.deadline = std::min(entry.request.deadline, now + this->settings.ackDeadline);
+    this->perform(this->writes.writeExecuted(write, status, now), now);
+}
+
+void DatabaseController::perform(const WriteTracker::Events& events, Time now)
+{
+    for (const auto& event : events) {
+        if (const auto* held = std::get_if<WriteHeld>(&event)) {
+            auto* entry = this->find(held->write.ticket);
+            if (entry == nullptr || entry->stage != Stage::AwaitingHolders)
+                continue;
+            entry->evidence = held->evidence;
+            this->completeHeld(held->write.ticket);
+        } else if (const auto* late = std::get_if<WriteDeadlineReached>(&event)) {
+            this->complete(late->write.ticket,
+                unknownOutcome(ErrorCode::NotHeldByMajority, "no second endpoint holds the write yet"));
+        } else if (const auto* superseded = std::get_if<WriteSuperseded>(&event)) {
+            this->startResolving(superseded->write.ticket, now);
+        }
+    }
+}
+
+// Completes a request whose record, or whose abort marker, is held by a majority.
+void DatabaseController::completeHeld(Ticket ticket)
+{
+    const auto& entry = this->pending.at(ticket);
+    if (entry.ran && !*entry.ran) {
+        auto outcome = didNotRun(ErrorCode::RequestAborted, "the request had not run and cannot run any more");
+        this->complete(ticket, std::move(outcome));
+        return;
+    }
+    Outcome outcome;
+    outcome.state = OutcomeState::Completed;
+    outcome.rows = entry.answer.rows;
+    outcome.position = entry.answer.position;
+    outcome.servedBy = entry.answer.status.endpoint;
+    this->complete(ticket, std::move(outcome));
+}
+
+void DatabaseController::startResolving(Ticket ticket, Time now)
+{
+    auto* entry = this->find(ticket);
+    if (entry == nullptr)
+        return;
+    entry->stage = Stage::Resolving;
+    entry->resolveOutstanding = false;
+    entry->resolveDue = now;
+    this->resolving.insert(ticket);
+}
+
+void DatabaseController::sendResolves(Time now)
+{
+    const auto primary = this->failover.primary();
+    if (!primary)
+        return;
+    for (const auto ticket : this->resolving) {
+        auto& entry = this->pending.at(ticket);
+        if (entry.resolveOutstanding || now < entry.resolveDue)
+            continue;
+        entry.resolveOutstanding = true;
+        entry.resolveNumber = ++this->lastNumber;
+        entry.sentAt = now;
+        const auto left = std::max(entry.request.deadline - now, Duration(1000));
+        const auto timeout = std::min(left, this->health.suspectAfter(primary->endpoint));
+        this->actions.emplace_back(controller::Resolve { ticket, entry.resolveNumber, primary->endpoint,
+            { this->scopedId(entry.request), primary->term }, timeout });
+    }
+}
+
+DatabaseController::Actions DatabaseController::onResolveAnswer(
+    std::uint64_t ticket, std::uint64_t number, Time sentAt, const ResolveAnswer& answer, Time now)
+{
+    auto* entry = this->find(ticket);
+    const bool expected = entry != nullptr && entry->stage == Stage::Resolving && entry->resolveNumber == number
+        && entry->resolveOutstanding;
+    this->noteResult(answer.status.endpoint, sentAt, now, false, false);
+    if (expected) {
+        entry->resolveOutstanding = false;
+        entry->resolveDue = now + this->settings.resolveInterval;
+        if (answer.code == ErrorCode::None) {
+            this->resolving.erase(ticket);
+            entry->ran = answer.ran;
+            entry->answer = {};
+            entry->answer.rows = answer.rows;
+            entry->answer.position = answer.position;
+            entry->answer.status = answer.status;
+            this->trackWrite(ticket, answer.position, answer.status, sentAt, now);
+        }
+    }
+    this->observe(answer.status, sentAt, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onResolveFailed(std::uint64_t ticket, std::uint64_t number, Time now)
+{
+    auto* entry = this->find(ticket);
+    if (entry == nullptr || entry->stage != Stage::Resolving || entry->resolveNumber != number)
+        return {};
+    entry->resolveOutstanding = false;
+    entry->resolveDue = now + this->settings.resolveInterval;
+    return this->finish(now);
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/database_controller.cc
@@ -0,0 +1,337 @@
+#include "process/database_controller.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+namespace {
+
+    // Connections of an endpoint left free for the moments in which two daemons take themselves for the active owner.
+    constexpr int spareConnections = 1;
+
+} // namespace
+
+std::vector<EndpointId> DatabaseController::votingEndpoints(const DatabaseDeclaration& declaration)
+{
+    std::vector<EndpointId> result;
+    for (const auto& endpoint : declaration.endpoints) {
+        if (endpoint.state != EndpointState::Joining)
+            result.push_back(endpoint.id);
+    }
+    return result;
+}
+
+std::vector<FailoverEndpoint> DatabaseController::failoverEndpoints(const DatabaseDeclaration& declaration)
+{
+    std::vector<FailoverEndpoint> result;
+    for (const auto& endpoint : declaration.endpoints) {
+        if (endpoint.state != EndpointState::Joining)
+            result.push_back({ endpoint.id, endpoint.state == EndpointState::Leaving });
+    }
+    return result;
+}
+
+DatabaseController::DatabaseController(
+    ControllerIdentity identity, ControllerSettings settings, const DatabaseDeclaration& declaration, Time now)
+    : identity(std::move(identity))
+    , settings(std::move(settings))
+    , declaration(declaration)
+    , health(this->settings.health, votingEndpoints(declaration), now)
+    , freshness(this->settings.freshness, votingEndpoints(declaration))
+    , failover({ this->identity.dataCentre, this->settings.failover, this->settings.random },
+          failoverEndpoints(declaration), now)
+    , writes(this->settings.writes, votingEndpoints(declaration))
+    , queue(this->settings.queue)
+    , retries(this->settings.retries)
+    , pool(this->settings.pool)
+    , transactions(this->settings.transactions, declaration.id, this->identity.daemon)
+{
+}
+
+DatabaseController::Actions DatabaseController::setDeclaration(const DatabaseDeclaration& changed, Time now)
+{
+    this->declaration = changed;
+    const auto voting = votingEndpoints(changed);
+    this->health.setEndpoints(voting, now);
+    this->freshness.setEndpoints(voting);
+    this->perform(this->failover.setEndpoints(failoverEndpoints(changed), now), now);
+    this->perform(this->writes.setEndpoints(voting), now);
+    this->applyEndpoints(now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::setRank(int changed, Time now)
+{
+    if (changed == this->rank)
+        return {};
+    this->rank = changed;
+    this->failover.setRank(std::max(changed, 0));
+    if (changed < 0)
+        this->queue.refuseAll(ErrorCode::NotOwner, Duration::zero());
+    this->applyEndpoints(now);
+    return this->finish(now);
+}
+
+// An owner keeps its connections; a daemon that is no owner any more keeps them until its transactions are over.
+bool DatabaseController::holdsConnections() const
+{
+    return this->rank >= 0 || this->transactions.openCount() > 0 || !this->running.empty();
+}
+
+// Tells the pool this owner's share of each endpoint and drops the probes of endpoints that are gone.
+void DatabaseController::applyEndpoints(Time now)
+{
+    const int available = this->declaration.connectionsPerEndpoint - this->settings.controlConnections;
+    const int standby = std::min(this->settings.standbyConnections, std::max(available / 4, 1));
+    const int active = std::max(available - standby - spareConnections, 1);
+    const int share = this->rank == 0 ? active : standby;
+    std::vector<PoolEndpoint> endpoints;
+    std::map<EndpointId, ProbeState> kept;
+    for (const auto& endpoint : this->declaration.endpoints) {
+        if (endpoint.state == EndpointState::Joining || !this->holdsConnections())
+            continue;
+        const int warm = this->rank == 0 ? std::min(this->settings.warmConnections, share) : std::clamp(this->rank, 0, 1);
+        // A leaving primary serves until the planned change of the primary is over.
+        const bool leaving = endpoint.state == EndpointState::Leaving && !this->isPrimary(endpoint.id);
+        endpoints.push_back({ endpoint.id, { share, warm, this->declaration.slots }, leaving });
+        kept[endpoint.id] = this->probes[endpoint.id];
+    }
+    this->probes = std::move(kept);
+    this->connectionsReleased = endpoints.empty();
+    this->pool.setEndpoints(endpoints, now);
+}
+
+bool DatabaseController::isPrimary(const EndpointId& endpoint) const
+{
+    const auto primary = this->failover.primary();
+    return primary && primary->endpoint == endpoint;
+}
+
+DatabaseController::Pending* DatabaseController::find(Ticket ticket)
+{
+    const auto found = this->pending.find(ticket);
+    return found == this->pending.end() ? nullptr : &found->second;
+}
+
+// Work that any input may have made possible.
+void DatabaseController::advance(Time now)
+{
+    this->takeTransactionActions(now);
+    this->dispatch(now);
+    this->takeRefusals(now);
+    this->sendResolves(now);
+    this->sendProbes(now);
+    this->takePoolActions();
+}
+
+DatabaseController::Actions DatabaseController::finish(Time now)
+{
+    this->advance(now);
+    return std::exchange(this->actions, {});
+}
+
+DatabaseController::Actions DatabaseController::tick(Time now)
+{
+    const auto primary = this->failover.primary();
+    this->health.tick(now, primary ? primary->endpoint : EndpointId());
+    if (primary)
+        this->failover.setSuspectAfter(this->health.suspectAfter(primary->endpoint));
+    this->perform(this->failover.tick(now), now);
+    this->perform(this->writes.tick(now), now);
+    this->pool.tick(now);
+    this->queue.expire(now);
+    this->retries.tick(now);
+    this->abortTransactions(this->transactions.tick(now), now);
+    this->expire(now);
+    this->rerouteReads(now);
+    if (!this->connectionsReleased && !this->holdsConnections())
+        this->applyEndpoints(now);
+    this->releaseWaitingReads(now);
+    this->confirmReads(now);
+    this->requestSwitchoverIfLeaving(now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::refuseQueued(Time now)
+{
+    this->queue.refuseAll(ErrorCode::ShuttingDown, Duration::zero());
+    return this->finish(now);
+}
+
+// Passes a status to every part that learns from it.
+void DatabaseController::observe(const EndpointStatus& status, Time sentAt, Time now)
+{
+    if (const auto probe = this->probes.find(status.endpoint); probe != this->probes.end())
+        probe->second.lastLog = status.lastLog;
+    this->freshness.onStatus(status, sentAt, now);
+    this->perform(this->failover.onStatus(status, sentAt, now), now);
+    this->perform(this->writes.onStatus(status, sentAt, now), now);
+    this->releaseWaitingReads(now);
+    this->confirmReads(now);
+}
+
+void DatabaseController::noteResult(const EndpointId& endpoint, Time sentAt, Time now, bool failed, bool probe)
+{
+    this->health.onResult({ endpoint, sentAt, now, failed, probe });
+    if (failed)
+        this->perform(this->failover.onContactFailure(endpoint, now), now);
+}
+
+void DatabaseController::sendProbes(Time now)
+{
+    for (auto& [endpoint, state] : this->probes) {
+        if (this->isPrimary(endpoint)) {
+            if (!state.statusOutstanding && now >= state.statusDue)
+                this->sendStatus(endpoint, state, now);
+        } else if (!state.watchOutstanding && now >= state.watchDue) {
+            this->sendWatch(endpoint, state, now);
+        }
+    }
+}
+
+void DatabaseController::sendWatch(const EndpointId& endpoint, ProbeState& state, Time now)
+{
+    state.watchOutstanding = true;
+    state.watchNumber = ++this->lastNumber;
+    state.watchDue = now;
+    const auto wait = this->settings.probeInterval;
+    const auto timeout = wait + this->health.suspectAfter(endpoint);
+    this->actions.emplace_back(controller::Probe { endpoint, state.watchNumber, state.lastLog, wait, timeout });
+}
+
+void DatabaseController::sendStatus(const EndpointId& endpoint, ProbeState& state, Time now)
+{
+    state.statusOutstanding = true;
+    state.statusNumber = ++this->lastNumber;
+    state.statusDue = now + this->settings.probeInterval;
+    const auto timeout = this->health.suspectAfter(endpoint);
+    this->actions.emplace_back(
+        controller::Probe { endpoint, state.statusNumber, {}, Duration::zero(), timeout });
+}
+
+// Asks every endpoint for its status at once, for reads that wait for a confirmation of the primary. Reads that arrive
+// while the question is outstanding share the next one.
+void DatabaseController::requestConfirmation(Time now)
+{
+    for (auto& [endpoint, state] : this->probes) {
+        if (!state.statusOutstanding)
+            this->sendStatus(endpoint, state, now);
+    }
+}
+
+DatabaseController::Actions DatabaseController::onProbeAnswer(
+    std::uint64_t number, Time sentAt, const EndpointStatus& status, Time now)
+{
+    const auto found = this->probes.find(status.endpoint);
+    if (found == this->probes.end())
+        return {};
+    auto& state = found->second;
+    const bool watch = state.watchOutstanding && state.watchNumber == number;
+    if (watch)
+        state.watchOutstanding = false;
+    else if (state.statusOutstanding && state.statusNumber == number)
+        state.statusOutstanding = false;
+    else
+        return {};
+    // The time of a watch call includes its wait, so only status calls measure the probe time.
+    this->noteResult(status.endpoint, sentAt, now, false, !watch);
+    this->pool.clearBackoff(status.endpoint, now);
+    this->observe(status, sentAt, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onProbeFailed(
+    const EndpointId& endpoint, std::uint64_t number, Time sentAt, Time now)
+{
+    const auto found = this->probes.find(endpoint);
+    if (found == this->probes.end())
+        return {};
+    auto& state = found->second;
+    const auto retryAt = now + this->settings.probeInterval;
+    if (state.watchOutstanding && state.watchNumber == number) {
+        state.watchOutstanding = false;
+        state.watchDue = retryAt;
+    } else if (state.statusOutstanding && state.statusNumber == number) {
+        state.statusOutstanding = false;
+        state.statusDue = retryAt;
+    } else {
+        return {};
+    }
+    this->noteResult(endpoint, sentAt, now, true, false);
+    return this->finish(now);
+}
+
+void DatabaseController::takePoolActions()
+{
+    for (const auto& action : this->pool.takeActions()) {
+        if (const auto* open = std::get_if<OpenConnection>(&action))
+            this->actions.emplace_back(controller::Open { open->connection, open->endpoint });
+        else if (const auto* close = std::get_if<CloseConnection>(&action))
+            this->actions.emplace_back(controller::Close { close->connection });
+        else if (const auto* reset = std::get_if<ResetConnection>(&action))
+            this->actions.emplace_back(controller::Reset { reset->connection, reset->generation });
+    }
+}
+
+DatabaseController::Actions DatabaseController::onOpened(ConnectionId connection, Time now)
+{
+    this->pool.onOpened(connection, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onOpenFailed(ConnectionId connection, Time now)
+{
+    this->pool.onOpenFailed(connection, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onClosed(ConnectionId connection, Time now)
+{
+    const auto interrupted = this->pool.onClosed(connection, now);
+    if (const auto found = this->running.find(connection); interrupted && found != this->running.end()) {
+        const auto ticket = found->second;
+        const auto* entry = this->find(ticket);
+        const auto sentAt = entry == nullptr ? now : entry->sentAt;
+        return this->onExecuteFailed(*interrupted, sentAt, ErrorCode::EndpointUnreachable, true, now);
+    }
+    this->onTransactionLost(connection, now);
+    return this->finish(now);
+}
+
+DatabaseController::Actions DatabaseController::onResetDone(
+    ConnectionId connection, std::uint64_t generation, bool succeeded, Time now)
+{
+    this->pool.onResetDone(connection, generation, succeeded, now);
+    return this->finish(now);
+}
+
+std::optional<Duration> DatabaseController::contactAge(const EndpointId& endpoint, Time now) const
+{
+    return this->health.contactAge(endpoint, now);
+}
+
+ControllerReport DatabaseController::report(Time now) const
+{
+    ControllerReport result;
+    result.rank = this->rank;
+    result.failover = this->failover.state();
+    result.primary = this->failover.primary();
+    result.queued = this->queue.size();
+    result.pending = this->pending.size();
+    result.transactions = this->transactions.openCount();
+    for (const auto& endpoint : this->declaration.endpoints) {
+        EndpointReport entry;
+        entry.endpoint = endpoint.id;
+        entry.health = this->health.view(endpoint.id);
+        entry.connections = this->pool.counts(endpoint.id);
+        entry.applied = this->freshness.applied(endpoint.id);
+        entry.lag = this->freshness.applyLag(endpoint.id);
+        entry.primary = this->isPrimary(endpoint.id);
+        entry.leaving = endpoint.state == EndpointState::Leaving;
+        result.endpoints.push_back(std::move(entry));
+    }
+    static_cast<void>(now);
+    return result;
+}
+
+} // namespace endivetrestle
--- a/src/request/admission_queue.h
+++ b/src/request/admission_queue.h
@@ -153,6 +153,8 @@
     [[nodiscard]] std::size_t size() const { return this->index.size(); }
     [[nodiscard]] std::size_t sizeOf(Priority priority) const;
     [[nodiscard]] std::size_t sizeOf(const CallerId& caller) const;
+    // Entries with exactly this target.
+    [[nodiscard]] std::size_t sizeOf(const QueueTarget& target) const;
     // Wait so far of the entry that has been queued longest; zero if the queue is empty.
     [[nodiscard]] Duration oldestWait(Time now) const;
 
