--- a/src/request/admission_queue.h
+++ b/src/request/admission_queue.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -98,8 +99,17 @@
 
 // Bounded queue of one database in front of the slots of its endpoints.
 //
-// Classes are served in the order of Priority, each lower class with a guaranteed minimum share. Within a class and
-// target, callers take turns by deficit round robin, and the entries of one caller are served in order of arrival.
+// Classes are served in the order of Priority, each lower class with a guaranteed minimum share. Within a class,
+// callers take turns by deficit round robin, and the entries of one caller that an endpoint may run are served in order
+// of arrival.
+//
+// Overload is recognised per endpoint as in CoDel: the oldest entry that the endpoint may run has waited longer than
+// delayTarget at every pop for delayInterval. Then entries are refused on arrival unless the entries of their own and
+// higher classes let them start within the target, and queued entries of the lowest class are refused at an increasing
+// rate, from the caller with the most of them, oldest first. One entry of each class is spared, so that the class can
+// use its minimum share. Payments are only refused by deadline, by estimate against their deadline, and by the bounds.
+// Service stays oldest-first under overload: the refusals on arrival keep the delay of admitted entries near the
+// target, so newest-first service would only reorder a caller's requests.
 //
 // Example:
 //     AdmissionQueue queue(settings);
@@ -135,7 +145,8 @@
     // Refuses every entry, for example on shutdown.
     void refuseAll(ErrorCode code, Duration retryAfter);
 
-    // Refuses the entries that name the endpoint.
+    // Refuses the entries that name the endpoint and forgets its measured service, for an endpoint that has been
+    // removed or replaced.
     void refuseEndpoint(const EndpointId& endpoint, ErrorCode code);
 
     // Refusals since the last call, each entry exactly once.
@@ -159,31 +170,29 @@
 private:
     // Number of an entry in order of arrival.
     using Sequence = std::uint64_t;
+    using Waiting = std::map<QueueTarget, std::set<Sequence>>;
 
     struct Record {
         QueueEntry entry;
         Time arrival;
     };
 
-    // Entries of one caller in one lane.
+    // Entries of one caller in one class.
     struct Turn {
-        std::set<Sequence> waiting;
+        Waiting waiting;
+        std::size_t size = 0;
         int deficit = 0;
+        // Whether this round's quantum has been added to the deficit.
+        bool granted = false;
+        std::list<CallerId>::iterator ringPosition;
     };
 
-    // Entries of one class and target.
-    struct Lane {
+    struct ClassQueue {
         std::map<Sequence, Record> records;
+        Waiting byTarget;
         std::unordered_map<CallerId, Turn> turns;
         // Callers with entries, the one whose turn it is first.
-        std::vector<CallerId> ring;
-        std::size_t next = 0;
-    };
-
-    struct Scheduled {
-        std::array<std::map<QueueTarget, Lane>, priorityCount> lanes;
-        std::array<std::unordered_map<CallerId, std::size_t>, priorityCount> perCaller;
-        std::array<std::size_t, priorityCount> sizes {};
+        std::list<CallerId> ring;
     };
 
     // Service of one endpoint.
@@ -192,9 +201,11 @@
         Time lastPop;
         // True if the last pop left an entry behind, so that the time to the next pop is a service interval.
         bool backlogged = false;
-        double interval = 0; // Smoothed service interval in microseconds.
+        // Smoothed service interval in microseconds.
+        double interval = 0;
         int samples = 0;
         std::array<double, priorityCount> credit {};
+        // Since when the standing delay has been above the target.
         std::optional<Time> delayedSince;
         Time nextShed;
         int shedCount = 0;
@@ -202,12 +213,46 @@
 
     struct Place {
         Priority priority;
-        QueueTarget target;
         Sequence sequence;
     };
 
+    using Targets = std::vector<QueueTarget>;
+
+    [[nodiscard]] static Targets targetsOf(const EndpointId& endpoint, EndpointRole role);
+    [[nodiscard]] static bool serves(const EndpointId& endpoint, EndpointRole role, const QueueTarget& target);
+    [[nodiscard]] static bool hasAny(const Waiting& waiting, const Targets& targets);
+    [[nodiscard]] static std::optional<Sequence> oldestOf(const Waiting& waiting, const Targets& targets);
+    [[nodiscard]] static std::size_t countOf(const Waiting& waiting, const Targets& targets);
+    ClassQueue& queueOf(Priority priority) { return this->classes[static_cast<std::size_t>(priority)]; }
+    [[nodiscard]] const ClassQueue& queueOf(Priority priority) const
+    {
+        return this->classes[static_cast<std::size_t>(priority)];
+    }
+
+    void insert(const QueueEntry& entry, Time now);
+    Record remove(const Place& place);
+    void refuse(const Place& place, ErrorCode code);
+    // Refuses an entry so that the given one fits. Returns false if there is none to give way.
+    bool makeRoomForCaller(const QueueEntry& entry);
+    bool makeRoom(const QueueEntry& entry);
+    bool makeRoomWithinClass(const QueueEntry& entry);
+    [[nodiscard]] std::optional<Priority> lowestClass() const;
+
+    std::optional<Sequence> nextInClass(ClassQueue& queue, const Targets& targets);
+    std::optional<Priority> chooseClass(Server& server, const Targets& targets);
+    Server& serverOf(const EndpointId& endpoint, EndpointRole role, Time now);
+    void measure(Server& server, Time now) const;
+    void watchDelay(Server& server, const Targets& targets, Time now) const;
+    void shedIfOverloaded(Server& server, const Targets& targets, Time now);
+    [[nodiscard]] bool delayed(const Server& server, Time now) const;
+    [[nodiscard]] bool overloadedFor(const QueueTarget& target, Time now) const;
+    [[nodiscard]] double rateOf(const QueueTarget& target, const QueueTarget* other) const;
+    [[nodiscard]] double entriesAhead(const ClassQueue& queue, const QueueTarget& target) const;
+    [[nodiscard]] std::optional<ErrorCode> refusalOf(const QueueEntry& entry, Time now) const;
+    [[nodiscard]] Duration retryAfter(const QueueEntry& entry) const;
+
     AdmissionQueueSettings settings;
-    Scheduled scheduled;
+    std::array<ClassQueue, priorityCount> classes;
     Sequence lastSequence = 0;
     std::unordered_map<std::uint64_t, Place> index;
     std::set<std::tuple<Time, Sequence, std::uint64_t>> deadlines;
