--- /dev/null
+++ b/src/base/hmac.cc
@@ -0,0 +1,104 @@
+#include "base/hmac.h"
+
+#include <openssl/core_names.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/params.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace endivetrestle {
+
+namespace {
+
+// A failure of HMAC-SHA-256 means that the library is unusable. Going on would accept or issue unauthenticated texts.
+void require(bool succeeded)
+{
+    if (!succeeded)
+        std::abort();
+}
+
+const unsigned char* bytesOf(std::string_view text) { return reinterpret_cast<const unsigned char*>(text.data()); }
+
+} // namespace
+
+struct HmacSha256::Context {
+    explicit Context(std::string_view key)
+    {
+        auto* algorithm = EVP_MAC_fetch(nullptr, OSSL_MAC_NAME_HMAC, nullptr);
+        require(algorithm);
+        this->context = EVP_MAC_CTX_new(algorithm);
+        EVP_MAC_free(algorithm);
+        require(this->context);
+        std::string digest = "SHA256";
+        const std::array parameters { OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
+            OSSL_PARAM_construct_end() };
+        // An empty key must still be passed as a key: a null pointer means that the earlier key stays.
+        require(EVP_MAC_init(this->context, bytesOf(key.empty() ? "" : key), key.size(), parameters.data()) == 1);
+    }
+    ~Context() { EVP_MAC_CTX_free(this->context); }
+    Context(const Context&) = delete;
+    Context& operator=(const Context&) = delete;
+
+    EVP_MAC_CTX* context = nullptr;
+    // Whether the state after the key is in place already.
+    bool fresh = true;
+};
+
+HmacSha256::HmacSha256(std::string_view key)
+    : key(key)
+{
+    this->giveBack(std::make_unique<Context>(this->key));
+}
+
+HmacSha256::~HmacSha256() = default;
+
+std::unique_ptr<HmacSha256::Context> HmacSha256::takeContext() const
+{
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->idleContexts.empty()) {
+            auto context = std::move(this->idleContexts.back());
+            this->idleContexts.pop_back();
+            return context;
+        }
+    }
+    return std::make_unique<Context>(this->key);
+}
+
+void HmacSha256::giveBack(std::unique_ptr<Context> context) const
+{
+    std::lock_guard lock(this->mutex);
+    this->idleContexts.push_back(std::move(context));
+}
+
+HmacTag HmacSha256::sign(std::string_view first, std::string_view second) const
+{
+    auto context = this->takeContext();
+    // Initialising without a key returns to the state that was derived from the key.
+    if (!std::exchange(context->fresh, false))
+        require(EVP_MAC_init(context->context, nullptr, 0, nullptr) == 1);
+    HmacTag tag;
+    std::size_t length = 0;
+    require(EVP_MAC_update(context->context, bytesOf(first), first.size()) == 1);
+    require(EVP_MAC_update(context->context, bytesOf(second), second.size()) == 1);
+    require(EVP_MAC_final(context->context, tag.data(), &length, tag.size()) == 1 && length == tag.size());
+    this->giveBack(std::move(context));
+    return tag;
+}
+
+bool equalInConstantTime(std::string_view first, std::string_view second)
+{
+    return first.size() == second.size() && CRYPTO_memcmp(first.data(), second.data(), first.size()) == 0;
+}
+
+HmacKeyRing::HmacKeyRing(const HmacKeys& keys)
+    : signingId(keys.signing.id)
+{
+    for (const auto& key : keys.accepted)
+        this->byId[key.id] = std::make_unique<HmacSha256>(key.secret);
+    this->byId[keys.signing.id] = std::make_unique<HmacSha256>(keys.signing.secret);
+}
+
+} // namespace endivetrestle
