--- a/src/version/version_keeper.h
+++ b/src/version/version_keeper.h
@@ -4,7 +4,7 @@
 #include "base/identifier.h"
 #include "base/random_hook.h"
 #include "version/configuration.h"
-#include "version/confirm_machine.h"
+#include "version/configuration_row.h"
 
 #include <cstdint>
 #include <map>
@@ -69,7 +69,7 @@
     std::size_t maxPeers = 4096;
 };
 
-// Which versions daemons report in force.
+// Which versions other daemons report in force.
 struct InForceView {
     // Daemons per version.
     std::map<std::uint64_t, std::size_t> counts;
@@ -93,7 +93,8 @@
     std::vector<KeeperAction> tick(Time now);
     [[nodiscard]] Time nextDue() const;
 
-    // A peer states the version that it has in force.
+    // A peer states the version that it has in force. Malformed hints are ignored; peers whose last bodies were refused
+    // or missing are not asked again for a doubling time of up to a minute.
     std::vector<KeeperAction> onHint(Time now, const VersionHint& hint);
     // Version in force at a daemon, learned directly or through others.
     void onInForce(const DaemonId& daemon, std::uint64_t version);
@@ -127,10 +128,22 @@
         std::string hash;
         Time startedAt;
     };
+    // Peer whose bodies were refused or did not arrive.
+    struct Penalty {
+        Time until;
+        int failures = 0;
+    };
 
     std::vector<KeeperAction> next(Time now);
-    std::vector<KeeperAction> consider(Time now, std::string_view body);
+    [[nodiscard]] std::vector<const VersionHint*> newestHints(Time now) const;
+    [[nodiscard]] bool storeIsNewer(Time now, std::uint64_t version) const;
+    std::vector<KeeperAction> consider(Time now, const std::string& body);
+    [[nodiscard]] bool isKnownHash(std::uint64_t version, const std::string& hash) const;
     std::vector<KeeperAction> adopt(Time now, std::shared_ptr<const Configuration> configuration);
+    void fail(Time now);
+    void dropOldHints();
+    void runFetchTimeout(Time now);
+    void runPoll(Time now, std::vector<KeeperAction>& actions);
     [[nodiscard]] std::uint64_t currentVersion() const;
     Duration jittered(Duration interval);
 
@@ -138,14 +151,16 @@
     RandomHook random;
     std::shared_ptr<const Configuration> inForce;
     std::map<DaemonId, VersionHint> hints;
+    std::map<DaemonId, Penalty> penalties;
     std::map<DaemonId, std::uint64_t> reports;
     std::optional<ConfigurationRow> storeRow;
     std::optional<Fetch> fetch;
     bool storeHasAnswered = false;
-    bool pollOutstanding = false;
-    Time pollStartedAt;
+    std::optional<Time> pollStartedAt;
     Time pollDue;
     Time askDue;
+    // Earliest time of the next fetch from the object store.
+    Time storeFetchDue;
     std::uint64_t refused = 0;
 };
 
