--- a/src/edge/json_http.cc
+++ b/src/edge/json_http.cc
@@ -343,20 +343,27 @@
     });
 }
 
+kj::Promise<kj::HttpClient::Response> JsonHttpConnection::send(
+    kj::HttpMethod method, kj::StringPtr path, std::string body)
+{
+    const auto headers = this->takeHeaders();
+    auto request = this->client->request(method, path, headers, body.size());
+    if (body.empty())
+        return kj::mv(request.response);
+    auto text = kj::heap<std::string>(std::move(body));
+    auto written = request.body->write(text->data(), text->size()).attach(kj::mv(text));
+    return written.then([stream = kj::mv(request.body), answer = kj::mv(request.response)]() mutable {
+        stream = nullptr;
+        return kj::mv(answer);
+    });
+}
+
 kj::Promise<JsonHttpReply> JsonHttpConnection::call(
     kj::HttpMethod method, kj::StringPtr path, std::string body, Duration timeout)
 {
     if (!this->usable())
         return JsonHttpReply { ErrorCode::EndpointUnreachable, 0, {}, this->failure, false };
-    auto headers = this->takeHeaders();
-    auto request = this->client->request(method, path, headers, body.size());
-    auto text = kj::heap<std::string>(std::move(body));
-    kj::Promise<void> written = text->empty() ? kj::READY_NOW : request.body->write(text->data(), text->size());
-    auto reply = written.attach(kj::mv(text))
-                     .then([stream = kj::mv(request.body), answer = kj::mv(request.response)]() mutable {
-                         stream = nullptr;
-                         return kj::mv(answer);
-                     })
+    auto reply = kj::evalNow([&] { return this->send(method, path, std::move(body)); })
                      .then([this](kj::HttpClient::Response response) {
                          auto holder = kj::heap<kj::HttpClient::Response>(kj::mv(response));
                          auto& reference = *holder;
--- a/src/edge/json_http.h
+++ b/src/edge/json_http.h
@@ -123,6 +123,7 @@
     void markBroken(std::string reason);
 
 private:
+    kj::Promise<kj::HttpClient::Response> send(kj::HttpMethod method, kj::StringPtr path, std::string body);
     kj::Promise<JsonHttpReply> readReply(kj::HttpClient::Response& response);
     kj::HttpHeaders takeHeaders();
 
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -87,8 +87,8 @@
     JsonHttpResponse objectGet(const nlohmann::json& body);
     JsonHttpResponse objectPut(const nlohmann::json& body);
     JsonHttpResponse listHosts();
-    void readHosts(
-        const nlohmann::json& list, std::map<std::string, ListedHost>& hosts, std::vector<JsonProblem>& problems) const;
+    static void readHosts(
+        const nlohmann::json& list, std::map<std::string, ListedHost>& hosts, std::vector<JsonProblem>& problems);
     void changeHosts(std::map<std::string, ListedHost> hosts);
     [[nodiscard]] bool isDown(const std::string& path) const;
 
