Shard idle HMAC contexts by thread

Cause: one free list made threads that sign at once wait for each other. Change: 16 free lists chosen by thread.

--- a/src/base/byte_codec.cc
+++ b/src/base/byte_codec.cc
@@ -21,18 +21,18 @@
 
 std::string toBase64Url(std::string_view bytes)
 {
-    std::string text;
-    text.reserve((bytes.size() * 4 + 2) / 3);
+    std::string text((bytes.size() * 4 + 2) / 3, '\0');
+    std::size_t written = 0;
     std::uint32_t bits = 0;
     int count = 0;
     for (const char byte : bytes) {
         bits = (bits << 8) | static_cast<unsigned char>(byte);
         count += 8;
         for (; count >= 6; count -= 6)
-            text.push_back(alphabet[(bits >> (count - 6)) & 0x3f]);
+            text[written++] = alphabet[(bits >> (count - 6)) & 0x3f];
     }
     if (count > 0)
-        text.push_back(alphabet[(bits << (6 - count)) & 0x3f]);
+        text[written] = alphabet[(bits << (6 - count)) & 0x3f];
     return text;
 }
 
@@ -40,8 +40,8 @@
 {
     if (text.size() % 4 == 1)
         return std::nullopt;
-    std::string bytes;
-    bytes.reserve(text.size() * 3 / 4);
+    std::string bytes(text.size() * 3 / 4, '\0');
+    std::size_t written = 0;
     std::uint32_t bits = 0;
     int count = 0;
     for (const char character : text) {
@@ -53,7 +53,7 @@
         if (count < 8)
             continue;
         count -= 8;
-        bytes.push_back(static_cast<char>((bits >> count) & 0xff));
+        bytes[written++] = static_cast<char>((bits >> count) & 0xff);
     }
     const auto unused = bits & ((1U << count) - 1);
     return unused == 0 ? std::optional(std::move(bytes)) : std::nullopt;
--- a/src/base/hmac.cc
+++ b/src/base/hmac.cc
@@ -6,6 +6,8 @@
 #include <openssl/params.h>
 
 #include <cstdlib>
+#include <functional>
+#include <thread>
 #include <utility>
 
 namespace endivetrestle {
@@ -49,33 +51,39 @@
 HmacSha256::HmacSha256(std::string_view key)
     : key(key)
 {
-    this->giveBack(std::make_unique<Context>(this->key));
 }
 
 HmacSha256::~HmacSha256() = default;
 
-std::unique_ptr<HmacSha256::Context> HmacSha256::takeContext() const
+HmacSha256::Shard& HmacSha256::shardOfThread() const
+{
+    static thread_local const auto hash = std::hash<std::thread::id>()(std::this_thread::get_id());
+    return this->shards[hash % this->shards.size()];
+}
+
+std::unique_ptr<HmacSha256::Context> HmacSha256::takeContext(Shard& shard) const
 {
     {
-        std::lock_guard lock(this->mutex);
-        if (!this->idleContexts.empty()) {
-            auto context = std::move(this->idleContexts.back());
-            this->idleContexts.pop_back();
+        std::lock_guard lock(shard.mutex);
+        if (!shard.idleContexts.empty()) {
+            auto context = std::move(shard.idleContexts.back());
+            shard.idleContexts.pop_back();
             return context;
         }
     }
     return std::make_unique<Context>(this->key);
 }
 
-void HmacSha256::giveBack(std::unique_ptr<Context> context) const
+void HmacSha256::giveBack(Shard& shard, std::unique_ptr<Context> context)
 {
-    std::lock_guard lock(this->mutex);
-    this->idleContexts.push_back(std::move(context));
+    std::lock_guard lock(shard.mutex);
+    shard.idleContexts.push_back(std::move(context));
 }
 
 HmacTag HmacSha256::sign(std::string_view first, std::string_view second) const
 {
-    auto context = this->takeContext();
+    auto& shard = this->shardOfThread();
+    auto context = this->takeContext(shard);
     // Initialising without a key returns to the state that was derived from the key.
     if (!std::exchange(context->fresh, false))
         require(EVP_MAC_init(context->context, nullptr, 0, nullptr) == 1);
@@ -84,7 +92,7 @@
     require(EVP_MAC_update(context->context, bytesOf(first), first.size()) == 1);
     require(EVP_MAC_update(context->context, bytesOf(second), second.size()) == 1);
     require(EVP_MAC_final(context->context, tag.data(), &length, tag.size()) == 1 && length == tag.size());
-    this->giveBack(std::move(context));
+    giveBack(shard, std::move(context));
     return tag;
 }
 
--- a/src/base/hmac.h
+++ b/src/base/hmac.h
@@ -13,8 +13,8 @@
 // Tag of HMAC-SHA-256.
 using HmacTag = std::array<unsigned char, 32>;
 
-// HMAC-SHA-256 under one fixed key. All functions may be called from any thread: keyed OpenSSL contexts are kept in a
-// free list and each is used by one call at a time, which avoids deriving the key's inner and outer state per call.
+// HMAC-SHA-256 under one fixed key. All functions may be called from any thread: keyed OpenSSL contexts are kept in
+// free lists and each is used by one call at a time, which avoids deriving the key's inner and outer state per call.
 //
 // Example:
 //     HmacSha256 hmac("secret");
@@ -33,12 +33,18 @@
 private:
     struct Context;
 
-    [[nodiscard]] std::unique_ptr<Context> takeContext() const;
-    void giveBack(std::unique_ptr<Context> context) const;
+    // Free list of the threads that hash to it. A single list makes threads that sign at once wait for each other.
+    struct alignas(64) Shard {
+        std::mutex mutex;
+        std::vector<std::unique_ptr<Context>> idleContexts;
+    };
+
+    [[nodiscard]] Shard& shardOfThread() const;
+    [[nodiscard]] std::unique_ptr<Context> takeContext(Shard& shard) const;
+    static void giveBack(Shard& shard, std::unique_ptr<Context> context);
 
     std::string key;
-    mutable std::mutex mutex;
-    mutable std::vector<std::unique_ptr<Context>> idleContexts;
+    mutable std::array<Shard, 16> shards;
 };
 
 // Compares without a timing that depends on where the values differ. Values of different length are unequal.
