--- a/src/connection/transaction.h
+++ b/src/connection/transaction.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -61,10 +62,13 @@
 
 // Why a request of a transaction is not accepted.
 struct TransactionRefusal {
-    // UnknownTransaction, TransactionAborted, BadRequest (another statement is running) or AnswerMismatch never occurs
-    // together with an accepted request.
+    // UnknownTransaction: the transaction is not known here any more or was committed. TransactionAborted: it ended
+    // without a commit. BadRequest: another request of it is running, its number of statements is used up, or the
+    // request id was accepted before in it.
     ErrorCode code = ErrorCode::UnknownTransaction;
-    // DidNotRun, or Unknown if an earlier arrival of the same request may have run; it is then resolved by request id.
+    // DidNotRun, or Unknown if an earlier arrival of the same request may have run. With UnknownTransaction the outcome
+    // is then resolved by request id. With BadRequest it must not be resolved before the transaction has ended, because
+    // the endpoint records the ids of a transaction only with its commit.
     OutcomeState outcome = OutcomeState::DidNotRun;
     std::string detail;
 
@@ -92,9 +96,11 @@
     // Open transactions in all and of one caller.
     std::size_t maxOpen = 256;
     std::size_t maxPerCaller = 64;
+    // Statements of one transaction. Their ids are remembered until its end.
+    std::size_t maxStatements = 1000;
     // Time between an answer and the caller's next request.
     Duration idleLimit = std::chrono::seconds(5);
-    // Time between begin and the acceptance of the commit's send. A commit that was sent is not interrupted.
+    // Time between begin and the send of the commit. A commit that was sent is not interrupted.
     Duration totalLimit = std::chrono::seconds(60);
     // Ended transactions that are remembered, and for how long.
     std::size_t maxClosed = 1024;
@@ -140,9 +146,12 @@
     TransactionAccess startStatement(
         const TransactionIdParts& id, const CallerId& caller, const RequestId& request, Time now);
 
-    // Running to Open, when the statement has been answered or has been refused before it was sent.
+    // Running to Open, when the statement has been answered.
     bool finishStatement(std::uint64_t number, Time now);
 
+    // Running to Open, when the statement was refused before it was sent. The same request may then be sent again.
+    bool statementNotSent(std::uint64_t number, Time now);
+
     // Open to Committing.
     TransactionAccess startCommit(
         const TransactionIdParts& id, const CallerId& caller, const RequestId& request, Time now);
@@ -159,11 +168,12 @@
     bool finishCommit(std::uint64_t number, OutcomeState outcome, Time now);
 
     // Ends an open transaction on its caller's wish. It never commits, so the wish is fulfilled at once. Returns a
-    // refusal if a statement is running or the transaction is not open.
-    std::optional<TransactionRefusal> rollBack(
-        const TransactionIdParts& id, const CallerId& caller, const RequestId& request, Time now);
+    // refusal if a request is running or the transaction was or may have been committed; the transaction then goes on.
+    // Repeating it is harmless.
+    std::optional<TransactionRefusal> rollBack(const TransactionIdParts& id, const CallerId& caller, Time now);
 
-    // Ends the transaction of a connection that was closed. No action follows. No value if no transaction held it.
+    // Ends the transaction of a connection that was closed, for whatever reason. No action follows. No value if no open
+    // transaction held it.
     std::optional<EndedTransaction> onConnectionLost(ConnectionId connection, Time now);
 
     // Ends a transaction, or all, for example because the endpoint is not the primary any more. A commit that was sent
@@ -197,13 +207,34 @@
         bool commitSent = false;
         Time idleSince;
         Time begunAt;
+        // When tick() ends it, as listed in deadlines.
+        Time due = Time::max();
+        // Hashes of the accepted request ids. A collision makes an outcome Unknown that could be DidNotRun.
+        std::unordered_set<std::size_t> accepted;
     };
 
+    using Transactions = std::map<std::uint64_t, Transaction>;
+    using Found = std::variant<Transactions::iterator, TransactionRefusal>;
+
+    [[nodiscard]] static TransactionRefusal refusalOfClosed(const Transaction& transaction);
+    [[nodiscard]] Time dueOf(const Transaction& transaction) const;
+    Transactions::iterator findInState(std::uint64_t number, TransactionState state);
+    Found findOpen(const TransactionIdParts& id, const CallerId& caller, const RequestId& request);
+    TransactionAccess accept(const TransactionIdParts& id, const CallerId& caller, const RequestId& request,
+        TransactionState state, Time now);
+    bool reopen(Transactions::iterator transaction, bool sent, Time now);
+    void enter(Transactions::iterator transaction, TransactionState state);
+    // Ends a transaction and forgets the oldest ended one beyond the bound.
+    void end(Transactions::iterator transaction, TransactionEnd reason, Time now);
+    EndedTransaction endUnasked(Transactions::iterator transaction, TransactionEnd reason, Time now);
+    void act(TransactionAction::Kind kind, const Transaction& transaction);
+    EndedTransaction abortWith(Transactions::iterator transaction, TransactionEnd reason, Time now);
+
     TransactionSettings settings;
     DatabaseId database;
     DaemonId owner;
     std::uint64_t lastNumber = 0;
-    std::map<std::uint64_t, Transaction> transactions;
+    Transactions transactions;
     std::unordered_map<ConnectionId, std::uint64_t> byConnection;
     std::unordered_map<CallerId, std::size_t> perCaller;
     std::set<std::pair<Time, std::uint64_t>> deadlines;
