--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -6,12 +6,15 @@
 #include "process/membership.h"
 #include "version/version_keeper.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -41,8 +44,9 @@
 // Spreads the view of daemons and hints of configuration versions. An exchange sends one message and gets one back:
 // the initiator sends message(peer), the other side calls receive() and answers message(initiator).
 //
-// A message holds the sender's version, a digest of the view in buckets, and entries of daemons: what changed lately
-// first, then entries of buckets in which the other side's last digest differs.
+// A message is compact JSON. It holds the sender's version, a digest of the view in buckets, entries of daemons (the
+// sender's, then what changed lately, then entries of buckets in which the other side's last digest differs), and
+// daemons that are known to have the sender's version in force.
 //
 // Example:
 //     for (const auto& peer : gossip.round())
@@ -62,14 +66,30 @@
     std::optional<GossipReceived> receive(Time now, const DaemonId& from, std::string_view text);
 
 private:
-    static constexpr std::size_t bucketCount = 16;
-    using Digest = std::array<std::uint32_t, bucketCount>;
+    static constexpr std::size_t bucketCount = 32;
+    // One exclusive or of entry hashes per bucket of daemon ids.
+    using Digest = std::array<std::uint16_t, bucketCount>;
+
+    struct News {
+        std::uint64_t sequence = 0;
+        int timesSent = 0;
+    };
+
+    using Candidates = std::vector<const DaemonInfo*>;
 
-    std::vector<DaemonInfo> choose(std::size_t count);
+    std::vector<DaemonInfo> choose(std::size_t count, bool retryDead);
+    // Removes a random candidate, which must exist.
+    DaemonInfo take(Candidates& candidates);
     void refresh();
-    [[nodiscard]] Digest digest() const;
-    std::vector<DaemonInfo> candidatesFor(const DaemonId& peer);
-    void appendInForce(std::string& text);
+    [[nodiscard]] int sendLimit() const;
+    // Entries for a peer, most urgent first.
+    std::vector<DaemonInfo> entriesFor(const DaemonId& peer);
+    void appendNews(std::vector<DaemonInfo>& entries) const;
+    void appendDiffering(const DaemonId& peer, std::vector<DaemonInfo>& entries);
+    [[nodiscard]] std::vector<DaemonId> daemonsInForce();
+    void countSent(const DaemonInfo& info);
+    void rememberDigest(const DaemonId& from, const nlohmann::json& text);
+    void readInForce(const DaemonId& from, const nlohmann::json& value, GossipReceived& received);
 
     Membership& membership;
     GossipSettings settings;
@@ -77,9 +97,17 @@
     std::uint64_t version = 0;
     std::string hash;
     std::uint64_t rounds = 0;
-    // Times that the latest change of a daemon was sent.
-    std::map<DaemonId, std::pair<std::uint64_t, int>> sent;
-    std::map<DaemonId, Digest> lastDigests;
+    // Latest change of the membership that the digest and the news include.
+    std::uint64_t seenSequence = 0;
+    Digest digest {};
+    std::unordered_map<DaemonId, std::uint16_t> contributions;
+    // Changes that were not yet sent often enough.
+    std::map<DaemonId, News> news;
+    // Last entry that was sent because digests differed.
+    DaemonId cursor;
+    // Digests of peers that await their answer, at most digestLimit.
+    std::map<DaemonId, Digest> peerDigests;
+    // Versions in force at known daemons.
     std::map<DaemonId, std::uint64_t> inForce;
 };
 
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -204,6 +204,12 @@
     return infos;
 }
 
+void Membership::forEach(const std::function<void(const DaemonInfo&)>& callback) const
+{
+    for (const auto& [id, entry] : this->entries)
+        callback(entry.info);
+}
+
 std::vector<Membership::Delta> Membership::deltasSince(std::uint64_t sequence, std::size_t limit) const
 {
     std::vector<Delta> deltas;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -5,6 +5,7 @@
 #include "base/socket_address.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -85,6 +86,8 @@
     [[nodiscard]] std::optional<DaemonInfo> find(const DaemonId& daemon) const;
     // All known daemons with self, ordered by id.
     [[nodiscard]] std::vector<DaemonInfo> view() const;
+    // Calls back for each entry of view() without a copy. The callback must not change the membership.
+    void forEach(const std::function<void(const DaemonInfo&)>& callback) const;
     [[nodiscard]] std::size_t size() const { return this->entries.size(); }
 
     // Number of the latest change. Whoever caches something derived from the view compares it.
