Add daemon with fleet, operators' interface and shutdown

Cause: the parts have to run as one process with servers for callers, operators and peers. Change: Fleet carries out gossip, configuration versions and plans; OperatorApi serves status, explain, report and plans; Daemon creates a runtime for each database it owns, forwards other requests and shuts down without cutting any.

--- /dev/null
+++ b/src/edge/daemon.cc
@@ -0,0 +1,578 @@
+#include "edge/daemon.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <ctime>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace endivetrestle {
+
+namespace {
+
+    // Longest sleep of the timer thread, which bounds how late a new subscription can be noticed.
+    constexpr Duration timerStep = std::chrono::milliseconds(5);
+    constexpr Duration controllerTick = std::chrono::milliseconds(10);
+    constexpr Duration peerConnectTimeout = std::chrono::milliseconds(300);
+    constexpr Duration opinionTimeout = std::chrono::milliseconds(300);
+    constexpr std::size_t shortestKey = 16;
+    // Daemons besides the owners that are asked for their opinion.
+    constexpr std::size_t furtherOpinions = 2;
+
+    std::int64_t unixMilliseconds()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
+    std::string wallTimeText()
+    {
+        const auto now = std::time(nullptr);
+        std::tm parts {};
+        gmtime_r(&now, &parts);
+        std::array<char, 32> text {};
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+        return text.data();
+    }
+
+    // The number of a key follows from its content, so that daemons agree on it in whatever order they list keys.
+    HmacKey makeKey(const std::string& secret)
+    {
+        const auto digest = sha256Hex("key id " + secret);
+        return { static_cast<std::uint8_t>(std::stoul(digest.substr(0, 2), nullptr, 16)), secret };
+    }
+
+    SessionTokenSettings tokenSettings(const Settings& settings, const Secrets& secrets)
+    {
+        SessionTokenSettings result;
+        result.keys.signing = makeKey(secrets.tokenKeys.front());
+        for (const auto& secret : secrets.tokenKeys)
+            result.keys.accepted.push_back(makeKey(secret));
+        result.lifetime = std::chrono::duration_cast<std::chrono::seconds>(settings.limits.tokenLifetime);
+        return result;
+    }
+
+    HttpServerSettings serverSettings(const SocketAddress& address, const Settings& settings, unsigned workers)
+    {
+        HttpServerSettings result;
+        result.address = address.ip;
+        result.port = address.port;
+        result.workers = workers;
+        result.bodyLimit = settings.limits.bodyBytes;
+        result.connectionLimit = settings.limits.connectionsPerCaller;
+        return result;
+    }
+
+    std::optional<std::string> readKeyFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        if (!file)
+            return std::nullopt;
+        std::stringstream buffer;
+        buffer << file.rdbuf();
+        auto text = buffer.str();
+        const auto begin = text.find_first_not_of(" \t\r\n");
+        if (begin == std::string::npos)
+            return std::string();
+        return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
+    }
+
+    std::string readKey(const std::string& path, const std::string& key, const std::string& source,
+        std::vector<JsonProblem>& problems)
+    {
+        auto text = readKeyFile(path);
+        if (!text)
+            problems.push_back({ source, 0, "secrets." + key, "cannot read the file " + path });
+        else if (text->size() < shortestKey)
+            problems.push_back({ source, 0, "secrets." + key, "a key needs at least 16 bytes: " + path });
+        return text.value_or("");
+    }
+
+    nlohmann::json toJson(const EndpointReport& endpoint)
+    {
+        nlohmann::json result { { "endpoint", endpoint.endpoint.value }, { "primary", endpoint.primary },
+            { "leaving", endpoint.leaving }, { "suspected", endpoint.health.suspected },
+            { "ejected", endpoint.health.ejected }, { "silenceMs", toMilliseconds(endpoint.health.silence) },
+            { "latencyMs", toMilliseconds(endpoint.health.latency) }, { "lagMs", toMilliseconds(endpoint.lag) },
+            { "applied", toString(endpoint.applied) },
+            { "connections",
+                { { "opening", endpoint.connections.opening }, { "idle", endpoint.connections.idle },
+                    { "busy", endpoint.connections.busy }, { "pinned", endpoint.connections.pinned },
+                    { "resetting", endpoint.connections.resetting } } } };
+        return result;
+    }
+
+    nlohmann::json toJson(const DatabaseId& database, const ControllerReport& report)
+    {
+        nlohmann::json endpoints = nlohmann::json::array();
+        for (const auto& endpoint : report.endpoints)
+            endpoints.push_back(toJson(endpoint));
+        return { { "database", database.value }, { "rank", report.rank },
+            { "failover", failoverStateName(report.failover) },
+            { "primary", report.primary ? report.primary->endpoint.value : "" },
+            { "term", report.primary ? report.primary->term : 0 }, { "queued", report.queued },
+            { "pending", report.pending }, { "transactions", report.transactions }, { "endpoints", endpoints } };
+    }
+
+} // namespace
+
+SecretsResult readSecrets(const SecretFiles& files, const std::string& source)
+{
+    SecretsResult result;
+    result.secrets.fleetKey = readKey(files.fleetKeyFile, "fleetKeyFile", source, result.problems);
+    result.secrets.operatorKey = readKey(files.operatorKeyFile, "operatorKeyFile", source, result.problems);
+    for (const auto& file : files.tokenKeyFiles)
+        result.secrets.tokenKeys.push_back(readKey(file, "tokenKeyFiles", source, result.problems));
+    return result;
+}
+
+// A request on its way through this daemon.
+struct Daemon::Flight {
+    Forwarder forwarder;
+    Request request;
+    std::optional<TransactionIdParts> parts;
+    std::function<void(Outcome)> done;
+};
+
+Daemon::Daemon(Settings settings, Secrets secrets, DaemonOptions options)
+    : settings(std::move(settings))
+    , secrets(std::move(secrets))
+    , options(std::move(options))
+    , claimant(this->settings.daemon.id.value + "#" + std::to_string(unixMilliseconds()))
+    , tokens(tokenSettings(this->settings, this->secrets))
+    , transactionIds(HmacKeys { makeKey(this->secrets.fleetKey), {} })
+    , journal(JournalSettings {})
+    , burn(BurnSettings {}.scaledBy(this->options.burnScale))
+    , randomState((static_cast<std::uint64_t>(std::random_device {}()) << 32U) ^ std::random_device {}())
+{
+    this->loop.start();
+    this->openServers();
+}
+
+Daemon::~Daemon() { this->shutDown(Duration::zero()); }
+
+std::uint64_t Daemon::random()
+{
+    std::lock_guard lock(this->randomMutex);
+    std::mt19937_64 engine(this->randomState);
+    this->randomState = engine();
+    return engine();
+}
+
+void Daemon::openServers()
+{
+    const PeerIdentity identity { this->settings.daemon.id, this->secrets.fleetKey };
+    this->peerClient = std::make_unique<PeerClient>(this->loop, identity, peerConnectTimeout);
+    if (this->options.peerDelay)
+        this->peerClient->setDelayHook(this->options.peerDelay);
+    PeerHandlers handlers;
+    handlers.forward = [this](Request request, const DaemonId&, std::function<void(Outcome)> answer) {
+        this->onForward(std::move(request), std::move(answer));
+    };
+    handlers.gossip = [this](const DaemonId& from, const std::string& message) {
+        return this->fleet ? this->fleet->onGossip(from, message) : std::string();
+    };
+    handlers.opinion = [this](const DatabaseId& database, const EndpointId& endpoint,
+                           std::function<void(PeerOpinion)> answer) {
+        this->onOpinion(database, endpoint, std::move(answer));
+    };
+    handlers.fetchConfiguration = [this](std::uint64_t atLeast) {
+        return this->fleet ? this->fleet->onFetch(atLeast) : ConfigurationBody {};
+    };
+    const auto& peers = this->settings.listen.peers;
+    this->peerServer = std::make_unique<PeerServer>(
+        this->loop, identity, peers.ip + ":" + std::to_string(peers.port), std::move(handlers));
+    this->peerPortNumber = static_cast<unsigned short>(this->peerServer->port());
+
+    DaemonInfo self;
+    self.id = this->settings.daemon.id;
+    self.peersAddress = { peers.ip, this->peerPortNumber };
+    self.dataCentre = this->settings.daemon.dataCentre;
+    self.region = this->settings.daemon.region;
+    self.incarnation = static_cast<std::uint64_t>(unixMilliseconds());
+    FleetHooks hooks;
+    hooks.adopted = [this](const std::shared_ptr<const Configuration>&) { this->applyOwnership(); };
+    hooks.viewChanged = [this] { this->applyOwnership(); };
+    hooks.random = [this](std::uint64_t bound) { return this->random() % bound; };
+    hooks.wallClockMs = unixMilliseconds;
+    hooks.wallTime = wallTimeText;
+    this->fleet = std::make_unique<Fleet>(
+        this->loop, *this->peerClient, this->settings, self, this->journal, this->metrics, std::move(hooks));
+
+    CallerApiHooks callerHooks;
+    callerHooks.configuration = [this] { return this->fleet->configuration(); };
+    callerHooks.run = [this](Request request, std::optional<TransactionIdParts> parts,
+                          std::function<void(Outcome)> done) {
+        this->run(std::move(request), std::move(parts), std::move(done));
+    };
+    callerHooks.wallClock = [] { return unixMilliseconds() / 1000; };
+    callerHooks.newRequestId = [this] { return this->claimant.value.substr(0, this->claimant.value.find('#')) + "-"
+            + std::to_string(this->random()) + "-" + std::to_string(++this->lastRequestNumber); };
+    this->callerApi = std::make_unique<CallerApi>(
+        this->settings.limits, this->tokens, this->transactionIds, std::move(callerHooks));
+    this->operatorApi = std::make_unique<OperatorApi>(this->secrets.operatorKey, *this->fleet, this->journal,
+        this->burn, this->metrics, OperatorApiHooks { [this] { return this->statusJson(); }, [this] { return this->ready(); } });
+    this->callers = std::make_unique<HttpServer>(
+        serverSettings(this->settings.listen.callers, this->settings, static_cast<unsigned>(this->settings.workers)),
+        [this](const HttpRequest& request, HttpServer::Answer answer) {
+            this->callerApi->handle(request, std::move(answer));
+        });
+    this->operators = std::make_unique<HttpServer>(serverSettings(this->settings.listen.operators, this->settings, 1),
+        [this](const HttpRequest& request, HttpServer::Answer answer) {
+            this->operatorApi->handle(request, std::move(answer));
+        });
+}
+
+void Daemon::start()
+{
+    const auto now = MonotonicClock::now();
+    this->fleet->start(this->timers, now);
+    this->timers.subscribeEvery(now, controllerTick, [this](Time at) {
+        for (const auto& runtime : this->allRuntimes())
+            runtime->tick(at);
+    });
+    this->timersRunning = true;
+    this->timerThread = std::thread([this] { this->serveTimers(); });
+    logEvent(LogLevel::Info, "daemon_started",
+        { { "daemon", this->settings.daemon.id.value }, { "callers_port", this->callerPort() },
+            { "operators_port", this->operatorPort() }, { "peers_port", this->peerPort() } });
+}
+
+void Daemon::serveTimers()
+{
+    while (this->timersRunning) {
+        const auto now = MonotonicClock::now();
+        this->timers.advance(now);
+        const auto due = std::min(this->timers.nextDue(), now + timerStep);
+        std::this_thread::sleep_for(std::max(due - MonotonicClock::now(), Duration(200)));
+    }
+}
+
+ControllerSettings Daemon::controllerSettings(const DatabaseDeclaration& declaration) const
+{
+    const auto& policy = this->settings.endpoints;
+    ControllerSettings result;
+    result.failover.suspectAfter = policy.suspectAfter;
+    result.health.suspectAfter = policy.suspectAfter;
+    result.writes.ackEvidenceMaxAge = policy.ackEvidenceMaxAge;
+    result.probeInterval = policy.probeInterval;
+    result.ackDeadline = policy.ackDeadline;
+    result.warmConnections = policy.warmConnections;
+    result.queue.maxEntries = this->settings.limits.queuePerDatabase;
+    result.queue.maxPerCaller = this->settings.limits.queuePerCaller;
+    result.pool.maxConcurrentOpensPerEndpoint = policy.concurrentOpens;
+    result.transactions.idleLimit = this->settings.limits.transactionIdle;
+    // Leaves room for the daemon that takes over when connections are scarce.
+    result.transactions.maxOpen = static_cast<std::size_t>(std::max(declaration.connectionsPerEndpoint / 2, 1));
+    ReadRouterSettings router;
+    router.replicaWait = this->settings.reads.maxReplicaWait;
+    result.readPolicy = this->options.readPolicy ? this->options.readPolicy : weightedReadPolicy(router);
+    auto* self = const_cast<Daemon*>(this);
+    result.random = [self] { return self->random(); };
+    return result;
+}
+
+std::shared_ptr<DatabaseRuntime> Daemon::runtime(const DatabaseId& database)
+{
+    std::lock_guard lock(this->runtimesMutex);
+    const auto found = this->runtimes.find(database);
+    return found == this->runtimes.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<DatabaseRuntime>> Daemon::allRuntimes()
+{
+    std::lock_guard lock(this->runtimesMutex);
+    std::vector<std::shared_ptr<DatabaseRuntime>> result;
+    for (const auto& [database, runtime] : this->runtimes)
+        result.push_back(runtime);
+    return result;
+}
+
+// Brings the runtimes in line with the configuration in force and the view of daemons. Runs on the network loop.
+void Daemon::applyOwnership()
+{
+    const auto configuration = this->fleet ? this->fleet->configuration() : nullptr;
+    if (!configuration)
+        return;
+    for (const auto& declaration : configuration->document().databases) {
+        const auto owners = this->fleet->owners(declaration);
+        int rank = -1;
+        for (std::size_t i = 0; i < owners.size(); ++i) {
+            if (owners[i].id == this->settings.daemon.id)
+                rank = static_cast<int>(i);
+        }
+        auto existing = this->runtime(declaration.id);
+        if (!existing && rank < 0)
+            continue;
+        if (!existing) {
+            RuntimeContext context { this->loop, this->journal, this->burn, this->metrics, this->transactionIds,
+                [this](const DatabaseId& database, const EndpointId& endpoint, std::uint64_t term) {
+                    this->askOpinions(database, endpoint, term);
+                },
+                wallTimeText };
+            const ControllerIdentity identity { this->settings.daemon.id, this->settings.daemon.dataCentre,
+                this->claimant };
+            existing = std::make_shared<DatabaseRuntime>(
+                std::move(context), identity, this->controllerSettings(declaration), declaration);
+            std::lock_guard lock(this->runtimesMutex);
+            this->runtimes[declaration.id] = existing;
+        }
+        existing->setDeclaration(declaration);
+        if (existing->rank() != rank) {
+            JournalRecord record;
+            record.database = declaration.id;
+            record.kind = JournalKind::OwnerChange;
+            record.seen = "the view of daemons or the configuration changed";
+            record.decided = "rank " + std::to_string(rank) + " instead of " + std::to_string(existing->rank());
+            record.done = rank < 0 ? "queued requests are sent to the new owner" : "in force";
+            this->journal.record(std::move(record), MonotonicClock::now(), wallTimeText());
+            logEvent(LogLevel::Info, "owner_rank_changed", { { "database", declaration.id.value }, { "rank", rank } });
+        }
+        existing->setRank(rank);
+    }
+}
+
+std::vector<DaemonId> Daemon::ownerIds(const DatabaseId& database)
+{
+    const auto configuration = this->fleet->configuration();
+    const auto* declaration = configuration ? configuration->findDatabase(database) : nullptr;
+    std::vector<DaemonId> result;
+    if (declaration == nullptr)
+        return result;
+    for (const auto& owner : this->fleet->owners(*declaration))
+        result.push_back(owner.id);
+    return result;
+}
+
+void Daemon::submitLocally(
+    const Request& request, const std::optional<TransactionIdParts>& parts, std::function<void(Outcome)> done)
+{
+    const auto target = this->runtime(request.database);
+    if (!target) {
+        done(didNotRun(ErrorCode::NotOwner, "this daemon does not own the database"));
+        return;
+    }
+    target->submit(request, parts, std::move(done));
+}
+
+void Daemon::run(Request request, std::optional<TransactionIdParts> parts, std::function<void(Outcome)> done)
+{
+    const auto holder = parts ? parts->owner : DaemonId();
+    const auto owners = this->ownerIds(request.database);
+    auto flight = std::make_shared<Flight>(Flight { Forwarder(request, this->settings.daemon.id, holder, {}), request,
+        std::move(parts), std::move(done) });
+    this->step(flight, flight->forwarder.start(owners, MonotonicClock::now()));
+}
+
+void Daemon::step(const std::shared_ptr<Flight>& flight, const ForwardStep& next)
+{
+    if (const auto* answer = std::get_if<AnswerCaller>(&next)) {
+        flight->done(answer->outcome);
+        return;
+    }
+    if (const auto* local = std::get_if<RunLocally>(&next)) {
+        const auto parts = local->request.transaction.empty() ? std::nullopt : flight->parts;
+        this->submitLocally(local->request, parts, [this, flight](const Outcome& outcome) {
+            this->onFlightOutcome(flight, outcome, MonotonicClock::now());
+        });
+        return;
+    }
+    const auto& forward = std::get<ForwardTo>(next);
+    const auto owner = this->fleet->find(forward.daemon);
+    if (!owner) {
+        this->onFlightOutcome(
+            flight, didNotRun(ErrorCode::EndpointUnreachable, "the owner is not known"), MonotonicClock::now());
+        return;
+    }
+    const auto remaining = forward.request.deadline - MonotonicClock::now();
+    this->peerClient->forward(toString(owner->peersAddress), forward.request, std::max(remaining, Duration(1)),
+        [this, flight, daemon = forward.daemon](const Outcome& outcome) {
+            const auto receivedAt = MonotonicClock::now();
+            const bool failed = outcome.code == ErrorCode::EndpointUnreachable && outcome.servedBy.empty();
+            this->fleet->reportCall(daemon, !failed);
+            this->onFlightOutcome(flight, outcome, receivedAt);
+        });
+}
+
+void Daemon::onFlightOutcome(const std::shared_ptr<Flight>& flight, const Outcome& outcome, Time receivedAt)
+{
+    const auto now = MonotonicClock::now();
+    auto checked = outcome;
+    // This process was paused between the receipt and now: the acknowledgement is too old to be passed on.
+    const bool write = flight->request.kind == RequestKind::Write || flight->request.kind == RequestKind::Commit;
+    if (write && outcome.state == OutcomeState::Completed
+        && now - receivedAt > this->settings.endpoints.ackEvidenceMaxAge)
+        checked = unknownOutcome(ErrorCode::AnswerMismatch, "the acknowledgement is too old");
+    const auto owners = this->ownerIds(flight->request.database);
+    this->step(flight, flight->forwarder.onOutcome(checked, owners, now));
+}
+
+// A request that another daemon forwards is run here or refused; it is never forwarded again, which rules out loops.
+void Daemon::onForward(Request request, std::function<void(Outcome)> answer)
+{
+    std::optional<TransactionIdParts> parts;
+    if (!request.transaction.empty())
+        parts = this->transactionIds.parse(request.transaction, request.caller);
+    ++this->forwardsInFlight;
+    this->submitLocally(request, parts, [this, answer = std::move(answer)](Outcome outcome) {
+        answer(std::move(outcome));
+        --this->forwardsInFlight;
+    });
+}
+
+// Answers from this daemon's own contact, or by one probe if it does not watch the database.
+void Daemon::onOpinion(
+    const DatabaseId& database, const EndpointId& endpoint, std::function<void(PeerOpinion)> answer)
+{
+    const auto target = this->runtime(database);
+    if (target && target->rank() >= 0) {
+        answer({ target->contactAge(endpoint), target->highestTerm() });
+        return;
+    }
+    const auto configuration = this->fleet ? this->fleet->configuration() : nullptr;
+    const auto* declaration = configuration ? configuration->findDatabase(database) : nullptr;
+    const auto* found = declaration != nullptr ? declaration->findEndpoint(endpoint) : nullptr;
+    if (found == nullptr) {
+        answer({});
+        return;
+    }
+    EndpointConnectOptions connectOptions;
+    connectOptions.address = toString(found->address);
+    connectOptions.endpoint = endpoint;
+    connectOptions.daemon = this->settings.daemon.id;
+    connectOptions.dataCentre = this->settings.daemon.dataCentre;
+    connectOptions.control = true;
+    connectOptions.timeout = opinionTimeout / 2;
+    this->loop.runSoon([this, connectOptions, answer](kj::AsyncIoContext& io) {
+        auto probe
+            = connectEndpoint(io.provider->getNetwork(), io.provider->getTimer(), connectOptions)
+                  .then([answer](auto opened) -> kj::Promise<void> {
+                      // No contact although this daemon tried: as old as any failover waits for.
+                      const PeerOpinion silent { std::chrono::hours(1), 0 };
+                      if (opened.error != ErrorCode::None) {
+                          answer(silent);
+                          return kj::READY_NOW;
+                      }
+                      auto client = kj::mv(opened.answer);
+                      auto status = client->status(opinionTimeout / 2);
+                      return status
+                          .then([answer, silent](auto result) {
+                              answer(result.error == ErrorCode::None
+                                      ? PeerOpinion { Duration::zero(), result.answer.term }
+                                      : silent);
+                          })
+                          .attach(kj::mv(client));
+                  });
+        this->loop.detach(kj::mv(probe));
+    });
+}
+
+// Asks the other owners and some further daemons, those in other data centres first.
+void Daemon::askOpinions(const DatabaseId& database, const EndpointId& endpoint, std::uint64_t term)
+{
+    static_cast<void>(term);
+    const auto owners = this->ownerIds(database);
+    std::vector<DaemonInfo> asked;
+    std::vector<DaemonInfo> others;
+    for (const auto& daemon : this->fleet->view()) {
+        if (daemon.id == this->settings.daemon.id || daemon.state == DaemonState::Dead)
+            continue;
+        const bool owner = std::find(owners.begin(), owners.end(), daemon.id) != owners.end();
+        if (owner)
+            asked.push_back(daemon);
+        else if (daemon.region == this->settings.daemon.region)
+            others.push_back(daemon);
+    }
+    std::stable_partition(others.begin(), others.end(),
+        [this](const DaemonInfo& daemon) { return daemon.dataCentre != this->settings.daemon.dataCentre; });
+    others.resize(std::min(others.size(), furtherOpinions));
+    asked.insert(asked.end(), others.begin(), others.end());
+    for (const auto& daemon : asked) {
+        this->peerClient->opinion(toString(daemon.peersAddress), database, endpoint, opinionTimeout,
+            [this, daemon, database, endpoint](const std::optional<PeerOpinion>& answer) {
+                const auto target = this->runtime(database);
+                if (answer && target)
+                    target->onOpinion(
+                        { daemon.id, daemon.dataCentre, endpoint, answer->term, answer->sinceContact });
+            });
+    }
+}
+
+bool Daemon::ready() { return !this->shuttingDown && this->fleet->configuration() != nullptr; }
+
+std::size_t Daemon::unfinished()
+{
+    std::size_t sum = this->callers->inFlight() + this->forwardsInFlight;
+    for (const auto& runtime : this->allRuntimes())
+        sum += runtime->unfinished();
+    return sum;
+}
+
+nlohmann::json Daemon::statusJson()
+{
+    const auto fleetReport = this->fleet->report();
+    nlohmann::json daemons = nlohmann::json::array();
+    for (const auto& daemon : fleetReport.daemons)
+        daemons.push_back({ { "daemon", daemon.id.value }, { "address", toString(daemon.peersAddress) },
+            { "dataCentre", daemon.dataCentre.value }, { "region", daemon.region.value },
+            { "state", daemonStateName(daemon.state) } });
+    nlohmann::json inForce = nlohmann::json::object();
+    for (const auto& [version, count] : fleetReport.inForce.counts)
+        inForce[std::to_string(version)] = count;
+    nlohmann::json behind = nlohmann::json::array();
+    for (const auto& daemon : fleetReport.inForce.behind)
+        behind.push_back(daemon.value);
+    nlohmann::json databases = nlohmann::json::array();
+    std::vector<std::pair<DatabaseId, std::shared_ptr<DatabaseRuntime>>> known;
+    {
+        std::lock_guard lock(this->runtimesMutex);
+        known.assign(this->runtimes.begin(), this->runtimes.end());
+    }
+    for (const auto& [database, runtime] : known)
+        databases.push_back(toJson(database, runtime->report()));
+    return { { "daemon", this->settings.daemon.id.value }, { "dataCentre", this->settings.daemon.dataCentre.value },
+        { "ready", this->ready() }, { "inFlight", this->callers->inFlight() },
+        { "configuration",
+            { { "version", fleetReport.version }, { "hash", fleetReport.hash },
+                { "newestKnown", fleetReport.newestKnown }, { "storeAnswered", fleetReport.storeAnswered },
+                { "inForce", inForce }, { "behind", behind } } },
+        { "daemons", daemons }, { "databases", databases } };
+}
+
+bool Daemon::shutDown(Duration limit)
+{
+    if (this->stopped)
+        return true;
+    this->stopped = true;
+    this->shuttingDown = true;
+    const auto end = MonotonicClock::now() + limit;
+    if (limit > Duration::zero())
+        this->fleet->leave();
+    const bool answered = this->callers->drain(std::max(limit, Duration(1)));
+    while (this->unfinished() > 0 && MonotonicClock::now() < end)
+        std::this_thread::sleep_for(timerStep);
+    const bool clean = answered && this->unfinished() == 0;
+    this->timersRunning = false;
+    if (this->timerThread.joinable())
+        this->timerThread.join();
+    this->operators->drain(std::chrono::milliseconds(200));
+    this->callers->stop();
+    this->operators->stop();
+    this->peerServer->stop();
+    this->fleet->stop();
+    this->peerClient->stop();
+    const auto all = this->allRuntimes();
+    this->loop.run([&](kj::AsyncIoContext&) {
+        for (const auto& runtime : all)
+            runtime->stopOnLoop();
+    });
+    this->loop.stop();
+    logEvent(LogLevel::Info, "daemon_stopped",
+        { { "daemon", this->settings.daemon.id.value }, { "clean", clean ? "true" : "false" } });
+    return clean;
+}
+
+} // namespace endivetrestle
--- a/src/edge/peer_rpc.h
+++ b/src/edge/peer_rpc.h
@@ -28,11 +28,12 @@
     bool operator==(const ConfigurationBody&) const = default;
 };
 
-// What a daemon does for its peers. Called on the network loop's thread; forward may answer later from any thread.
+// What a daemon does for its peers. Called on the network loop's thread; forward and opinion may answer later from any
+// thread.
 struct PeerHandlers {
     std::function<void(Request, DaemonId from, std::function<void(Outcome)> answer)> forward;
-    std::function<std::string(const std::string& message)> gossip;
-    std::function<PeerOpinion(const DatabaseId&, const EndpointId&)> opinion;
+    std::function<std::string(const DaemonId& from, const std::string& message)> gossip;
+    std::function<void(const DatabaseId&, const EndpointId&, std::function<void(PeerOpinion)> answer)> opinion;
     std::function<ConfigurationBody(std::uint64_t atLeast)> fetchConfiguration;
 };
 
--- a/src/edge/peer_rpc_test.cc
+++ b/src/edge/peer_rpc_test.cc
@@ -19,8 +19,10 @@
         outcome.position = request.minPosition;
         std::thread([answer, outcome] { answer(outcome); }).detach();
     };
-    handlers.gossip = [](const std::string& message) { return message + "!"; };
-    handlers.opinion = [](const DatabaseId&, const EndpointId&) { return PeerOpinion { 5ms, 7 }; };
+    handlers.gossip = [](const DaemonId&, const std::string& message) { return message + "!"; };
+    handlers.opinion = [](const DatabaseId&, const EndpointId&, std::function<void(PeerOpinion)> answer) {
+        answer({ 5ms, 7 });
+    };
     handlers.fetchConfiguration = [](std::uint64_t atLeast) { return ConfigurationBody { atLeast + 1, "body" }; };
     return handlers;
 }
--- a/src/edge/peer_server.cc
+++ b/src/edge/peer_server.cc
@@ -55,18 +55,23 @@
     kj::Promise<void> gossip(GossipContext context) override
     {
         const std::string message = context.getParams().getMessage();
-        context.getResults().setMessage(this->handlers.gossip(message));
+        context.getResults().setMessage(this->handlers.gossip(this->from, message));
         return kj::READY_NOW;
     }
 
     kj::Promise<void> opinion(OpinionContext context) override
     {
         const auto params = context.getParams();
-        const auto opinion = this->handlers.opinion(DatabaseId(params.getDatabase()), EndpointId(params.getEndpoint()));
-        auto builder = context.getResults().initOpinion();
-        builder.setSinceContactUs(opinion.sinceContact ? opinion.sinceContact->count() : -1);
-        builder.setTerm(opinion.term);
-        return kj::READY_NOW;
+        auto pair = kj::newPromiseAndCrossThreadFulfiller<PeerOpinion>();
+        auto fulfiller
+            = std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<PeerOpinion>>>(kj::mv(pair.fulfiller));
+        this->handlers.opinion(DatabaseId(params.getDatabase()), EndpointId(params.getEndpoint()),
+            [fulfiller](const PeerOpinion& opinion) { (*fulfiller)->fulfill(PeerOpinion(opinion)); });
+        return pair.promise.then([context](const PeerOpinion& opinion) mutable {
+            auto builder = context.getResults().initOpinion();
+            builder.setSinceContactUs(opinion.sinceContact ? opinion.sinceContact->count() : -1);
+            builder.setTerm(opinion.term);
+        });
     }
 
     kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
--- a/src/edge/platform_client.cc
+++ b/src/edge/platform_client.cc
@@ -80,7 +80,9 @@
         const bool live = item["state"] == "live";
         if (!live && item["state"] != "leaving")
             return std::nullopt;
-        hosts.push_back({ item["host"], item["address"], live ? HostState::Live : HostState::Leaving });
+        hosts.push_back({ item["host"], item["address"], live ? HostState::Live : HostState::Leaving,
+            hasText(item, "dataCentre") ? item["dataCentre"].get<std::string>() : std::string(),
+            hasText(item, "region") ? item["region"].get<std::string>() : std::string() });
     }
     return hosts;
 }
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -84,6 +84,9 @@
     // Numeric "address:port" of the process on that host.
     std::string address;
     HostState state = HostState::Live;
+    // Place of the host; empty if the platform does not tell.
+    std::string dataCentre;
+    std::string region;
 
     bool operator==(const ListedHost&) const = default;
 };
--- a/src/request/admission_queue.cc
+++ b/src/request/admission_queue.cc
@@ -329,6 +329,17 @@
     return found == this->perCaller.end() ? 0 : found->second;
 }
 
+std::size_t AdmissionQueue::sizeOf(const QueueTarget& target) const
+{
+    std::size_t size = 0;
+    for (const auto& queue : this->classes) {
+        const auto found = queue.byTarget.find(target);
+        if (found != queue.byTarget.end())
+            size += found->second.size();
+    }
+    return size;
+}
+
 Duration AdmissionQueue::oldestWait(Time now) const
 {
     Duration longest {};
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -205,7 +205,8 @@
     auto list = Json::array();
     for (const auto& [name, host] : version->hosts) {
         list.push_back({ { "host", name }, { "address", host.address },
-            { "state", host.state == HostState::Live ? "live" : "leaving" } });
+            { "state", host.state == HostState::Live ? "live" : "leaving" }, { "dataCentre", host.dataCentre },
+            { "region", host.region } });
     }
     return { 200, Json { { "hosts", std::move(list) } }.dump() };
 }
--- a/src/standin/platform_control.cc
+++ b/src/standin/platform_control.cc
@@ -34,7 +34,8 @@
 {
     for (const auto& item : list) {
         ObjectReader reader(item, "control", "hosts", problems);
-        ListedHost host { reader.text("host"), reader.text("address"), HostState::Live };
+        ListedHost host { reader.text("host"), reader.text("address"), HostState::Live, reader.text("dataCentre", ""),
+            reader.text("region", "") };
         if (reader.word("state", { "live", "leaving" }, "live") == "leaving")
             host.state = HostState::Leaving;
         reader.finish();
