--- a/src/process/burn_plot.cc
+++ b/src/process/burn_plot.cc
@@ -82,12 +82,14 @@
 
 Plot plotOf(const BurnReport& report, const std::vector<JournalEntry>& journal, Time now)
 {
-    const auto unit = unitFor(historyLength(report));
+    const auto length = historyLength(report);
+    const auto unit = unitFor(length);
+    const std::pair shownX { -toSeconds(length) / unit.seconds, 0.0 };
     const auto xLabel = "time before the report (" + unit.name + ")";
     const auto markers = markersOf(journal, now, unit);
     PlotPanel burn { "Burn rate", xLabel, "burn rate (multiples of the allowed rate)", false, {}, markers,
-        BurnSettings {}.fastPageRate, "page" };
-    PlotPanel latency { "Latency", xLabel, "latency (ms)", true, {}, markers, std::nullopt, "" };
+        BurnSettings {}.fastPageRate, "page", shownX };
+    PlotPanel latency { "Latency", xLabel, "latency (ms)", true, {}, markers, std::nullopt, "", shownX };
     for (const auto& series : report.series) {
         if (series.history.empty())
             continue;
--- a/src/process/report_plot.cc
+++ b/src/process/report_plot.cc
@@ -97,6 +97,10 @@
             this->x.highest = isFirst ? x : std::max(this->x.highest, x);
             isFirst = false;
         };
+        if (panel.shownX) {
+            includeX(panel.shownX->first);
+            includeX(panel.shownX->second);
+        }
         for (const auto& line : panel.lines) {
             for (const auto& [px, py] : line.points) {
                 if (!std::isfinite(px) || !std::isfinite(py))
--- a/src/process/report_plot.h
+++ b/src/process/report_plot.h
@@ -43,6 +43,8 @@
     // Horizontal line, for example the rate at which an alert is raised.
     std::optional<double> threshold;
     std::string thresholdLabel;
+    // Lowest and highest x that are shown at least.
+    std::optional<std::pair<double, double>> shownX {};
 
     bool operator==(const PlotPanel&) const = default;
 };
--- a/src/tool/load.h
+++ b/src/tool/load.h
@@ -23,6 +23,9 @@
     WorkloadSettings workload;
     // Each request goes to a random one.
     std::vector<DaemonAddress> daemons;
+    // If not empty, statements go directly to the primary endpoint of their database instead, as a baseline. The
+    // endpoints' connection limit must allow one connection per session.
+    std::map<DatabaseId, DaemonAddress> rawEndpoints;
     std::string callerKey;
     // Deadline that is stated with each request.
     Duration deadline = std::chrono::seconds(2);
--- a/src/tool/load_run.cc
+++ b/src/tool/load_run.cc
@@ -28,6 +28,7 @@
     , timer(io.provider->getTimer())
     , settings(settings)
     , client(*io.provider, settings.daemons, settings.callerKey)
+    , rawSender(*io.provider, settings.rawEndpoints)
     , workload(settings.workload)
     , random(settings.workload.seed + 1)
     , sessions(std::max<std::size_t>(settings.workload.sessions, 1))
@@ -117,7 +118,7 @@
         activity.resolvable = call.requestId;
     call.deadline = this->settings.deadline;
     call.session = this->sessions[session].token;
-    return this->client.send(this->randomDaemon(), std::move(call)).then([this, session](CallerAnswer answer) {
+    return this->send(session, std::move(call)).then([this, session](CallerAnswer answer) {
         if (!answer.session.empty())
             this->sessions[session].token = answer.session;
         return answer;
@@ -244,8 +245,10 @@
 kj::Promise<void> LoadRun::auditAll()
 {
     this->auditKeys = this->checker.writtenKeys();
-    auto lanes = kj::heapArrayBuilder<kj::Promise<void>>(auditConcurrency);
-    for (std::size_t lane = 0; lane < auditConcurrency; ++lane)
+    // Without the proxy a session has one connection, which carries one request at a time.
+    const auto concurrency = this->settings.rawEndpoints.empty() ? auditConcurrency : 1;
+    auto lanes = kj::heapArrayBuilder<kj::Promise<void>>(concurrency);
+    for (std::size_t lane = 0; lane < concurrency; ++lane)
         lanes.add(this->auditNext());
     return kj::joinPromises(lanes.finish());
 }
@@ -286,9 +289,13 @@
         });
 }
 
-std::size_t LoadRun::randomDaemon()
+kj::Promise<CallerAnswer> LoadRun::send(std::size_t session, CallerCall call)
 {
-    return std::uniform_int_distribution<std::size_t>(0, this->client.daemonCount() - 1)(this->random);
+    if (!this->settings.rawEndpoints.empty())
+        return this->rawSender.send(session, std::move(call));
+    const auto last = this->client.daemonCount() - 1;
+    const auto daemon = std::uniform_int_distribution<std::size_t>(0, last)(this->random);
+    return this->client.send(daemon, std::move(call));
 }
 
 } // namespace endivetrestle::internal
--- a/src/tool/load_run.h
+++ b/src/tool/load_run.h
@@ -2,6 +2,7 @@
 
 #include "tool/caller_client.h"
 #include "tool/load.h"
+#include "tool/raw_sender.h"
 
 #include <deque>
 #include <optional>
@@ -61,12 +62,13 @@
     void countWriteGap(const Activity& activity, Time now);
     void countPoint(bool completed, Duration latency);
     void closePoint();
-    std::size_t randomDaemon();
+    kj::Promise<CallerAnswer> send(std::size_t session, CallerCall call);
 
     kj::AsyncIoContext& io;
     kj::Timer& timer;
     const LoadSettings& settings;
     CallerClient client;
+    RawSender rawSender;
     Workload workload;
     HistoryChecker checker;
     LoadResult result;
--- a/src/tool/load_test.cc
+++ b/src/tool/load_test.cc
@@ -1,6 +1,8 @@
 #include "tool/load.h"
 
 #include "edge/http_server.h"
+#include "edge/network_loop.h"
+#include "standin/group.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -161,3 +163,33 @@
     CHECK(result.total().didNotRun == result.total().intended);
     CHECK(result.codes.at(ErrorCode::EndpointUnreachable) == result.total().intended);
 }
+
+// Guards against a baseline that does other work than the load through the proxy.
+TEST_CASE("Load, runs both mixes directly against the primary endpoint of a stand-in group")
+{
+    NetworkLoop loop;
+    loop.start();
+    std::unique_ptr<standin::StandinGroup> group;
+    LoadSettings settings;
+    settings.workload.deployment = GENERATE(Deployment::Saengchan, Deployment::Prism);
+    settings.workload.databases = { DatabaseId("a") };
+    settings.workload.sessions = 4;
+    settings.workload.rate = 300;
+    settings.workload.duration = 300ms;
+    loop.run([&](kj::AsyncIoContext& io) {
+        standin::GroupOptions options;
+        options.members = { { EndpointId("a"), DataCentre("x") }, { EndpointId("b"), DataCentre("y") },
+            { EndpointId("c"), DataCentre("z") } };
+        group = std::make_unique<standin::StandinGroup>(
+            io.provider->getNetwork(), io.provider->getTimer(), std::move(options));
+        settings.rawEndpoints[DatabaseId("a")] = *parseDaemonAddress(group->addressOf(0));
+    });
+    const auto result = runLoadTest(settings);
+    loop.run([&](kj::AsyncIoContext&) { group = nullptr; });
+    loop.stop();
+    INFO(toTable(result));
+    CHECK(result.total().intended > 30);
+    CHECK(result.total().completed == result.total().intended);
+    CHECK(result.violationCount() == 0);
+    CHECK(result.unauditedKeys == 0);
+}
