--- a/src/connection/transaction_id.cc
+++ b/src/connection/transaction_id.cc
@@ -12,7 +12,8 @@
 constexpr std::size_t maxIdentifierBytes = 255;
 // Half of HMAC-SHA-256, the shortest truncation that RFC 2104 recommends.
 constexpr std::size_t tagBytes = 16;
-constexpr std::size_t maxIdBytes = 2 + 2 * (maxIdentifierBytes + 1) + 2 * 10 + tagBytes;
+constexpr std::size_t maxVarintBytes = 10;
+constexpr std::size_t maxIdBytes = 2 + 2 * (maxIdentifierBytes + 1) + 2 * maxVarintBytes + tagBytes;
 constexpr std::size_t maxTextLength = (maxIdBytes * 4 + 2) / 3;
 
 std::string tagOf(const HmacSha256& key, const CallerId& caller, std::string_view bytes)
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -21,8 +21,9 @@
     Unknown,
 };
 
-// Evidence that an endpoint's own answer gives: every code but None and StatementFailed proves that the statement did
-// not run. Codes that describe a lost connection or an unreadable answer are not answers and prove nothing.
+// Evidence that the code of an endpoint's answer gives. Only the codes with which an endpoint refuses a statement prove
+// that it did not run; every other code counts as Unknown. RequestAborted is Unknown because the abort marker proves
+// something only once a majority holds it.
 SendEvidence evidenceOf(ErrorCode answerCode);
 
 // A request that could be sent again.
@@ -104,12 +105,14 @@
     struct Entry {
         double tokens = 0;
         Time refilledAt;
-        Time lastRequest;
+        Time lastUse;
         std::list<Key>::iterator order;
     };
 
     Entry& use(const Key& key, Time now);
-    void refill(Entry& entry, Time now) const;
+    [[nodiscard]] double refilled(const Entry& entry, Time now) const;
+    // A pair that was forgotten starts with one retry, so that forgetting it grants no burst.
+    [[nodiscard]] double initialTokens() const;
 
     RetryBudgetSettings settings;
     std::unordered_map<Key, Entry, KeyHash> entries;
