--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -1,13 +1,22 @@
 #include "cli/command.h"
 
 #include "cli/load_command.h"
+#include "cli/operator_command.h"
 #include "cli/report_command.h"
+#include "cli/serve_command.h"
 
 namespace endivetrestle {
 
 const std::vector<Command>& allCommands()
 {
     static const std::vector<Command> commands = {
+        { "serve", "runs one daemon from a settings file", runServe },
+        { "demo", "runs two daemons and all stand-ins in one process", runDemo },
+        { "check", "checks a settings file or a configuration", runCheck },
+        { "status", "prints the state of daemons, versions and databases", runStatus },
+        { "explain", "prints recorded decisions and their reasons", runExplain },
+        { "plan", "makes a plan from an operator's intent", runPlan },
+        { "confirm", "puts a plan in force", runConfirm },
         { "load", "sends a deployment's mix of requests and checks every answer", runLoad },
         { "report", "shows how fast error budgets are spent, and why", runReport },
     };
--- a/src/edge/daemon.cc
+++ b/src/edge/daemon.cc
@@ -166,8 +166,6 @@
 {
     const PeerIdentity identity { this->settings.daemon.id, this->secrets.fleetKey };
     this->peerClient = std::make_unique<PeerClient>(this->loop, identity, peerConnectTimeout);
-    if (this->options.peerDelay)
-        this->peerClient->setDelayHook(this->options.peerDelay);
     PeerHandlers handlers;
     handlers.forward = [this](Request request, const DaemonId&, std::function<void(Outcome)> answer) {
         this->onForward(std::move(request), std::move(answer));
@@ -214,7 +212,7 @@
     this->callerApi = std::make_unique<CallerApi>(
         this->settings.limits, this->tokens, this->transactionIds, std::move(callerHooks));
     this->operatorApi = std::make_unique<OperatorApi>(this->secrets.operatorKey, *this->fleet, this->journal,
-        this->burn, this->metrics, OperatorApiHooks { [this] { return this->statusJson(); }, [this] { return this->ready(); } });
+        this->burn, this->metrics, OperatorApiHooks { this->settings.daemon.id, [this] { return this->statusJson(); }, [this] { return this->ready(); } });
     this->callers = std::make_unique<HttpServer>(
         serverSettings(this->settings.listen.callers, this->settings, static_cast<unsigned>(this->settings.workers)),
         [this](const HttpRequest& request, HttpServer::Answer answer) {
--- a/src/edge/daemon.h
+++ b/src/edge/daemon.h
@@ -38,8 +38,6 @@
 struct DaemonOptions {
     // Replaces the weighted policy; for comparisons.
     ReadPolicy readPolicy;
-    // Emulated one-way delay to the peer at an address; for experiments.
-    PeerClient::DelayHook peerDelay;
     // Divides the windows of the burn report; for experiments that last minutes.
     double burnScale = 1;
 };
@@ -72,6 +70,8 @@
     [[nodiscard]] std::uint16_t callerPort() const { return this->callers->port(); }
     [[nodiscard]] std::uint16_t operatorPort() const { return this->operators->port(); }
     [[nodiscard]] std::uint16_t peerPort() const { return this->peerPortNumber; }
+    // Emulates the one-way delay to peers from now on, for experiments.
+    void setPeerDelay(PeerClient::DelayHook hook) { this->peerClient->setDelayHook(std::move(hook)); }
     [[nodiscard]] Fleet& fleetPart() { return *this->fleet; }
 
     // Runs a request as if it had come from a caller. done is called exactly once, on any thread.
--- a/src/edge/operator_api.cc
+++ b/src/edge/operator_api.cc
@@ -123,6 +123,7 @@
     } else if (get && http.path == "/admin/v1/report") {
         const auto now = MonotonicClock::now();
         auto report = toJson(this->burn.report(now));
+        report["daemon"] = this->hooks.daemon.value;
         report["journal"] = toJson(this->journal.query({}), now)["entries"];
         answer(jsonResponse(200, report));
     } else if (get && http.path == "/admin/v1/configuration") {
--- a/src/edge/operator_api.h
+++ b/src/edge/operator_api.h
@@ -13,6 +13,7 @@
 
 // What the operators' interface needs of the daemon.
 struct OperatorApiHooks {
+    DaemonId daemon;
     // State of the daemon for "status".
     std::function<nlohmann::json()> status;
     std::function<bool()> ready;
