--- a/src/version/configuration.cc
+++ b/src/version/configuration.cc
@@ -62,7 +62,8 @@
             addresses.add(endpoint.address, memberPath + ".address", "must be unique; another endpoint has it");
         }
         if (!hasActiveMajority(database))
-            problems.push_back({ source, 0, path + ".endpoints", "a majority of the endpoints must be active" });
+            problems.push_back({ source, 0, path + ".endpoints",
+                "a majority of the endpoints of " + database.id.value + " must be active" });
     }
 }
 
--- a/src/version/confirm_machine.h
+++ b/src/version/confirm_machine.h
@@ -67,7 +67,8 @@
 // Confirms a plan: reads the plan, checks its base against the row, writes the body, writes the row on the condition
 // that it is unchanged, and reads back by operation id whenever an answer is lost or the condition failed. It may be
 // run again at any time and by any daemon with the same plan id, because the operation id is the plan id and the
-// condition admits at most one write per base version.
+// condition admits at most one write per base version. Lost answers are followed up a few times; the number of actions
+// of one run is bounded.
 //
 // Example:
 //     ConfirmMachine machine(planId, nowMs);
@@ -84,32 +85,23 @@
     ConfirmAction onAnswer(const StoreAnswer& answer);
 
 private:
-    enum class Step {
-        ReadingPlan,
-        ReadingRow,
-        PuttingBody,
-        WritingRow,
-        ReadingBack,
-        GettingBase,
-        GettingCurrent,
-        Done
-    };
+    enum class Step { ReadingPlan, ReadingRow, PuttingBody, WritingRow, GettingBase, GettingCurrent, Done };
 
     ConfirmAction onPlan(const StoreAnswer& answer);
     ConfirmAction onRow(const StoreAnswer& answer);
     ConfirmAction onBody(const StoreAnswer& answer);
     ConfirmAction onWritten(const StoreAnswer& answer);
-    ConfirmAction onReadBack(const StoreAnswer& answer);
     ConfirmAction onBase(const StoreAnswer& answer);
     ConfirmAction onCurrent(const StoreAnswer& answer);
-    ConfirmAction decide(const ConfigurationRow& row);
-    ConfirmAction proceed();
-    ConfirmAction write();
-    ConfirmAction readRow(Step next);
+    ConfirmAction decide();
+    ConfirmAction putBody();
+    ConfirmAction writeRow();
+    ConfirmAction readRow();
     ConfirmAction startDifference();
-    ConfirmAction accepted(ConfirmStatus status);
+    ConfirmAction outdated(std::vector<std::string> lines);
+    ConfirmAction accepted();
     ConfirmAction refused(ErrorCode code, std::vector<std::string> lines);
-    ConfirmAction unavailable(std::string line);
+    ConfirmAction unavailable(const std::string& line);
 
     PlanId planId;
     std::int64_t nowMs;
@@ -118,9 +110,11 @@
     std::shared_ptr<const Configuration> result;
     ConfigurationRow row;
     std::uint64_t revision = 0;
-    std::optional<ConfigurationDocument> base;
+    ConfigurationDocument base;
     bool bodyStored = false;
     bool writeSent = false;
+    int readsLeft = 6;
+    int putsLeft = 2;
     int writesLeft = 3;
 };
 
--- a/src/version/plan.h
+++ b/src/version/plan.h
@@ -1,76 +1,17 @@
 #pragma once
 
 #include "version/configuration.h"
+#include "version/intent.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace endivetrestle {
 
-// Intents of operators. Each states what shall hold, not how to get there.
-
-// Adds a database or replaces its declaration.
-struct DeclareDatabase {
-    DatabaseDeclaration database;
-};
-// Refused while a caller is allowed to use the database.
-struct RemoveDatabase {
-    DatabaseId database;
-};
-// Adds a caller or replaces its declaration.
-struct DeclareCaller {
-    CallerDeclaration caller;
-};
-struct RemoveCaller {
-    CallerId caller;
-};
-// Sets the largest read age of a caller at a database. No value allows any age.
-struct SetReadAge {
-    CallerId caller;
-    DatabaseId database;
-    std::optional<Duration> maxReadAge;
-};
-// Adds an endpoint in state joining, or makes a joining or leaving endpoint active.
-struct JoinEndpoint {
-    DatabaseId database;
-    EndpointDeclaration endpoint;
-};
-struct LeaveEndpoint {
-    DatabaseId database;
-    EndpointId endpoint;
-};
-// Refused unless the endpoint is joining or leaving.
-struct RemoveEndpoint {
-    DatabaseId database;
-    EndpointId endpoint;
-};
-struct SetLimits {
-    DatabaseId database;
-    std::optional<int> slots;
-    std::optional<int> connectionsPerEndpoint;
-};
-// Replaces everything; the version number of the given document is ignored.
-struct ReplaceDocument {
-    ConfigurationDocument document;
-};
-
-using Intent = std::variant<DeclareDatabase, RemoveDatabase, DeclareCaller, RemoveCaller, SetReadAge, JoinEndpoint,
-    LeaveEndpoint, RemoveEndpoint, SetLimits, ReplaceDocument>;
-
-// Result of parseIntent(): an intent or problems.
-struct IntentResult {
-    std::optional<Intent> intent;
-    std::vector<JsonProblem> problems;
-};
-
-// Parses {"intent": "leaveEndpoint", "database": "orders-1", "endpoint": "orders-1-a"} and its like.
-IntentResult parseIntent(std::string_view text, const std::string& source);
-
 // What the change interrupts while it comes into force.
 struct Disturbance {
     std::vector<CallerId> callers;
@@ -112,6 +53,8 @@
     std::string createdBy;
     // Unix time in milliseconds.
     std::int64_t nowMs = 0;
+    // Time from an acceptance until the version is in force on every daemon.
+    Duration timeToForce = std::chrono::seconds(2);
     // Time for which the plan can be confirmed.
     Duration lifetime = std::chrono::minutes(15);
 };
@@ -122,7 +65,13 @@
     std::vector<std::string> reasons;
 };
 
-// Turns an intent into a plan on the given base.
+// Turns an intent into a plan on the given base. Besides what the intents state it refuses a result that violates
+// validateConfiguration(), a result without a change, and a change of more than one voting endpoint of a database: the
+// majorities of two successive versions then always have an endpoint in common.
+//
+// Example:
+//     const auto intent = parseIntent(body, "request body");
+//     const auto made = makePlan(*intent.intent, { keeper.current(), PlanId("p-1"), "operator", nowMs });
 PlanResult makePlan(const Intent& intent, const PlanContext& context);
 
 // Text under which a plan is kept in the object store at planObjectKey(), and its inverse.
