--- a/src/process/failover.cc
+++ b/src/process/failover.cc
@@ -202,14 +202,14 @@
         return;
     case FailoverState::Confirming:
         return this->backOffUntil ? this->backOff("term_raised", now, actions)
-                                  : this->resumeWatching("term_raised", now, actions);
+                                  : this->resumeWatching("term_raised", actions);
     case FailoverState::Fencing:
     case FailoverState::Promoting:
         if (term > this->attempt.term)
             this->backOff("term_raised", now, actions);
         return;
     case FailoverState::Settling:
-        return this->resumeWatching("term_raised", now, actions);
+        return this->resumeWatching("term_raised", actions);
     }
 }
 
@@ -232,7 +232,7 @@
         = this->currentState == FailoverState::Fencing || this->currentState == FailoverState::Promoting;
     if (this->currentState == FailoverState::Watching || (attempting && found.term < this->attempt.term))
         return;
-    this->resumeWatching("primary_seen", now, actions);
+    this->resumeWatching("primary_seen", actions);
 }
 
 void Failover::changePrimary(const KnownPrimary& found, bool promotedHere, Time now, Actions& actions)
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -155,7 +155,7 @@
 class Failover {
 public:
     using Actions = failover::Actions;
-    // Uniformly distributed 64-bit values; used for the backoff only.
+    // Uniformly distributed 64-bit values; used for the backoff only. Must be set.
     using Random = std::function<std::uint64_t()>;
 
     struct Options {
@@ -234,7 +234,7 @@
     void startPromoting(Time now, Actions& actions);
     void settle(Time now, Actions& actions);
     void backOff(std::string_view reason, Time now, Actions& actions);
-    void resumeWatching(std::string_view reason, Time now, Actions& actions);
+    void resumeWatching(std::string_view reason, Actions& actions);
 
     // Work within one state.
     void stepWatching(Time now, Actions& actions);
--- a/src/process/failover_transitions.cc
+++ b/src/process/failover_transitions.cc
@@ -74,7 +74,7 @@
 void Failover::stepSettling(Time now, Actions& actions)
 {
     if (this->silence() >= this->options.settings.settleLimit)
-        this->resumeWatching("not_seen", now, actions);
+        this->resumeWatching("not_seen", actions);
 }
 
 void Failover::suspect(Time now, Actions& actions)
@@ -133,7 +133,7 @@
     this->enter(FailoverState::Confirming, reason, actions);
 }
 
-void Failover::resumeWatching(std::string_view reason, Time, Actions& actions)
+void Failover::resumeWatching(std::string_view reason, Actions& actions)
 {
     this->excluded.clear();
     this->backOffUntil.reset();
