Compare history marks without a three-way comparison

Change: defaulted equality and an explicit order; bucket arithmetic of the histogram in one unsigned type.

--- a/src/tool/history_checker.h
+++ b/src/tool/history_checker.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,11 @@
     std::string key;
     std::uint64_t number = 0;
 
-    auto operator<=>(const HistoryMark&) const = default;
+    bool operator==(const HistoryMark&) const = default;
+    bool operator<(const HistoryMark& other) const
+    {
+        return std::tie(this->key, this->number) < std::tie(other.key, other.number);
+    }
 };
 
 std::string toString(const HistoryMark& mark);
--- a/src/tool/latency_histogram.cc
+++ b/src/tool/latency_histogram.cc
@@ -10,7 +10,7 @@
 
 // Buckets in an octave; the relative width of a bucket is at most the reciprocal.
 constexpr std::uint64_t bucketsPerOctave = 64;
-constexpr int octaveBits = 6;
+constexpr std::uint64_t octaveBits = 6;
 constexpr std::uint64_t lowestUs = 1;
 constexpr std::uint64_t highestUs = 1'000'000'000;
 
@@ -18,8 +18,8 @@
 {
     if (value < 2 * bucketsPerOctave)
         return value;
-    const int shift = std::bit_width(value) - 1 - octaveBits;
-    return static_cast<std::size_t>(shift) * bucketsPerOctave + (value >> shift);
+    const auto shift = static_cast<std::uint64_t>(std::bit_width(value)) - 1 - octaveBits;
+    return shift * bucketsPerOctave + (value >> shift);
 }
 
 // Largest value that falls into a bucket.
