--- a/src/edge/json_http.cc
+++ b/src/edge/json_http.cc
@@ -4,6 +4,7 @@
 #include "edge/json_http_internal.h"
 #include "edge/kj_time.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace endivetrestle {
@@ -68,26 +69,70 @@
     });
 }
 
+kj::Promise<JsonHttpReply> JsonHttpConnection::exchange(kj::HttpMethod method, kj::StringPtr path, std::string body)
+{
+    if (!this->usable())
+        return JsonHttpReply { ErrorCode::EndpointUnreachable, 0, {}, this->failure, false };
+    this->busy = true;
+    auto turn = kj::heap<Turn>(*this);
+    auto& current = *turn;
+    return kj::evalNow([&] { return this->send(method, path, std::move(body)); })
+        .then([this](kj::HttpClient::Response response) {
+            auto holder = kj::heap<kj::HttpClient::Response>(kj::mv(response));
+            auto& reference = *holder;
+            return this->readReply(reference).attach(kj::mv(holder));
+        })
+        .then(
+            [&current](JsonHttpReply reply) {
+                current.answered = true;
+                return reply;
+            },
+            [this](kj::Exception&& exception) {
+                this->markBroken(describe(exception));
+                return JsonHttpReply { ErrorCode::EndpointUnreachable, 0, {}, this->failure };
+            })
+        .attach(kj::mv(turn));
+}
+
+JsonHttpConnection::Turn::~Turn() noexcept(false)
+{
+    if (!this->answered)
+        this->connection.markBroken("a call was abandoned before its answer");
+    this->connection.busy = false;
+    for (auto& waiter : std::exchange(this->connection.waiters, {}))
+        waiter->fulfill();
+}
+
 kj::Promise<JsonHttpReply> JsonHttpConnection::call(
     kj::HttpMethod method, kj::StringPtr path, std::string body, Duration timeout)
 {
     if (!this->usable())
         return JsonHttpReply { ErrorCode::EndpointUnreachable, 0, {}, this->failure, false };
-    auto reply = kj::evalNow([&] { return this->send(method, path, std::move(body)); })
-                     .then([this](kj::HttpClient::Response response) {
-                         auto holder = kj::heap<kj::HttpClient::Response>(kj::mv(response));
-                         auto& reference = *holder;
-                         return this->readReply(reference).attach(kj::mv(holder));
-                     })
-                     .catch_([this](kj::Exception&& exception) {
-                         this->markBroken(describe(exception));
-                         return JsonHttpReply { ErrorCode::EndpointUnreachable, 0, {}, this->failure };
-                     });
+    if (this->busy)
+        return this->callLater(method, path, std::move(body), timeout);
     auto late = this->timer.afterDelay(toKj(timeout)).then([this] {
         this->markBroken("no answer within the timeout");
         return JsonHttpReply { ErrorCode::DeadlineExceeded, 0, {}, this->failure };
     });
-    return reply.exclusiveJoin(kj::mv(late)).attach(kj::addRef(*this));
+    return this->exchange(method, path, std::move(body)).exclusiveJoin(kj::mv(late)).attach(kj::addRef(*this));
+}
+
+kj::Promise<JsonHttpReply> JsonHttpConnection::callLater(
+    kj::HttpMethod method, kj::StringPtr path, std::string body, Duration timeout)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    this->waiters.push_back(kj::mv(pair.fulfiller));
+    const auto deadline = this->timer.now() + toKj(timeout);
+    auto late = this->timer.atTime(deadline).then([] { return false; });
+    return pair.promise.then([] { return true; })
+        .exclusiveJoin(kj::mv(late))
+        .then([this, method, path, body = std::move(body), deadline](bool turn) mutable -> kj::Promise<JsonHttpReply> {
+            if (!turn)
+                return JsonHttpReply { ErrorCode::DeadlineExceeded, 0, {}, "earlier calls took too long", false };
+            auto left = std::max(deadline - this->timer.now(), 0 * kj::NANOSECONDS);
+            return this->call(method, path, std::move(body), Duration(left / kj::MICROSECONDS));
+        })
+        .attach(kj::addRef(*this));
 }
 
 kj::Promise<JsonHttpConnect> connectJsonHttp(
--- a/src/edge/json_http.h
+++ b/src/edge/json_http.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace endivetrestle {
 
@@ -106,8 +107,10 @@
 };
 
 // Client bound to one TCP connection. Never reconnects and never sends anything twice. After any error the connection
-// is unusable and every later call fails at once with sent == false. Calls may overlap; their answers come in order.
-// The connection may be released while calls are in flight; it closes after the last of them.
+// is unusable and every later call fails at once with sent == false. A call made while another one is in flight waits
+// for it; if its timeout ends before its turn it fails with sent == false and the connection stays usable. Dropping the
+// promise of a call in flight makes the connection unusable. The connection may be released while calls are in flight;
+// it closes after the last of them.
 class JsonHttpConnection : public kj::Refcounted {
 public:
     JsonHttpConnection(kj::Own<kj::AsyncIoStream> stream, kj::Timer& timer, JsonHttpClientOptions options);
@@ -123,7 +126,22 @@
     void markBroken(std::string reason);
 
 private:
+    // Lasts from the start of a call to the end of its promise.
+    struct Turn {
+        explicit Turn(JsonHttpConnection& connection)
+            : connection(connection)
+        {
+        }
+        KJ_DISALLOW_COPY(Turn);
+        ~Turn() noexcept(false);
+
+        JsonHttpConnection& connection;
+        bool answered = false;
+    };
+
     kj::Promise<kj::HttpClient::Response> send(kj::HttpMethod method, kj::StringPtr path, std::string body);
+    kj::Promise<JsonHttpReply> exchange(kj::HttpMethod method, kj::StringPtr path, std::string body);
+    kj::Promise<JsonHttpReply> callLater(kj::HttpMethod method, kj::StringPtr path, std::string body, Duration timeout);
     kj::Promise<JsonHttpReply> readReply(kj::HttpClient::Response& response);
     kj::HttpHeaders takeHeaders();
 
@@ -132,6 +150,8 @@
     JsonHttpClientOptions options;
     kj::Own<kj::HttpClient> client;
     bool introduced = false;
+    bool busy = false;
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiters;
     std::string failure;
 };
 
--- a/src/standin/endpoint_server.cc
+++ b/src/standin/endpoint_server.cc
@@ -142,6 +142,8 @@
     this->openConnections.insert(request.connection);
     if (this->current.blackhole || this->current.blackholeDaemons.contains(request.daemon))
         return kj::NEVER_DONE;
+    if (request.path == "/execute" && !this->statementConnections.contains(request.connection))
+        return refuse(ErrorCode::BadRequest, "the connection was not opened for statements");
     const auto oneWay = this->hooks.oneWayDelay ? this->hooks.oneWayDelay(request.dataCentre) : Duration::zero();
     const auto before = oneWay + this->current.extraLatency;
     if (before == Duration::zero() && !this->current.paused)
@@ -229,8 +231,6 @@
     auto call = fromJson<ExecuteCall>(request.body);
     if (!call)
         return malformed();
-    if (!this->statementConnections.contains(request.connection))
-        return refuse(ErrorCode::BadRequest, "the connection was not opened for statements");
     const auto connection = request.connection;
     if (this->current.serviceTime == Duration::zero() && this->gate.isFree())
         return this->finish(this->run(connection, *call));
--- a/src/standin/test_group.h
+++ b/src/standin/test_group.h
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -73,6 +74,13 @@
         return result.answer;
     }
 
+    // Runs the event loop until the condition holds.
+    void until(const std::function<bool()>& condition)
+    {
+        while (!condition())
+            this->io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(this->io.waitScope);
+    }
+
     void control(const std::string& body)
     {
         for (const auto& problem : this->group->control(body))
