--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -17,105 +17,104 @@
 
 namespace {
 
-    constexpr Duration demoStartLimit = std::chrono::seconds(15);
+constexpr Duration demoStartLimit = std::chrono::seconds(15);
 
-    void printProblems(const std::vector<JsonProblem>& problems)
-    {
-        for (const auto& problem : problems)
-            std::cerr << toString(problem) << "\n";
-    }
+void printProblems(const std::vector<JsonProblem>& problems)
+{
+    for (const auto& problem : problems)
+        std::cerr << toString(problem) << "\n";
+}
 
-    std::optional<std::string> readFile(const std::string& path)
-    {
-        std::ifstream file(path);
-        if (!file) {
-            std::cerr << path << ": cannot be read\n";
-            return std::nullopt;
-        }
-        std::stringstream buffer;
-        buffer << file.rdbuf();
-        return buffer.str();
+std::optional<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
     }
+    std::stringstream buffer;
+    buffer << file.rdbuf();
+    return buffer.str();
+}
 
-    // Settings and, unless they are not wanted, the secrets they name; no value after a report of every problem.
-    std::optional<std::pair<Settings, Secrets>> loadSettings(const std::string& path, bool withSecrets)
-    {
-        const auto text = readFile(path);
-        if (!text)
-            return std::nullopt;
-        auto parsed = parseSettings(*text, path);
-        SecretsResult secrets;
-        if (withSecrets)
-            secrets = readSecrets(parsed.settings.secrets, path);
-        parsed.problems.insert(parsed.problems.end(), secrets.problems.begin(), secrets.problems.end());
-        printProblems(parsed.problems);
-        if (!parsed.problems.empty())
-            return std::nullopt;
-        return std::make_pair(parsed.settings, secrets.secrets);
-    }
+// Settings and, unless they are not wanted, the secrets they name; no value after a report of every problem.
+std::optional<std::pair<Settings, Secrets>> loadSettings(const std::string& path, bool withSecrets)
+{
+    const auto text = readFile(path);
+    if (!text)
+        return std::nullopt;
+    auto parsed = parseSettings(*text, path);
+    SecretsResult secrets;
+    if (withSecrets)
+        secrets = readSecrets(parsed.settings.secrets, path);
+    parsed.problems.insert(parsed.problems.end(), secrets.problems.begin(), secrets.problems.end());
+    printProblems(parsed.problems);
+    if (!parsed.problems.empty())
+        return std::nullopt;
+    return std::make_pair(parsed.settings, secrets.secrets);
+}
 
-    struct ServeArguments {
-        TCLAP::CmdLine line { "Runs one daemon until SIGTERM; a second signal ends it at once.", ' ', versionText };
-        TCLAP::ValueArg<int> drain { "", "drain-seconds", "longest time to finish requests in flight (1 to 600)", false,
-            30, "SECONDS", line };
-        TCLAP::UnlabeledValueArg<std::string> file { "settings", "settings of the daemon", true, "", "FILE", line };
-    };
-
-    struct CheckArguments {
-        TCLAP::CmdLine line { "Checks settings or a configuration and reports every problem.", ' ', versionText };
-        TCLAP::SwitchArg configuration { "c", "configuration", "the file is a fleet configuration", line };
-        TCLAP::SwitchArg secrets { "s", "secrets", "also reads the secret files", line };
-        TCLAP::UnlabeledValueArg<std::string> file { "file", "file to check", true, "", "FILE", line };
-    };
-
-    struct DemoArguments {
-        TCLAP::CmdLine line { "Runs two daemons, a database group and the platform's stand-ins in one process.", ' ',
-            versionText };
-        TCLAP::SwitchArg once { "1", "once", "ends after the example requests", line };
-    };
-
-    CallerCall demoCall(RequestKind kind, const std::string& statement, const std::string& session)
-    {
-        CallerCall call;
-        call.kind = kind;
-        call.database = DatabaseId("shop-1");
-        call.requestId = RequestId(kind == RequestKind::Write ? "demo-write" : "demo-read");
-        call.statement = statement;
-        call.session = session;
-        return call;
-    }
+struct ServeArguments {
+    TCLAP::CmdLine line { "Runs one daemon until SIGTERM; a second signal ends it at once.", ' ', versionText };
+    TCLAP::ValueArg<int> drain { "", "drain-seconds", "longest time to finish requests in flight (1 to 600)", false, 30,
+        "SECONDS", line };
+    TCLAP::UnlabeledValueArg<std::string> file { "settings", "settings of the daemon", true, "", "FILE", line };
+};
+
+struct CheckArguments {
+    TCLAP::CmdLine line { "Checks settings or a configuration and reports every problem.", ' ', versionText };
+    TCLAP::SwitchArg configuration { "c", "configuration", "the file is a fleet configuration", line };
+    TCLAP::SwitchArg secrets { "s", "secrets", "also reads the secret files", line };
+    TCLAP::UnlabeledValueArg<std::string> file { "file", "file to check", true, "", "FILE", line };
+};
+
+struct DemoArguments {
+    TCLAP::CmdLine line { "Runs two daemons, a database group and the platform's stand-ins in one process.", ' ',
+        versionText };
+    TCLAP::SwitchArg once { "1", "once", "ends after the example requests", line };
+};
+
+CallerCall demoCall(RequestKind kind, const std::string& statement, const std::string& session)
+{
+    CallerCall call;
+    call.kind = kind;
+    call.database = DatabaseId("shop-1");
+    call.requestId = RequestId(kind == RequestKind::Write ? "demo-write" : "demo-read");
+    call.statement = statement;
+    call.session = session;
+    return call;
+}
 
-    // Sends a write through the first daemon and reads it back through the second until a replica serves the read.
-    bool showExample(Deployment& deployment)
-    {
-        auto io = kj::setupAsyncIo();
-        std::vector<DaemonAddress> addresses;
-        for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
-            addresses.push_back({ "127.0.0.1", deployment.daemon(i).callerPort() });
-        CallerClient client(*io.provider, addresses, deployment.caller().key);
-        const auto written
-            = client.send(0, demoCall(RequestKind::Write, "put mango 12", "")).wait(io.waitScope);
-        std::cout << "write through " << toString(addresses[0]) << ": \"put mango 12\" -> "
-                  << outcomeStateName(written.state) << " at " << toString(written.position) << "\n"
-                  << "session token: " << written.session << "\n";
-        CallerAnswer read;
-        for (int attempt = 0; attempt < 200 && !read.replica; ++attempt)
-            read = client.send(1, demoCall(RequestKind::Read, "get mango", written.session)).wait(io.waitScope);
-        std::cout << "read through " << toString(addresses[1]) << ": \"get mango\" -> " << read.rows << " from "
-                  << (read.replica ? "replica " : "primary ") << read.servedBy << "\n";
-        return written.state == OutcomeState::Completed && read.rows == R"(["12"])";
-    }
+// Sends a write through the first daemon and reads it back through the second until a replica serves the read.
+bool showExample(Deployment& deployment)
+{
+    auto io = kj::setupAsyncIo();
+    std::vector<DaemonAddress> addresses;
+    for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
+        addresses.push_back({ "127.0.0.1", deployment.daemon(i).callerPort() });
+    CallerClient client(*io.provider, addresses, deployment.caller().key);
+    const auto written = client.send(0, demoCall(RequestKind::Write, "put mango 12", "")).wait(io.waitScope);
+    std::cout << "write through " << toString(addresses[0]) << ": \"put mango 12\" -> "
+              << outcomeStateName(written.state) << " at " << toString(written.position) << "\n"
+              << "session token: " << written.session << "\n";
+    CallerAnswer read;
+    for (int attempt = 0; attempt < 200 && !read.replica; ++attempt)
+        read = client.send(1, demoCall(RequestKind::Read, "get mango", written.session)).wait(io.waitScope);
+    std::cout << "read through " << toString(addresses[1]) << ": \"get mango\" -> " << read.rows << " from "
+              << (read.replica ? "replica " : "primary ") << read.servedBy << "\n";
+    return written.state == OutcomeState::Completed && read.rows == R"(["12"])";
+}
 
-    void printHints(Deployment& deployment)
-    {
-        const auto callers = "127.0.0.1:" + std::to_string(deployment.daemon(0).callerPort());
-        std::cout << "\ntry:\n  curl -i -H 'Authorization: Bearer " << deployment.caller().key
-                  << "' -d '{\"statement\": \"get mango\"}' http://" << callers << "/v1/databases/shop-1/statements\n"
-                  << "operator key: " << deployment.operatorKey() << "\noperators' ports:";
-        for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
-            std::cout << " 127.0.0.1:" << deployment.daemon(i).operatorPort();
-        std::cout << "\n\nserving until stopped (Ctrl-C)\n" << std::flush;
-    }
+void printHints(Deployment& deployment)
+{
+    const auto callers = "127.0.0.1:" + std::to_string(deployment.daemon(0).callerPort());
+    std::cout << "\ntry:\n  curl -i -H 'Authorization: Bearer " << deployment.caller().key
+              << "' -d '{\"statement\": \"get mango\"}' http://" << callers << "/v1/databases/shop-1/statements\n"
+              << "operator key: " << deployment.operatorKey() << "\noperators' ports:";
+    for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
+        std::cout << " 127.0.0.1:" << deployment.daemon(i).operatorPort();
+    std::cout << "\n\nserving until stopped (Ctrl-C)\n" << std::flush;
+}
 
 } // namespace
 
--- a/src/edge/caller_api.cc
+++ b/src/edge/caller_api.cc
@@ -9,60 +9,55 @@
 
 namespace {
 
-    using nlohmann::json;
+using nlohmann::json;
 
-    constexpr std::size_t requestIdLimit = 128;
-    constexpr std::string_view bearer = "Bearer ";
+constexpr std::size_t requestIdLimit = 128;
+constexpr std::string_view bearer = "Bearer ";
 
-    bool isRequestId(const std::string& text)
-    {
-        constexpr std::string_view allowed
-            = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:-";
-        return !text.empty() && text.size() <= requestIdLimit
-            && text.find_first_not_of(allowed) == std::string::npos;
-    }
+bool isRequestId(const std::string& text)
+{
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:-";
+    return !text.empty() && text.size() <= requestIdLimit && text.find_first_not_of(allowed) == std::string::npos;
+}
 
-    std::vector<std::string> split(const std::string& path)
-    {
-        std::vector<std::string> parts;
-        std::size_t begin = 0;
-        while (begin < path.size()) {
-            auto end = path.find('/', begin);
-            end = end == std::string::npos ? path.size() : end;
-            if (end > begin)
-                parts.push_back(path.substr(begin, end - begin));
-            begin = end + 1;
-        }
-        return parts;
+std::vector<std::string> split(const std::string& path)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (begin < path.size()) {
+        auto end = path.find('/', begin);
+        end = end == std::string::npos ? path.size() : end;
+        if (end > begin)
+            parts.push_back(path.substr(begin, end - begin));
+        begin = end + 1;
     }
+    return parts;
+}
 
-    Priority parsePriority(const std::string& name)
-    {
-        if (name == "payment")
-            return Priority::Payment;
-        if (name == "write")
-            return Priority::Write;
-        return name == "glance" ? Priority::Glance : Priority::Read;
-    }
+Priority parsePriority(const std::string& name)
+{
+    if (name == "payment")
+        return Priority::Payment;
+    if (name == "write")
+        return Priority::Write;
+    return name == "glance" ? Priority::Glance : Priority::Read;
+}
 
-    bool changesData(RequestKind kind)
-    {
-        return kind == RequestKind::Write || kind == RequestKind::Commit || kind == RequestKind::Resolve;
-    }
+bool changesData(RequestKind kind)
+{
+    return kind == RequestKind::Write || kind == RequestKind::Commit || kind == RequestKind::Resolve;
+}
 
-    std::string joinProblems(const std::vector<JsonProblem>& problems)
-    {
-        std::string text;
-        for (const auto& problem : problems)
-            text += (text.empty() ? "" : "; ") + toString(problem);
-        return text;
-    }
+std::string joinProblems(const std::vector<JsonProblem>& problems)
+{
+    std::string text;
+    for (const auto& problem : problems)
+        text += (text.empty() ? "" : "; ") + toString(problem);
+    return text;
+}
 
-    // JSON text of a string.
-    std::string quoted(const std::string& text)
-    {
-        return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
-    }
+// JSON text of a string.
+std::string quoted(const std::string& text) { return json(text).dump(-1, ' ', false, json::error_handler_t::replace); }
 
 } // namespace
 
@@ -143,8 +138,8 @@
         return;
     }
     auto request = accepted->request;
-    this->hooks.run(std::move(request), accepted->parts,
-        [this, accepted, answer = std::move(answer)](const Outcome& outcome) {
+    this->hooks.run(
+        std::move(request), accepted->parts, [this, accepted, answer = std::move(answer)](const Outcome& outcome) {
             this->leave(accepted->request.caller);
             answer(this->toResponse(*accepted, outcome));
         });
@@ -238,8 +233,8 @@
     if (!problems.empty())
         return Problem { 400, ErrorCode::BadRequest, joinProblems(problems) };
     ObjectReader reader(document.value, "request body", "", problems);
-    const auto kind = reader.word("kind",
-        { "read", "write", "begin", "statement", "commit", "rollback" }, request.kind == RequestKind::Read ? "read" : "statement");
+    const auto kind = reader.word("kind", { "read", "write", "begin", "statement", "commit", "rollback" },
+        request.kind == RequestKind::Read ? "read" : "statement");
     if (request.kind == RequestKind::Read && kind == "write")
         request.kind = RequestKind::Write;
     request.statement = statement ? reader.text("statement") : reader.text("statement", "");
@@ -277,7 +272,8 @@
 {
     const auto grant = caller.databases.find(request.database);
     if (grant == caller.databases.end() || configuration.findDatabase(request.database) == nullptr)
-        return Problem { 404, ErrorCode::UnknownDatabase, "no such database for this caller: " + request.database.value };
+        return Problem { 404, ErrorCode::UnknownDatabase,
+            "no such database for this caller: " + request.database.value };
     if (!caller.kinds.allows(request.kind))
         return Problem { 403, ErrorCode::Forbidden, "the caller may not send requests of this kind" };
     if (request.kind != RequestKind::Read || !grant->second.maxReadAge)
@@ -314,8 +310,8 @@
         const auto code = static_cast<ErrorCode>(outcome.code.value());
         response.body = "{\"error\":{\"code\":\"" + std::string(errorName(code)) + "\",\"outcome\":\""
             + std::string(outcomeStateName(outcome.state)) + "\",\"message\":" + quoted(outcome.detail)
-            + ",\"requestId\":\"" + request.id.value + "\",\"retryAfterMs\":"
-            + std::to_string((outcome.retryAfter.count() + 999) / 1000) + "}}";
+            + ",\"requestId\":\"" + request.id.value
+            + "\",\"retryAfterMs\":" + std::to_string((outcome.retryAfter.count() + 999) / 1000) + "}}";
         return response;
     }
     const bool hasRows = !outcome.rows.empty() && json::accept(outcome.rows);
--- a/src/edge/caller_api.h
+++ b/src/edge/caller_api.h
@@ -30,13 +30,12 @@
 // its own. Thread-safe; the codecs must outlive it.
 //
 // Endpoints, all with "Authorization: Bearer KEY":
-//     POST /v1/databases/{db}/statements          {"statement", "kind", "priority", "repeatable", "maxAgeMs", "deadlineMs"}
-//     POST /v1/databases/{db}/transactions        {"deadlineMs"}
-//     POST /v1/transactions/{id}/statements       {"statement", "deadlineMs"}
-//     POST /v1/transactions/{id}/commit, /rollback
-//     GET  /v1/databases/{db}/requests/{id}       outcome of an earlier request
-// Success: {"outcome", "requestId", "rows", "servedBy", "replica", "position", "transaction"} with the new session token
-// in Endivetrestle-Session. Failure: {"error": {"code", "outcome", "message", "requestId", "retryAfterMs"}}.
+//     POST /v1/databases/{db}/statements          {"statement", "kind", "priority", "repeatable", "maxAgeMs",
+//     "deadlineMs"} POST /v1/databases/{db}/transactions        {"deadlineMs"} POST /v1/transactions/{id}/statements
+//     {"statement", "deadlineMs"} POST /v1/transactions/{id}/commit, /rollback GET  /v1/databases/{db}/requests/{id}
+//     outcome of an earlier request
+// Success: {"outcome", "requestId", "rows", "servedBy", "replica", "position", "transaction"} with the new session
+// token in Endivetrestle-Session. Failure: {"error": {"code", "outcome", "message", "requestId", "retryAfterMs"}}.
 class CallerApi {
 public:
     CallerApi(const LimitSettings& limits, const SessionTokenCodec& tokens, const TransactionIdCodec& transactionIds,
--- a/src/edge/daemon.cc
+++ b/src/edge/daemon.cc
@@ -12,110 +12,109 @@
 
 namespace {
 
-    // Longest sleep of the timer thread, which bounds how late a new subscription can be noticed.
-    constexpr Duration timerStep = std::chrono::milliseconds(5);
-    constexpr Duration controllerTick = std::chrono::milliseconds(10);
-    constexpr Duration peerConnectTimeout = std::chrono::milliseconds(300);
-    constexpr Duration opinionTimeout = std::chrono::milliseconds(300);
-    constexpr std::size_t shortestKey = 16;
-    // Daemons besides the owners that are asked for their opinion.
-    constexpr std::size_t furtherOpinions = 2;
-
-    std::int64_t unixMilliseconds()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count();
-    }
+// Longest sleep of the timer thread, which bounds how late a new subscription can be noticed.
+constexpr Duration timerStep = std::chrono::milliseconds(5);
+constexpr Duration controllerTick = std::chrono::milliseconds(10);
+constexpr Duration peerConnectTimeout = std::chrono::milliseconds(300);
+constexpr Duration opinionTimeout = std::chrono::milliseconds(300);
+constexpr std::size_t shortestKey = 16;
+// Daemons besides the owners that are asked for their opinion.
+constexpr std::size_t furtherOpinions = 2;
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
 
-    std::string wallTimeText()
-    {
-        const auto now = std::time(nullptr);
-        std::tm parts {};
-        gmtime_r(&now, &parts);
-        std::array<char, 32> text {};
-        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-        return text.data();
-    }
+std::string wallTimeText()
+{
+    const auto now = std::time(nullptr);
+    std::tm parts {};
+    gmtime_r(&now, &parts);
+    std::array<char, 32> text {};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text.data();
+}
 
-    // The number of a key follows from its content, so that daemons agree on it in whatever order they list keys.
-    HmacKey makeKey(const std::string& secret)
-    {
-        const auto digest = sha256Hex("key id " + secret);
-        return { static_cast<std::uint8_t>(std::stoul(digest.substr(0, 2), nullptr, 16)), secret };
-    }
+// The number of a key follows from its content, so that daemons agree on it in whatever order they list keys.
+HmacKey makeKey(const std::string& secret)
+{
+    const auto digest = sha256Hex("key id " + secret);
+    return { static_cast<std::uint8_t>(std::stoul(digest.substr(0, 2), nullptr, 16)), secret };
+}
 
-    SessionTokenSettings tokenSettings(const Settings& settings, const Secrets& secrets)
-    {
-        SessionTokenSettings result;
-        result.keys.signing = makeKey(secrets.tokenKeys.front());
-        for (const auto& secret : secrets.tokenKeys)
-            result.keys.accepted.push_back(makeKey(secret));
-        result.lifetime = std::chrono::duration_cast<std::chrono::seconds>(settings.limits.tokenLifetime);
-        return result;
-    }
+SessionTokenSettings tokenSettings(const Settings& settings, const Secrets& secrets)
+{
+    SessionTokenSettings result;
+    result.keys.signing = makeKey(secrets.tokenKeys.front());
+    for (const auto& secret : secrets.tokenKeys)
+        result.keys.accepted.push_back(makeKey(secret));
+    result.lifetime = std::chrono::duration_cast<std::chrono::seconds>(settings.limits.tokenLifetime);
+    return result;
+}
 
-    HttpServerSettings serverSettings(const SocketAddress& address, const Settings& settings, unsigned workers)
-    {
-        HttpServerSettings result;
-        result.address = address.ip;
-        result.port = address.port;
-        result.workers = workers;
-        result.bodyLimit = settings.limits.bodyBytes;
-        result.connectionLimit = settings.limits.connectionsPerCaller;
-        return result;
-    }
+HttpServerSettings serverSettings(const SocketAddress& address, const Settings& settings, unsigned workers)
+{
+    HttpServerSettings result;
+    result.address = address.ip;
+    result.port = address.port;
+    result.workers = workers;
+    result.bodyLimit = settings.limits.bodyBytes;
+    result.connectionLimit = settings.limits.connectionsPerCaller;
+    return result;
+}
 
-    std::optional<std::string> readKeyFile(const std::string& path)
-    {
-        std::ifstream file(path);
-        if (!file)
-            return std::nullopt;
-        std::stringstream buffer;
-        buffer << file.rdbuf();
-        auto text = buffer.str();
-        const auto begin = text.find_first_not_of(" \t\r\n");
-        if (begin == std::string::npos)
-            return std::string();
-        return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
-    }
+std::optional<std::string> readKeyFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::stringstream buffer;
+    buffer << file.rdbuf();
+    auto text = buffer.str();
+    const auto begin = text.find_first_not_of(" \t\r\n");
+    if (begin == std::string::npos)
+        return std::string();
+    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
+}
 
-    std::string readKey(const std::string& path, const std::string& key, const std::string& source,
-        std::vector<JsonProblem>& problems)
-    {
-        auto text = readKeyFile(path);
-        if (!text)
-            problems.push_back({ source, 0, "secrets." + key, "cannot read the file " + path });
-        else if (text->size() < shortestKey)
-            problems.push_back({ source, 0, "secrets." + key, "a key needs at least 16 bytes: " + path });
-        return text.value_or("");
-    }
+std::string readKey(
+    const std::string& path, const std::string& key, const std::string& source, std::vector<JsonProblem>& problems)
+{
+    auto text = readKeyFile(path);
+    if (!text)
+        problems.push_back({ source, 0, "secrets." + key, "cannot read the file " + path });
+    else if (text->size() < shortestKey)
+        problems.push_back({ source, 0, "secrets." + key, "a key needs at least 16 bytes: " + path });
+    return text.value_or("");
+}
 
-    nlohmann::json toJson(const EndpointReport& endpoint)
-    {
-        nlohmann::json result { { "endpoint", endpoint.endpoint.value }, { "primary", endpoint.primary },
-            { "leaving", endpoint.leaving }, { "suspected", endpoint.health.suspected },
-            { "ejected", endpoint.health.ejected }, { "silenceMs", toMilliseconds(endpoint.health.silence) },
-            { "latencyMs", toMilliseconds(endpoint.health.latency) }, { "lagMs", toMilliseconds(endpoint.lag) },
-            { "applied", toString(endpoint.applied) },
-            { "connections",
-                { { "opening", endpoint.connections.opening }, { "idle", endpoint.connections.idle },
-                    { "busy", endpoint.connections.busy }, { "pinned", endpoint.connections.pinned },
-                    { "resetting", endpoint.connections.resetting } } } };
-        return result;
-    }
+nlohmann::json toJson(const EndpointReport& endpoint)
+{
+    nlohmann::json result { { "endpoint", endpoint.endpoint.value }, { "primary", endpoint.primary },
+        { "leaving", endpoint.leaving }, { "suspected", endpoint.health.suspected },
+        { "ejected", endpoint.health.ejected }, { "silenceMs", toMilliseconds(endpoint.health.silence) },
+        { "latencyMs", toMilliseconds(endpoint.health.latency) }, { "lagMs", toMilliseconds(endpoint.lag) },
+        { "applied", toString(endpoint.applied) },
+        { "connections",
+            { { "opening", endpoint.connections.opening }, { "idle", endpoint.connections.idle },
+                { "busy", endpoint.connections.busy }, { "pinned", endpoint.connections.pinned },
+                { "resetting", endpoint.connections.resetting } } } };
+    return result;
+}
 
-    nlohmann::json toJson(const DatabaseId& database, const ControllerReport& report)
-    {
-        nlohmann::json endpoints = nlohmann::json::array();
-        for (const auto& endpoint : report.endpoints)
-            endpoints.push_back(toJson(endpoint));
-        return { { "database", database.value }, { "rank", report.rank },
-            { "failover", failoverStateName(report.failover) },
-            { "primary", report.primary ? report.primary->endpoint.value : "" },
-            { "term", report.primary ? report.primary->term : 0 }, { "queued", report.queued },
-            { "pending", report.pending }, { "transactions", report.transactions }, { "endpoints", endpoints } };
-    }
+nlohmann::json toJson(const DatabaseId& database, const ControllerReport& report)
+{
+    nlohmann::json endpoints = nlohmann::json::array();
+    for (const auto& endpoint : report.endpoints)
+        endpoints.push_back(toJson(endpoint));
+    return { { "database", database.value }, { "rank", report.rank },
+        { "failover", failoverStateName(report.failover) },
+        { "primary", report.primary ? report.primary->endpoint.value : "" },
+        { "term", report.primary ? report.primary->term : 0 }, { "queued", report.queued },
+        { "pending", report.pending }, { "transactions", report.transactions }, { "endpoints", endpoints } };
+}
 
 } // namespace
 
@@ -173,13 +172,12 @@
     handlers.gossip = [this](const DaemonId& from, const std::string& message) {
         return this->fleet ? this->fleet->onGossip(from, message) : std::string();
     };
-    handlers.opinion = [this](const DatabaseId& database, const EndpointId& endpoint,
-                           std::function<void(PeerOpinion)> answer) {
-        this->onOpinion(database, endpoint, std::move(answer));
-    };
-    handlers.fetchConfiguration = [this](std::uint64_t atLeast) {
-        return this->fleet ? this->fleet->onFetch(atLeast) : ConfigurationBody {};
-    };
+    handlers.opinion
+        = [this](const DatabaseId& database, const EndpointId& endpoint, std::function<void(PeerOpinion)> answer) {
+              this->onOpinion(database, endpoint, std::move(answer));
+          };
+    handlers.fetchConfiguration
+        = [this](std::uint64_t atLeast) { return this->fleet ? this->fleet->onFetch(atLeast) : ConfigurationBody {}; };
     const auto& peers = this->settings.listen.peers;
     this->peerServer = std::make_unique<PeerServer>(
         this->loop, identity, peers.ip + ":" + std::to_string(peers.port), std::move(handlers));
@@ -202,17 +200,21 @@
 
     CallerApiHooks callerHooks;
     callerHooks.configuration = [this] { return this->fleet->configuration(); };
-    callerHooks.run = [this](Request request, std::optional<TransactionIdParts> parts,
-                          std::function<void(Outcome)> done) {
-        this->run(std::move(request), std::move(parts), std::move(done));
-    };
+    callerHooks.run
+        = [this](Request request, std::optional<TransactionIdParts> parts, std::function<void(Outcome)> done) {
+              this->run(std::move(request), std::move(parts), std::move(done));
+          };
     callerHooks.wallClock = [] { return unixMilliseconds() / 1000; };
-    callerHooks.newRequestId = [this] { return this->claimant.value.substr(0, this->claimant.value.find('#')) + "-"
-            + std::to_string(this->random()) + "-" + std::to_string(++this->lastRequestNumber); };
+    callerHooks.newRequestId = [this] {
+        return this->claimant.value.substr(0, this->claimant.value.find('#')) + "-" + std::to_string(this->random())
+            + "-" + std::to_string(++this->lastRequestNumber);
+    };
     this->callerApi = std::make_unique<CallerApi>(
         this->settings.limits, this->tokens, this->transactionIds, std::move(callerHooks));
     this->operatorApi = std::make_unique<OperatorApi>(this->secrets.operatorKey, *this->fleet, this->journal,
-        this->burn, this->metrics, OperatorApiHooks { this->settings.daemon.id, [this] { return this->statusJson(); }, [this] { return this->ready(); } });
+        this->burn, this->metrics,
+        OperatorApiHooks {
+            this->settings.daemon.id, [this] { return this->statusJson(); }, [this] { return this->ready(); } });
     this->callers = std::make_unique<HttpServer>(
         serverSettings(this->settings.listen.callers, this->settings, static_cast<unsigned>(this->settings.workers)),
         [this](const HttpRequest& request, HttpServer::Answer answer) {
@@ -360,8 +362,8 @@
 {
     const auto holder = parts ? parts->owner : DaemonId();
     const auto owners = this->ownerIds(request.database);
-    auto flight = std::make_shared<Flight>(Flight { Forwarder(request, this->settings.daemon.id, holder, {}), request,
-        std::move(parts), std::move(done) });
+    auto flight = std::make_shared<Flight>(Flight {
+        Forwarder(request, this->settings.daemon.id, holder, {}), request, std::move(parts), std::move(done) });
     this->step(flight, flight->forwarder.start(owners, MonotonicClock::now()));
 }
 
@@ -373,9 +375,8 @@
     }
     if (const auto* local = std::get_if<RunLocally>(&next)) {
         const auto parts = local->request.transaction.empty() ? std::nullopt : flight->parts;
-        this->submitLocally(local->request, parts, [this, flight](const Outcome& outcome) {
-            this->onFlightOutcome(flight, outcome, MonotonicClock::now());
-        });
+        this->submitLocally(local->request, parts,
+            [this, flight](const Outcome& outcome) { this->onFlightOutcome(flight, outcome, MonotonicClock::now()); });
         return;
     }
     const auto& forward = std::get<ForwardTo>(next);
@@ -422,8 +423,7 @@
 }
 
 // Answers from this daemon's own contact, or by one probe if it does not watch the database.
-void Daemon::onOpinion(
-    const DatabaseId& database, const EndpointId& endpoint, std::function<void(PeerOpinion)> answer)
+void Daemon::onOpinion(const DatabaseId& database, const EndpointId& endpoint, std::function<void(PeerOpinion)> answer)
 {
     const auto target = this->runtime(database);
     if (target && target->rank() >= 0) {
@@ -445,25 +445,24 @@
     connectOptions.control = true;
     connectOptions.timeout = opinionTimeout / 2;
     this->loop.runSoon([this, connectOptions, answer](kj::AsyncIoContext& io) {
-        auto probe
-            = connectEndpoint(io.provider->getNetwork(), io.provider->getTimer(), connectOptions)
-                  .then([answer](auto opened) -> kj::Promise<void> {
-                      // No contact although this daemon tried: as old as any failover waits for.
-                      const PeerOpinion silent { std::chrono::hours(1), 0 };
-                      if (opened.error != ErrorCode::None) {
-                          answer(silent);
-                          return kj::READY_NOW;
-                      }
-                      auto client = kj::mv(opened.answer);
-                      auto status = client->status(opinionTimeout / 2);
-                      return status
-                          .then([answer, silent](auto result) {
-                              answer(result.error == ErrorCode::None
-                                      ? PeerOpinion { Duration::zero(), result.answer.term }
-                                      : silent);
-                          })
-                          .attach(kj::mv(client));
-                  });
+        auto probe = connectEndpoint(io.provider->getNetwork(), io.provider->getTimer(), connectOptions)
+                         .then([answer](auto opened) -> kj::Promise<void> {
+                             // No contact although this daemon tried: as old as any failover waits for.
+                             const PeerOpinion silent { std::chrono::hours(1), 0 };
+                             if (opened.error != ErrorCode::None) {
+                                 answer(silent);
+                                 return kj::READY_NOW;
+                             }
+                             auto client = kj::mv(opened.answer);
+                             auto status = client->status(opinionTimeout / 2);
+                             return status
+                                 .then([answer, silent](auto result) {
+                                     answer(result.error == ErrorCode::None
+                                             ? PeerOpinion { Duration::zero(), result.answer.term }
+                                             : silent);
+                                 })
+                                 .attach(kj::mv(client));
+                         });
         this->loop.detach(kj::mv(probe));
     });
 }
@@ -493,8 +492,7 @@
             [this, daemon, database, endpoint](const std::optional<PeerOpinion>& answer) {
                 const auto target = this->runtime(database);
                 if (answer && target)
-                    target->onOpinion(
-                        { daemon.id, daemon.dataCentre, endpoint, answer->term, answer->sinceContact });
+                    target->onOpinion({ daemon.id, daemon.dataCentre, endpoint, answer->term, answer->sinceContact });
             });
     }
 }
--- a/src/edge/database_runtime.cc
+++ b/src/edge/database_runtime.cc
@@ -6,45 +6,43 @@
 
 namespace {
 
-    constexpr Duration gaugeInterval = std::chrono::seconds(1);
+constexpr Duration gaugeInterval = std::chrono::seconds(1);
 
-    // Whether an action is carried out on the network loop.
-    bool needsNetwork(const controller::Action& action)
-    {
-        return std::visit(
-            [](const auto& value) {
-                using Value = std::decay_t<decltype(value)>;
-                return std::is_same_v<Value, controller::Open> || std::is_same_v<Value, controller::Close>
-                    || std::is_same_v<Value, controller::Reset> || std::is_same_v<Value, controller::Execute>
-                    || std::is_same_v<Value, controller::Probe> || std::is_same_v<Value, controller::FenceEndpoint>
-                    || std::is_same_v<Value, controller::PromoteEndpoint>
-                    || std::is_same_v<Value, controller::Resolve>;
-            },
-            action);
-    }
+// Whether an action is carried out on the network loop.
+bool needsNetwork(const controller::Action& action)
+{
+    return std::visit(
+        [](const auto& value) {
+            using Value = std::decay_t<decltype(value)>;
+            return std::
+                       is_same_v<Value,
+                           controller::Open> || std::is_same_v<Value, controller::Close> || std::is_same_v<Value, controller::Reset> || std::is_same_v<Value, controller::Execute> || std::is_same_v<Value, controller::Probe> || std::is_same_v<Value, controller::FenceEndpoint> || std::is_same_v<Value, controller::PromoteEndpoint> || std::is_same_v<Value, controller::Resolve>;
+        },
+        action);
+}
 
-    void performOnNetwork(EndpointGateway& gateway, kj::AsyncIoContext& io, const controller::Action& action)
-    {
-        std::visit(
-            [&](const auto& value) {
-                if constexpr (requires { gateway.perform(io, value); })
-                    gateway.perform(io, value);
-            },
-            action);
-    }
+void performOnNetwork(EndpointGateway& gateway, kj::AsyncIoContext& io, const controller::Action& action)
+{
+    std::visit(
+        [&](const auto& value) {
+            if constexpr (requires { gateway.perform(io, value); })
+                gateway.perform(io, value);
+        },
+        action);
+}
 
-    std::optional<ShedReason> shedReason(const Outcome& outcome)
-    {
-        if (outcome.code == ErrorCode::QueueFull)
-            return ShedReason::QueueFull;
-        if (outcome.code == ErrorCode::Overloaded)
-            return ShedReason::Overload;
-        if (outcome.code == ErrorCode::DeadlineExceeded && outcome.state == OutcomeState::DidNotRun)
-            return ShedReason::Deadline;
-        if (outcome.code == ErrorCode::RetryBudgetSpent)
-            return ShedReason::RetryBudget;
-        return std::nullopt;
-    }
+std::optional<ShedReason> shedReason(const Outcome& outcome)
+{
+    if (outcome.code == ErrorCode::QueueFull)
+        return ShedReason::QueueFull;
+    if (outcome.code == ErrorCode::Overloaded)
+        return ShedReason::Overload;
+    if (outcome.code == ErrorCode::DeadlineExceeded && outcome.state == OutcomeState::DidNotRun)
+        return ShedReason::Deadline;
+    if (outcome.code == ErrorCode::RetryBudgetSpent)
+        return ShedReason::RetryBudget;
+    return std::nullopt;
+}
 
 } // namespace
 
@@ -65,7 +63,8 @@
     std::map<EndpointId, SocketAddress> addresses;
     for (const auto& endpoint : changed.endpoints)
         addresses[endpoint.id] = endpoint.address;
-    this->context.loop.post([self = this->shared_from_this(), addresses](kj::AsyncIoContext&) {
+    // Runs before any action of the update below is carried out.
+    this->context.loop.runSoon([self = this->shared_from_this(), addresses](kj::AsyncIoContext&) {
         if (!self->gateway) {
             EndpointGateway::Options options;
             options.daemon = self->identity.daemon;
--- a/src/edge/endpoint_gateway.cc
+++ b/src/edge/endpoint_gateway.cc
@@ -72,7 +72,8 @@
                                       auto& entry = controls[endpoint];
                                       entry.opening = nullptr;
                                       if (opened.error == ErrorCode::None)
-                                          entry.client = std::make_shared<kj::Own<EndpointClient>>(kj::mv(opened.answer));
+                                          entry.client
+                                              = std::make_shared<kj::Own<EndpointClient>>(kj::mv(opened.answer));
                                   })
                                   .fork();
         }
@@ -81,7 +82,8 @@
             .then([self = this->shared_from_this(), &controls, endpoint]() { return controls[endpoint].client; });
     }
 
-    // Makes a control call. make calls the client; done gets its result, or an unsent failure if there is no connection.
+    // Makes a control call. make calls the client; done gets its result, or an unsent failure if there is no
+    // connection.
     template <typename Answer, typename Make, typename Done>
     void controlCall(kj::AsyncIoContext& io, std::map<EndpointId, Control>& controls, const EndpointId& endpoint,
         Make make, Done done)
@@ -97,9 +99,8 @@
                             auto& reference = **client;
                             return make(reference).attach(kj::mv(client));
                         })
-                        .then([self = this->shared_from_this(), done](EndpointResult<Answer> result) mutable {
-                            done(*self, result);
-                        });
+                        .then([self = this->shared_from_this(), done](
+                                  EndpointResult<Answer> result) mutable { done(*self, result); });
         this->loop.detach(kj::mv(call));
     }
 
@@ -166,9 +167,8 @@
     static_cast<void>(io);
     this->state->connections.erase(action.connection);
     // Reported by a later task, because the controller's lock order does not allow a nested call.
-    this->state->loop.post([self = this->state, connection = action.connection](kj::AsyncIoContext&) {
-        self->closed(connection);
-    });
+    this->state->loop.post(
+        [self = this->state, connection = action.connection](kj::AsyncIoContext&) { self->closed(connection); });
 }
 
 void EndpointGateway::perform(kj::AsyncIoContext& io, const controller::Reset& action)
@@ -240,8 +240,8 @@
 
 namespace {
 
-    // Time for a fence or promote call. The failover repeats unanswered calls.
-    constexpr Duration controlTimeout = std::chrono::milliseconds(400);
+// Time for a fence or promote call. The failover repeats unanswered calls.
+constexpr Duration controlTimeout = std::chrono::milliseconds(400);
 
 } // namespace
 
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -8,40 +8,40 @@
 
 namespace {
 
-    // Time for one gossip exchange.
-    constexpr Duration gossipTimeout = std::chrono::milliseconds(800);
-    constexpr Duration fetchTimeout = std::chrono::seconds(2);
-    // Time between two runs of the parts that say when they are due.
-    constexpr Duration stepInterval = std::chrono::milliseconds(50);
-    constexpr Duration liveListInterval = std::chrono::seconds(5);
-
-    VersionKeeperSettings keeperSettings(const Settings& settings)
-    {
-        VersionKeeperSettings result;
-        result.pollInterval = settings.poll.interval;
-        result.jitter = settings.poll.jitter;
-        return result;
-    }
+// Time for one gossip exchange.
+constexpr Duration gossipTimeout = std::chrono::milliseconds(800);
+constexpr Duration fetchTimeout = std::chrono::seconds(2);
+// Time between two runs of the parts that say when they are due.
+constexpr Duration stepInterval = std::chrono::milliseconds(50);
+constexpr Duration liveListInterval = std::chrono::seconds(5);
+
+VersionKeeperSettings keeperSettings(const Settings& settings)
+{
+    VersionKeeperSettings result;
+    result.pollInterval = settings.poll.interval;
+    result.jitter = settings.poll.jitter;
+    return result;
+}
 
-    GossipSettings gossipSettings(const Settings& settings)
-    {
-        GossipSettings result;
-        result.fanout = static_cast<std::size_t>(settings.gossip.fanout);
-        result.pushFanout = static_cast<std::size_t>(settings.gossip.pushFanout);
-        return result;
-    }
+GossipSettings gossipSettings(const Settings& settings)
+{
+    GossipSettings result;
+    result.fanout = static_cast<std::size_t>(settings.gossip.fanout);
+    result.pushFanout = static_cast<std::size_t>(settings.gossip.pushFanout);
+    return result;
+}
 
-    PlatformOptions platformOptions(const Settings& settings, const SocketAddress& address, Duration timeout)
-    {
-        PlatformOptions options;
-        options.address = toString(address);
-        options.daemon = settings.daemon.id.value;
-        options.dataCentre = settings.daemon.dataCentre.value;
-        options.timeout = timeout;
-        return options;
-    }
+PlatformOptions platformOptions(const Settings& settings, const SocketAddress& address, Duration timeout)
+{
+    PlatformOptions options;
+    options.address = toString(address);
+    options.daemon = settings.daemon.id.value;
+    options.dataCentre = settings.daemon.dataCentre.value;
+    options.timeout = timeout;
+    return options;
+}
 
-    StoreAnswer unavailable() { return { StoreStatus::Unavailable, {}, 0 }; }
+StoreAnswer unavailable() { return { StoreStatus::Unavailable, {}, 0 }; }
 
 } // namespace
 
@@ -75,8 +75,8 @@
             network, timer, platformOptions(this->settings, services.tableService, services.tableTimeout));
         this->platform->objects = newObjectStore(
             network, timer, platformOptions(this->settings, services.objectStore, services.objectTimeout));
-        this->platform->liveList = newLiveList(
-            network, timer, platformOptions(this->settings, services.liveList, services.liveListTimeout));
+        this->platform->liveList
+            = newLiveList(network, timer, platformOptions(this->settings, services.liveList, services.liveListTimeout));
     });
 }
 
@@ -91,9 +91,8 @@
                     work();
             });
     };
-    timers.subscribeEvery(now, this->settings.gossip.interval, [=, this](Time) {
-        onLoop([this] { this->tickRound(); });
-    });
+    timers.subscribeEvery(
+        now, this->settings.gossip.interval, [=, this](Time) { onLoop([this] { this->tickRound(); }); });
     timers.subscribeEvery(now, stepInterval, [=, this](Time) {
         onLoop([this] {
             this->keep([](VersionKeeper& versions, Time at) { return versions.tick(at); });
@@ -242,8 +241,8 @@
         message = this->gossip.message(peer.id);
     }
     this->metrics.gossipSent(message.size());
-    this->peers.gossip(toString(peer.peersAddress), message, gossipTimeout,
-        [this, peer](const std::optional<std::string>& answer) {
+    this->peers.gossip(
+        toString(peer.peersAddress), message, gossipTimeout, [this, peer](const std::optional<std::string>& answer) {
             if (this->stopping)
                 return;
             this->reportCall(peer.id, answer.has_value());
@@ -480,8 +479,8 @@
         return;
     }
     this->loop.post([this, plan = std::move(*made.plan), done = std::move(done)](kj::AsyncIoContext&) {
-        this->callStore(PutObject { planObjectKey(plan.id), serialisePlan(plan) },
-            [plan, done](const StoreAnswer& answer) {
+        this->callStore(
+            PutObject { planObjectKey(plan.id), serialisePlan(plan) }, [plan, done](const StoreAnswer& answer) {
                 if (answer.status == StoreStatus::Ok)
                     done({ plan, ErrorCode::None, {} });
                 else
@@ -493,19 +492,17 @@
 void Fleet::confirm(const PlanId& plan, std::function<void(ConfirmResult)> done)
 {
     auto machine = std::make_shared<ConfirmMachine>(plan, this->hooks.wallClockMs());
-    this->loop.post([this, machine, done = std::move(done)](kj::AsyncIoContext&) {
-        this->stepConfirm(machine, machine->start(), done);
-    });
+    this->loop.post([this, machine, done = std::move(done)](
+                        kj::AsyncIoContext&) { this->stepConfirm(machine, machine->start(), done); });
 }
 
-void Fleet::stepConfirm(std::shared_ptr<ConfirmMachine> machine, const ConfirmAction& action,
-    std::function<void(ConfirmResult)> done)
+void Fleet::stepConfirm(
+    std::shared_ptr<ConfirmMachine> machine, const ConfirmAction& action, std::function<void(ConfirmResult)> done)
 {
     if (const auto* result = std::get_if<ConfirmResult>(&action)) {
         if (result->configuration)
-            this->keep([&](VersionKeeper& versions, Time now) {
-                return versions.onAccepted(now, result->configuration);
-            });
+            this->keep(
+                [&](VersionKeeper& versions, Time now) { return versions.onAccepted(now, result->configuration); });
         done(*result);
         return;
     }
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -100,8 +100,8 @@
     void updatePeerGauges();
     void onStoreAnswered(bool answered);
     void callStore(const ConfirmAction& action, std::function<void(StoreAnswer)> done);
-    void stepConfirm(std::shared_ptr<ConfirmMachine> machine, const ConfirmAction& action,
-        std::function<void(ConfirmResult)> done);
+    void stepConfirm(
+        std::shared_ptr<ConfirmMachine> machine, const ConfirmAction& action, std::function<void(ConfirmResult)> done);
 
     NetworkLoop& loop;
     PeerClient& peers;
--- a/src/edge/operator_api.cc
+++ b/src/edge/operator_api.cc
@@ -8,73 +8,73 @@
 
 namespace {
 
-    using nlohmann::json;
+using nlohmann::json;
 
-    constexpr std::string_view bearer = "Bearer ";
-    constexpr std::string_view plansPath = "/admin/v1/plans";
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view plansPath = "/admin/v1/plans";
 
-    HttpResponse jsonResponse(int status, const json& body)
-    {
-        return { status, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace), {} };
-    }
+HttpResponse jsonResponse(int status, const json& body)
+{
+    return { status, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace), {} };
+}
 
-    HttpResponse errorResponse(int status, ErrorCode code, const std::vector<std::string>& lines)
-    {
-        return jsonResponse(status, { { "error", { { "code", errorName(code) }, { "lines", lines } } } });
-    }
+HttpResponse errorResponse(int status, ErrorCode code, const std::vector<std::string>& lines)
+{
+    return jsonResponse(status, { { "error", { { "code", errorName(code) }, { "lines", lines } } } });
+}
 
-    std::map<std::string, std::string> parseQuery(const std::string& query)
-    {
-        std::map<std::string, std::string> result;
-        std::size_t begin = 0;
-        while (begin < query.size()) {
-            auto end = query.find('&', begin);
-            end = end == std::string::npos ? query.size() : end;
-            const auto pair = query.substr(begin, end - begin);
-            const auto equal = pair.find('=');
-            if (equal != std::string::npos)
-                result[pair.substr(0, equal)] = pair.substr(equal + 1);
-            begin = end + 1;
-        }
-        return result;
+std::map<std::string, std::string> parseQuery(const std::string& query)
+{
+    std::map<std::string, std::string> result;
+    std::size_t begin = 0;
+    while (begin < query.size()) {
+        auto end = query.find('&', begin);
+        end = end == std::string::npos ? query.size() : end;
+        const auto pair = query.substr(begin, end - begin);
+        const auto equal = pair.find('=');
+        if (equal != std::string::npos)
+            result[pair.substr(0, equal)] = pair.substr(equal + 1);
+        begin = end + 1;
     }
+    return result;
+}
 
-    json planJson(const Plan& plan)
-    {
-        json callers = json::array();
-        for (const auto& caller : plan.disturbance.callers)
-            callers.push_back(caller.value);
-        json databases = json::array();
-        for (const auto& database : plan.disturbance.databases)
-            databases.push_back(database.value);
-        return { { "plan", plan.id.value }, { "baseVersion", plan.baseVersion }, { "changes", plan.changes },
-            { "disturbance",
-                { { "callers", callers }, { "databases", databases }, { "connections", plan.disturbance.connections },
-                    { "lines", plan.disturbance.lines } } },
-            { "expectedMs", plan.expectedDuration.count() / 1000 }, { "expiresAtMs", plan.expiresAtMs } };
-    }
+json planJson(const Plan& plan)
+{
+    json callers = json::array();
+    for (const auto& caller : plan.disturbance.callers)
+        callers.push_back(caller.value);
+    json databases = json::array();
+    for (const auto& database : plan.disturbance.databases)
+        databases.push_back(database.value);
+    return { { "plan", plan.id.value }, { "baseVersion", plan.baseVersion }, { "changes", plan.changes },
+        { "disturbance",
+            { { "callers", callers }, { "databases", databases }, { "connections", plan.disturbance.connections },
+                { "lines", plan.disturbance.lines } } },
+        { "expectedMs", plan.expectedDuration.count() / 1000 }, { "expiresAtMs", plan.expiresAtMs } };
+}
 
-    std::string confirmStatusName(ConfirmStatus status)
-    {
-        switch (status) {
-        case ConfirmStatus::Accepted:
-            return "accepted";
-        case ConfirmStatus::AlreadyAccepted:
-            return "already_accepted";
-        case ConfirmStatus::Refused:
-            return "refused";
-        case ConfirmStatus::StoreUnavailable:
-            return "store_unavailable";
-        }
+std::string confirmStatusName(ConfirmStatus status)
+{
+    switch (status) {
+    case ConfirmStatus::Accepted:
+        return "accepted";
+    case ConfirmStatus::AlreadyAccepted:
+        return "already_accepted";
+    case ConfirmStatus::Refused:
+        return "refused";
+    case ConfirmStatus::StoreUnavailable:
         return "store_unavailable";
     }
+    return "store_unavailable";
+}
 
-    int confirmHttpStatus(ConfirmStatus status)
-    {
-        if (status == ConfirmStatus::Refused)
-            return 409;
-        return status == ConfirmStatus::StoreUnavailable ? 503 : 200;
-    }
+int confirmHttpStatus(ConfirmStatus status)
+{
+    if (status == ConfirmStatus::Refused)
+        return 409;
+    return status == ConfirmStatus::StoreUnavailable ? 503 : 200;
+}
 
 } // namespace
 
@@ -168,8 +168,8 @@
         if (planned.plan)
             answer(jsonResponse(200, planJson(*planned.plan)));
         else
-            answer(errorResponse(
-                planned.code == ErrorCode::StoreUnavailable ? 503 : 422, planned.code, planned.reasons));
+            answer(
+                errorResponse(planned.code == ErrorCode::StoreUnavailable ? 503 : 422, planned.code, planned.reasons));
     });
 }
 
--- a/src/process/controller_failover.cc
+++ b/src/process/controller_failover.cc
@@ -4,16 +4,16 @@
 
 namespace {
 
-    // Time between two attempts to move the primary away from a leaving endpoint.
-    constexpr Duration switchoverInterval = std::chrono::seconds(1);
+// Time between two attempts to move the primary away from a leaving endpoint.
+constexpr Duration switchoverInterval = std::chrono::seconds(1);
 
-    std::string joinFields(const failover::Note& note)
-    {
-        std::string text;
-        for (const auto& [key, value] : note.fields)
-            text += (text.empty() ? "" : " ") + key + "=" + value;
-        return text;
-    }
+std::string joinFields(const failover::Note& note)
+{
+    std::string text;
+    for (const auto& [key, value] : note.fields)
+        text += (text.empty() ? "" : " ") + key + "=" + value;
+    return text;
+}
 
 } // namespace
 
@@ -110,7 +110,7 @@
 DatabaseController::Actions DatabaseController::onFenceAnswer(
     const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now)
 {
-    this->noteResult(endpoint, sentAt, now, false, false);
+    this->noteResult({ endpoint, sentAt, now });
     this->perform(this->failover.onFenceAnswer(endpoint, term, answer, now), now);
     this->observe(answer.status, sentAt, now);
     return this->finish(now);
@@ -125,7 +125,7 @@
 DatabaseController::Actions DatabaseController::onPromoteAnswer(
     const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now)
 {
-    this->noteResult(endpoint, sentAt, now, false, false);
+    this->noteResult({ endpoint, sentAt, now });
     this->perform(this->failover.onPromoteAnswer(endpoint, term, answer, now), now);
     this->observe(answer.status, sentAt, now);
     return this->finish(now);
--- a/src/process/controller_reads.cc
+++ b/src/process/controller_reads.cc
@@ -119,9 +119,16 @@
         }
         entry.primaryOnly = true;
         break;
+    case ErrorCode::PositionNotReached:
+        if (!entry.atPrimary) {
+            // The prediction was wrong. The primary can serve the read; it goes there at most once, so that no retry is
+            // taken from the budget.
+            entry.primaryOnly = true;
+            this->routeRead(ticket, now);
+            return;
+        }
+        break;
     default:
-        // A second refusal of a replica means that the view of it is wrong; the primary can serve the read.
-        entry.primaryOnly = entry.primaryOnly || entry.attempts > 1;
         break;
     }
     if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
--- a/src/process/controller_requests.cc
+++ b/src/process/controller_requests.cc
@@ -6,34 +6,34 @@
 
 namespace {
 
-    // Time kept for resolving a write whose answer does not come, when the deadline is far enough away.
-    constexpr Duration resolveReserve = std::chrono::milliseconds(300);
-    constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
+// Time kept for resolving a write whose answer does not come, when the deadline is far enough away.
+constexpr Duration resolveReserve = std::chrono::milliseconds(300);
+constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
 
-    bool hasEffect(RequestKind kind) { return kind == RequestKind::Write || kind == RequestKind::Commit; }
+bool hasEffect(RequestKind kind) { return kind == RequestKind::Write || kind == RequestKind::Commit; }
 
-    bool isTransactional(RequestKind kind)
-    {
-        return kind == RequestKind::Statement || kind == RequestKind::Commit || kind == RequestKind::Rollback;
-    }
+bool isTransactional(RequestKind kind)
+{
+    return kind == RequestKind::Statement || kind == RequestKind::Commit || kind == RequestKind::Rollback;
+}
 
-    ExecuteKind executeKind(RequestKind kind)
-    {
-        switch (kind) {
-        case RequestKind::Write:
-            return ExecuteKind::Write;
-        case RequestKind::Begin:
-            return ExecuteKind::Begin;
-        case RequestKind::Statement:
-            return ExecuteKind::Statement;
-        case RequestKind::Commit:
-            return ExecuteKind::Commit;
-        case RequestKind::Rollback:
-            return ExecuteKind::Rollback;
-        default:
-            return ExecuteKind::Read;
-        }
+ExecuteKind executeKind(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Write:
+        return ExecuteKind::Write;
+    case RequestKind::Begin:
+        return ExecuteKind::Begin;
+    case RequestKind::Statement:
+        return ExecuteKind::Statement;
+    case RequestKind::Commit:
+        return ExecuteKind::Commit;
+    case RequestKind::Rollback:
+        return ExecuteKind::Rollback;
+    default:
+        return ExecuteKind::Read;
     }
+}
 
 } // namespace
 
@@ -82,19 +82,26 @@
         this->complete(ticket, didNotRun(refusal->code, "refused by admission control", refusal->retryAfter));
 }
 
+void DatabaseController::takeRefusal(const QueueRefusal& refusal, Time now)
+{
+    auto code = refusal.code;
+    const auto* entry = this->find(refusal.id);
+    if (code == ErrorCode::EndpointUnreachable && entry != nullptr && entry->request.kind == RequestKind::Read) {
+        this->routeRead(refusal.id, now);
+        return;
+    }
+    const bool primaryMissing = !this->failover.primary() || this->failover.state() != FailoverState::Watching;
+    if (code == ErrorCode::DeadlineExceeded && primaryMissing)
+        code = ErrorCode::NoPrimary;
+    this->complete(refusal.id, didNotRun(code, "refused while queued", refusal.retryAfter));
+}
+
 void DatabaseController::takeRefusals(Time now)
 {
-    for (const auto& refusal : this->queue.takeRefusals()) {
-        auto code = refusal.code;
-        const auto* entry = this->find(refusal.id);
-        if (code == ErrorCode::EndpointUnreachable && entry != nullptr && entry->request.kind == RequestKind::Read) {
-            this->routeRead(refusal.id, now);
-            continue;
-        }
-        const bool primaryMissing = !this->failover.primary() || this->failover.state() != FailoverState::Watching;
-        if (code == ErrorCode::DeadlineExceeded && primaryMissing)
-            code = ErrorCode::NoPrimary;
-        this->complete(refusal.id, didNotRun(code, "refused while queued", refusal.retryAfter));
+    // Routing a read again can displace further entries.
+    for (auto refusals = this->queue.takeRefusals(); !refusals.empty(); refusals = this->queue.takeRefusals()) {
+        for (const auto& refusal : refusals)
+            this->takeRefusal(refusal, now);
     }
 }
 
@@ -167,7 +174,7 @@
     const auto ticket = current ? found->second : Ticket {};
     if (current)
         this->running.erase(found);
-    this->noteResult(use.endpoint, sentAt, now, false, false);
+    this->noteResult({ use.endpoint, sentAt, now });
     // An answer that nobody waits for still shows the endpoint's state.
     if (current)
         this->finishUse(ticket, use, answer, now);
@@ -198,7 +205,7 @@
 DatabaseController::Actions DatabaseController::onExecuteFailed(
     const ConnectionUse& use, Time sentAt, ErrorCode code, bool sent, Time now)
 {
-    this->noteResult(use.endpoint, sentAt, now, code != ErrorCode::DeadlineExceeded, false);
+    this->noteResult({ use.endpoint, sentAt, now, true });
     this->pool.abandon(use, now);
     this->onTransactionLost(use.connection, now);
     const auto found = this->running.find(use.connection);
@@ -321,7 +328,7 @@
         if (entry->request.kind == RequestKind::Commit)
             this->transactions.commitNotSent(entry->transaction->number, now);
         else
-            this->transactions.finishStatement(entry->transaction->number, now);
+            this->transactions.statementNotSent(entry->transaction->number, now);
         this->complete(ticket, didNotRun(ErrorCode::DeadlineExceeded, "the deadline passed before the statement ran"));
         return;
     case Stage::AwaitingHolders:
@@ -335,7 +342,8 @@
         break;
     }
     if (mayHaveRun)
-        this->complete(ticket, unknownOutcome(ErrorCode::DeadlineExceeded, "the deadline passed; ask again by request id"));
+        this->complete(
+            ticket, unknownOutcome(ErrorCode::DeadlineExceeded, "the deadline passed; ask again by request id"));
     else
         this->complete(ticket, didNotRun(ErrorCode::DeadlineExceeded, "the deadline passed"));
 }
--- a/src/process/controller_transactions.cc
+++ b/src/process/controller_transactions.cc
@@ -21,8 +21,12 @@
         ? this->transactions.startCommit(parts, request.caller, request.id, now)
         : this->transactions.startStatement(parts, request.caller, request.id, now);
     if (const auto* refusal = std::get_if<TransactionRefusal>(&access)) {
-        if (refusal->outcome == OutcomeState::Unknown)
+        // An earlier arrival of the request in a transaction that is still open must not be resolved: an abort marker
+        // would make "did not run" false once the transaction commits.
+        if (refusal->outcome == OutcomeState::Unknown && refusal->code == ErrorCode::UnknownTransaction)
             this->startResolving(ticket, now);
+        else if (refusal->outcome == OutcomeState::Unknown)
+            this->complete(ticket, unknownOutcome(refusal->code, refusal->detail));
         else
             this->complete(ticket, didNotRun(refusal->code, refusal->detail));
         return;
@@ -49,24 +53,24 @@
 
 void DatabaseController::dispatchTransactions(const EndpointId& endpoint, Time now)
 {
-    auto& waiting = this->awaitingSlot[endpoint];
-    while (!waiting.empty()) {
-        const auto ticket = waiting.front();
+    // An entry whose connection cannot run a statement yet stays behind without holding up the others.
+    std::deque<Ticket> left;
+    for (const auto ticket : std::exchange(this->awaitingSlot[endpoint], {})) {
         auto* entry = this->find(ticket);
-        if (entry == nullptr || entry->stage != Stage::AwaitingSlot) {
-            waiting.pop_front();
+        if (entry == nullptr || entry->stage != Stage::AwaitingSlot)
             continue;
-        }
         const auto view = this->transactions.find(entry->transaction->number);
         const auto use = view ? this->pool.beginStatement(view->pin) : std::nullopt;
-        if (!use)
-            return;
-        waiting.pop_front();
+        if (!use) {
+            left.push_back(ticket);
+            continue;
+        }
         const bool commit = entry->request.kind == RequestKind::Commit;
         if (commit)
             this->transactions.commitSent(entry->transaction->number);
         this->send(ticket, *use, commit ? ExecuteKind::Commit : ExecuteKind::Statement, now);
     }
+    this->awaitingSlot[endpoint] = std::move(left);
 }
 
 void DatabaseController::onBeginAnswer(Ticket ticket, const ConnectionUse& use, const ExecuteAnswer& answer, Time now)
@@ -112,7 +116,7 @@
             return;
         }
         entry.answer = answer;
-        this->trackWrite(ticket, answer.position, answer.status, entry.sentAt, now);
+        this->trackWrite(ticket, answer.status, answer.replayed, entry.sentAt, now);
         return;
     }
     this->transactions.finishStatement(number, now);
--- a/src/process/controller_writes.cc
+++ b/src/process/controller_writes.cc
@@ -10,12 +10,15 @@
     switch (answer.code) {
     case ErrorCode::None:
         entry.answer = answer;
-        this->trackWrite(ticket, answer.position, answer.status, entry.sentAt, now);
+        this->trackWrite(ticket, answer.status, answer.replayed, entry.sentAt, now);
         return;
     case ErrorCode::StatementFailed:
-    case ErrorCode::RequestAborted:
         this->complete(ticket, didNotRun(answer.code, answer.detail));
         return;
+    case ErrorCode::RequestAborted:
+        // The abort marker proves that the request did not run only once a majority holds it.
+        this->startResolving(ticket, now);
+        return;
     default:
         if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
             this->complete(ticket, didNotRun(answer.code, "the primary refused the request"));
@@ -23,10 +26,10 @@
     }
 }
 
-// Waits until a majority holds the record. A record of an earlier term counts as held once a majority holds a record of
-// the primary's term behind it, so the position is looked for in the primary's term.
+// Waits until a majority holds the record. For a record that the primary had before the call, the tracker looks for a
+// later record of the primary's term.
 void DatabaseController::trackWrite(
-    Ticket ticket, const Position& position, const EndpointStatus& status, Time sentAt, Time now)
+    Ticket ticket, const EndpointStatus& status, bool recordedBefore, Time sentAt, Time now)
 {
     auto& entry = this->pending.at(ticket);
     entry.stage = Stage::AwaitingHolders;
@@ -34,7 +37,8 @@
     write.ticket = ticket;
     write.requestId = entry.request.id;
     write.primary = status.endpoint;
-    write.position = { status.lastLog.term, position.index };
+    write.position = entry.answer.position;
+    write.recordedBefore = recordedBefore;
     write.sentAt = sentAt;
     write.deadline = std::min(entry.request.deadline, now + this->settings.ackDeadline);
     this->perform(this->writes.writeExecuted(write, status, now), now);
@@ -111,7 +115,7 @@
     auto* entry = this->find(ticket);
     const bool expected = entry != nullptr && entry->stage == Stage::Resolving && entry->resolveNumber == number
         && entry->resolveOutstanding;
-    this->noteResult(answer.status.endpoint, sentAt, now, false, false);
+    this->noteResult({ answer.status.endpoint, sentAt, now });
     if (expected) {
         entry->resolveOutstanding = false;
         entry->resolveDue = now + this->settings.resolveInterval;
@@ -122,7 +126,7 @@
             entry->answer.rows = answer.rows;
             entry->answer.position = answer.position;
             entry->answer.status = answer.status;
-            this->trackWrite(ticket, answer.position, answer.status, sentAt, now);
+            this->trackWrite(ticket, answer.status, true, sentAt, now);
         }
     }
     this->observe(answer.status, sentAt, now);
--- a/src/process/database_controller.cc
+++ b/src/process/database_controller.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-    // Connections of an endpoint left free for the moments in which two daemons take themselves for the active owner.
-    constexpr int spareConnections = 1;
+// Connections of an endpoint left free for the moments in which two daemons take themselves for the active owner.
+constexpr int spareConnections = 1;
 
 } // namespace
 
@@ -90,7 +90,8 @@
     for (const auto& endpoint : this->declaration.endpoints) {
         if (endpoint.state == EndpointState::Joining || !this->holdsConnections())
             continue;
-        const int warm = this->rank == 0 ? std::min(this->settings.warmConnections, share) : std::clamp(this->rank, 0, 1);
+        const int warm
+            = this->rank == 0 ? std::min(this->settings.warmConnections, share) : std::clamp(this->rank, 0, 1);
         // A leaving primary serves until the planned change of the primary is over.
         const bool leaving = endpoint.state == EndpointState::Leaving && !this->isPrimary(endpoint.id);
         endpoints.push_back({ endpoint.id, { share, warm, this->declaration.slots }, leaving });
@@ -170,11 +171,11 @@
     this->confirmReads(now);
 }
 
-void DatabaseController::noteResult(const EndpointId& endpoint, Time sentAt, Time now, bool failed, bool probe)
+void DatabaseController::noteResult(const CallResult& result)
 {
-    this->health.onResult({ endpoint, sentAt, now, failed, probe });
-    if (failed)
-        this->perform(this->failover.onContactFailure(endpoint, now), now);
+    this->health.onResult(result);
+    if (result.failed)
+        this->perform(this->failover.onContactFailure(result.endpoint, result.receivedAt), result.receivedAt);
 }
 
 void DatabaseController::sendProbes(Time now)
@@ -205,8 +206,7 @@
     state.statusNumber = ++this->lastNumber;
     state.statusDue = now + this->settings.probeInterval;
     const auto timeout = this->health.suspectAfter(endpoint);
-    this->actions.emplace_back(
-        controller::Probe { endpoint, state.statusNumber, {}, Duration::zero(), timeout });
+    this->actions.emplace_back(controller::Probe { endpoint, state.statusNumber, {}, Duration::zero(), timeout });
 }
 
 // Asks every endpoint for its status at once, for reads that wait for a confirmation of the primary. Reads that arrive
@@ -234,7 +234,7 @@
     else
         return {};
     // The time of a watch call includes its wait, so only status calls measure the probe time.
-    this->noteResult(status.endpoint, sentAt, now, false, !watch);
+    this->noteResult({ status.endpoint, sentAt, now, false, !watch, !watch });
     this->pool.clearBackoff(status.endpoint, now);
     this->observe(status, sentAt, now);
     return this->finish(now);
@@ -257,7 +257,7 @@
     } else {
         return {};
     }
-    this->noteResult(endpoint, sentAt, now, true, false);
+    this->noteResult({ endpoint, sentAt, now, true });
     return this->finish(now);
 }
 
--- a/src/process/database_controller.h
+++ b/src/process/database_controller.h
@@ -109,8 +109,9 @@
     Actions submit(
         std::uint64_t ticket, const Request& request, const std::optional<TransactionIdParts>& parts, Time now);
 
-    // Takes the outcome of a completed ticket. For a write this repeats the check that the acknowledging primary has not
-    // been replaced; if the check fails the request is resolved anew, no value is returned and another Complete follows.
+    // Takes the outcome of a completed ticket. For a write this repeats the check that the acknowledging primary has
+    // not been replaced; if the check fails the request is resolved anew, no value is returned and another Complete
+    // follows.
     std::optional<Outcome> takeOutcome(std::uint64_t ticket, Time now, Actions& actions);
 
     // Parts of the transaction that a completed Begin opened; to be encoded into its id.
@@ -128,7 +129,8 @@
 
     Actions onProbeAnswer(std::uint64_t number, Time sentAt, const EndpointStatus& status, Time now);
     Actions onProbeFailed(const EndpointId& endpoint, std::uint64_t number, Time sentAt, Time now);
-    Actions onFenceAnswer(const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now);
+    Actions onFenceAnswer(
+        const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now);
     Actions onFenceFailed(const EndpointId& endpoint, std::uint64_t term, Time now);
     Actions onPromoteAnswer(
         const EndpointId& endpoint, std::uint64_t term, Time sentAt, const FenceAnswer& answer, Time now);
@@ -221,7 +223,7 @@
     void sendStatus(const EndpointId& endpoint, ProbeState& state, Time now);
     void requestConfirmation(Time now);
     void observe(const EndpointStatus& status, Time sentAt, Time now);
-    void noteResult(const EndpointId& endpoint, Time sentAt, Time now, bool failed, bool probe);
+    void noteResult(const CallResult& result);
     void takePoolActions();
     void takeTransactionActions(Time now);
     [[nodiscard]] bool isPrimary(const EndpointId& endpoint) const;
@@ -241,6 +243,7 @@
     void dispatchEndpoint(const EndpointId& endpoint, Time now);
     void dispatchTransactions(const EndpointId& endpoint, Time now);
     void send(Ticket ticket, const ConnectionUse& use, ExecuteKind kind, Time now);
+    void takeRefusal(const QueueRefusal& refusal, Time now);
     void takeRefusals(Time now);
     void expire(Time now);
     void expireTicket(Ticket ticket, Time now);
@@ -263,7 +266,7 @@
 
     // controller_writes.cc
     void onWriteAnswer(Ticket ticket, const ExecuteAnswer& answer, Time now);
-    void trackWrite(Ticket ticket, const Position& position, const EndpointStatus& status, Time sentAt, Time now);
+    void trackWrite(Ticket ticket, const EndpointStatus& status, bool recordedBefore, Time sentAt, Time now);
     void perform(const WriteTracker::Events& events, Time now);
     void startResolving(Ticket ticket, Time now);
     void sendResolves(Time now);
--- a/src/process/endpoint_health.cc
+++ b/src/process/endpoint_health.cc
@@ -38,6 +38,8 @@
         return;
     record.lastContact = std::max(record.lastContact.value_or(Time::min()), result.receivedAt);
     record.contactAt = this->observed.value();
+    if (!result.timed)
+        return;
     const Duration time = std::max(result.receivedAt - result.sentAt, Duration::zero());
     const auto measured = static_cast<double>(time.count());
     record.latency
--- a/src/process/endpoint_health.h
+++ b/src/process/endpoint_health.h
@@ -47,6 +47,8 @@
     bool failed = false;
     // Only probes count towards the percentile, since statements may be slow by themselves.
     bool probe = false;
+    // False for calls that wait at the endpoint, whose time says nothing about its latency.
+    bool timed = true;
 
     bool operator==(const CallResult&) const = default;
 };
--- a/src/request/forwarder.cc
+++ b/src/request/forwarder.cc
@@ -4,24 +4,24 @@
 
 namespace {
 
-    bool hasEffect(RequestKind kind)
-    {
-        return kind == RequestKind::Write || kind == RequestKind::Commit || kind == RequestKind::Resolve;
-    }
+bool hasEffect(RequestKind kind)
+{
+    return kind == RequestKind::Write || kind == RequestKind::Commit || kind == RequestKind::Resolve;
+}
 
-    // Refusals that another owner may not share.
-    bool anotherOwnerMayServe(const Outcome& outcome)
-    {
-        return outcome.code == ErrorCode::NotOwner || outcome.code == ErrorCode::EndpointUnreachable
-            || outcome.code == ErrorCode::ShuttingDown;
-    }
+// Refusals that another owner may not share.
+bool anotherOwnerMayServe(const Outcome& outcome)
+{
+    return outcome.code == ErrorCode::NotOwner || outcome.code == ErrorCode::EndpointUnreachable
+        || outcome.code == ErrorCode::ShuttingDown;
+}
 
-    // The forward itself failed after the request had been sent; the owner has not said what became of it.
-    bool forwardFailed(const Outcome& outcome)
-    {
-        return outcome.state == OutcomeState::Unknown
-            && (outcome.code == ErrorCode::EndpointUnreachable || outcome.code == ErrorCode::AnswerMismatch);
-    }
+// The forward itself failed after the request had been sent; the owner has not said what became of it.
+bool forwardFailed(const Outcome& outcome)
+{
+    return outcome.state == OutcomeState::Unknown
+        && (outcome.code == ErrorCode::EndpointUnreachable || outcome.code == ErrorCode::AnswerMismatch);
+}
 
 } // namespace
 
@@ -82,7 +82,8 @@
         if (hasEffect(this->request.kind))
             return this->resolveAtNext(owners, now, outcome);
         if (!this->holder.empty() || this->request.kind == RequestKind::Begin)
-            return AnswerCaller { didNotRun(ErrorCode::TransactionAborted, "the daemon that held the transaction is gone") };
+            return AnswerCaller { didNotRun(
+                ErrorCode::TransactionAborted, "the daemon that held the transaction is gone") };
         return this->sendToNext(owners, now, didNotRun(ErrorCode::EndpointUnreachable, "no owner answered"));
     }
     if (outcome.state != OutcomeState::DidNotRun || !anotherOwnerMayServe(outcome))
@@ -95,8 +96,8 @@
         return this->sendToNext(owners, now, outcome);
     if (this->request.kind == RequestKind::Commit) {
         // An earlier arrival of this commit may have been sent to the endpoint before its daemon died.
-        return this->resolveAtNext(
-            owners, now, unknownOutcome(ErrorCode::EndpointUnreachable, "the daemon that held the transaction is gone"));
+        return this->resolveAtNext(owners, now,
+            unknownOutcome(ErrorCode::EndpointUnreachable, "the daemon that held the transaction is gone"));
     }
     return AnswerCaller { didNotRun(ErrorCode::TransactionAborted, "the daemon that held the transaction is gone") };
 }
--- a/src/tool/deployment.cc
+++ b/src/tool/deployment.cc
@@ -7,29 +7,29 @@
 
 namespace {
 
-    constexpr auto pollInterval = std::chrono::milliseconds(10);
-    constexpr const char* loopback = "127.0.0.1";
+constexpr auto pollInterval = std::chrono::milliseconds(10);
+constexpr const char* loopback = "127.0.0.1";
 
-    // Keys differ between runs, so that nothing depends on a known key.
-    std::string randomKey()
-    {
-        std::random_device device;
-        std::string key;
-        for (int i = 0; i < 8; ++i)
-            key += std::to_string(device());
-        return key;
-    }
+// Keys differ between runs, so that nothing depends on a known key.
+std::string randomKey()
+{
+    std::random_device device;
+    std::string key;
+    for (int i = 0; i < 8; ++i)
+        key += std::to_string(device());
+    return key;
+}
 
-    DeploymentOptions fourDaemons(const std::string& name, std::vector<std::string> dataCentres)
-    {
-        DeploymentOptions result;
-        for (const auto& dataCentre : dataCentres)
-            result.dataCentres.emplace_back(dataCentre);
-        for (std::size_t i = 0; i < 4; ++i)
-            result.daemons.push_back({ DaemonId(name + "-" + std::to_string(i + 1)),
-                DataCentre(dataCentres[i % dataCentres.size()]) });
-        return result;
-    }
+DeploymentOptions fourDaemons(const std::string& name, std::vector<std::string> dataCentres)
+{
+    DeploymentOptions result;
+    for (const auto& dataCentre : dataCentres)
+        result.dataCentres.emplace_back(dataCentre);
+    for (std::size_t i = 0; i < 4; ++i)
+        result.daemons.push_back(
+            { DaemonId(name + "-" + std::to_string(i + 1)), DataCentre(dataCentres[i % dataCentres.size()]) });
+    return result;
+}
 
 } // namespace
 
@@ -60,7 +60,8 @@
     DeploymentOptions result;
     result.region = Region("local");
     result.dataCentres = { DataCentre("local-a"), DataCentre("local-b"), DataCentre("local-c") };
-    result.daemons = { { DaemonId("daemon-1"), DataCentre("local-a") }, { DaemonId("daemon-2"), DataCentre("local-b") } };
+    result.daemons
+        = { { DaemonId("daemon-1"), DataCentre("local-a") }, { DaemonId("daemon-2"), DataCentre("local-b") } };
     result.databases = { DatabaseId("shop-1") };
     return result;
 }
@@ -78,8 +79,8 @@
         this->daemons.push_back(
             std::make_unique<Daemon>(this->daemonSettings(i), this->secrets, this->options.daemonOptions));
         const auto& daemon = *this->daemons.back();
-        this->listen[i]
-            = { { loopback, daemon.callerPort() }, { loopback, daemon.peerPort() }, { loopback, daemon.operatorPort() } };
+        this->listen[i] = { { loopback, daemon.callerPort() }, { loopback, daemon.peerPort() },
+            { loopback, daemon.operatorPort() } };
     }
     this->registerHosts();
 }
@@ -154,8 +155,7 @@
 {
     nlohmann::json hosts = nlohmann::json::array();
     for (std::size_t i = 0; i < this->daemons.size(); ++i)
-        hosts.push_back({ { "host", this->options.daemons[i].id.value },
-            { "address", toString(this->listen[i].peers) },
+        hosts.push_back({ { "host", this->options.daemons[i].id.value }, { "address", toString(this->listen[i].peers) },
             { "dataCentre", this->options.daemons[i].dataCentre.value }, { "region", this->options.region.value } });
     this->controlPlatform(nlohmann::json { { "hosts", hosts } }.dump());
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
@@ -263,7 +263,8 @@
                 std::promise<Outcome> promise;
                 daemon->run(request, std::nullopt, [&](Outcome outcome) { promise.set_value(std::move(outcome)); });
                 const auto outcome = promise.get_future().get();
-                missing = outcome.state == OutcomeState::Completed ? std::string() : outcome.code.message() + " " + outcome.detail;
+                missing = outcome.state == OutcomeState::Completed ? std::string()
+                                                                   : outcome.code.message() + " " + outcome.detail;
             }
             if (!missing.empty())
                 std::this_thread::sleep_for(pollInterval);
--- a/src/tool/deployment.h
+++ b/src/tool/deployment.h
@@ -83,7 +83,8 @@
     // Starts a daemon again at the same ports.
     void restartDaemon(std::size_t index);
 
-    // Sets switches of a group's or the platform's stand-in; see StandinGroup and StandinPlatform. Returns the problems.
+    // Sets switches of a group's or the platform's stand-in; see StandinGroup and StandinPlatform. Returns the
+    // problems.
     std::vector<JsonProblem> controlGroup(const DatabaseId& database, const std::string& body);
     std::vector<JsonProblem> controlPlatform(const std::string& body);
     // Status texts of the stand-ins.
