--- a/src/edge/caller_api.cc
+++ b/src/edge/caller_api.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace endivetrestle {
 
@@ -43,6 +44,24 @@
     return name == "glance" ? Priority::Glance : Priority::Read;
 }
 
+// Values of "kind" that fit the path of a request, so that a request sent to the wrong path does not run as another
+// kind.
+std::set<std::string> kindsOfPath(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Begin:
+        return { "begin" };
+    case RequestKind::Statement:
+        return { "read", "write", "statement" };
+    case RequestKind::Commit:
+        return { "commit" };
+    case RequestKind::Rollback:
+        return { "rollback" };
+    default:
+        return { "read", "write" };
+    }
+}
+
 bool changesData(RequestKind kind)
 {
     return kind == RequestKind::Write || kind == RequestKind::Commit || kind == RequestKind::Resolve;
@@ -233,8 +252,8 @@
     if (!problems.empty())
         return Problem { 400, ErrorCode::BadRequest, joinProblems(problems) };
     ObjectReader reader(document.value, "request body", "", problems);
-    const auto kind = reader.word("kind", { "read", "write", "begin", "statement", "commit", "rollback" },
-        request.kind == RequestKind::Read ? "read" : "statement");
+    const auto kinds = kindsOfPath(request.kind);
+    const auto kind = reader.word("kind", kinds, *kinds.begin());
     if (request.kind == RequestKind::Read && kind == "write")
         request.kind = RequestKind::Write;
     request.statement = statement ? reader.text("statement") : reader.text("statement", "");
--- a/src/edge/operator_api.cc
+++ b/src/edge/operator_api.cc
@@ -132,7 +132,8 @@
                              : errorResponse(404, ErrorCode::StoreUnavailable, { "no configuration is in force" }));
     } else if (post && http.path == plansPath) {
         this->makePlan(http, answer);
-    } else if (post && http.path.starts_with(plansPath) && http.path.ends_with(confirmSuffix)) {
+    } else if (post && http.path.starts_with(plansPath) && http.path.ends_with(confirmSuffix)
+        && http.path.size() > plansPath.size() + 1 + confirmSuffix.size()) {
         const auto length = http.path.size() - plansPath.size() - 1 - confirmSuffix.size();
         this->confirm(http.path.substr(plansPath.size() + 1, length), answer);
     } else {
