--- a/src/cli/operator_command.cc
+++ b/src/cli/operator_command.cc
@@ -188,17 +188,18 @@
 {
     OperatorArguments parsed("Prints recorded decisions: what was seen, decided and done.");
     TCLAP::ValueArg<std::string> database("b", "database", "only this database", false, "", "ID", parsed.line);
+    TCLAP::ValueArg<std::size_t> limit(
+        "n", "limit", "at most so many entries of each daemon, the newest ones", false, 200, "N", parsed.line);
     TCLAP::ValueArg<std::string> kind("", "kind",
         "failover, refusal, owner_change, shed, configuration, switchover or store_outage", false, "", "KIND",
         parsed.line);
     if (const auto exit = parseArguments(parsed.line, arguments))
         return *exit;
-    std::string query;
+    auto path = "/admin/v1/explain?limit=" + std::to_string(limit.getValue());
     if (database.isSet())
-        query += "database=" + database.getValue();
+        path += "&database=" + database.getValue();
     if (kind.isSet())
-        query += (query.empty() ? "kind=" : "&kind=") + kind.getValue();
-    const auto path = "/admin/v1/explain" + (query.empty() ? query : "?" + query);
+        path += "&kind=" + kind.getValue();
     const auto responses = fetchAll(parsed, kj::HttpMethod::GET, path, "");
     if (!responses)
         return ExitUsage;
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -178,6 +178,9 @@
         result.newestKnown = this->keeper.newestKnown();
         result.storeAnswered = this->keeper.storeAnswered();
         result.inForce = this->keeper.inForceView(100);
+        // The keeper holds the reports of the others only.
+        if (this->current)
+            ++result.inForce.counts[this->current->version()];
     }
     result.daemons = this->view();
     return result;
@@ -208,10 +211,26 @@
             return;
         this->announcedSequence = this->membership.sequence();
     }
+    this->forgetRemovedDaemons();
     this->updatePeerGauges();
     this->hooks.viewChanged();
 }
 
+// Drops what daemons reported that are no longer part of the view; otherwise operators would wait for a replaced daemon
+// to take a version.
+void Fleet::forgetRemovedDaemons()
+{
+    std::set<DaemonId> known;
+    for (const auto& daemon : this->view())
+        known.insert(daemon.id);
+    std::lock_guard lock(this->versionMutex);
+    for (const auto& daemon : this->viewedDaemons) {
+        if (!known.contains(daemon))
+            this->keeper.forgetDaemon(daemon);
+    }
+    this->viewedDaemons = std::move(known);
+}
+
 void Fleet::updatePeerGauges()
 {
     std::map<DaemonState, std::size_t> counts { { DaemonState::Alive, 0 }, { DaemonState::Suspected, 0 },
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace endivetrestle {
 
@@ -39,6 +40,7 @@
     std::string hash;
     std::uint64_t newestKnown = 0;
     bool storeAnswered = false;
+    // Versions in force on this daemon and on those that reported theirs.
     InForceView inForce;
 };
 
@@ -98,6 +100,7 @@
     void pollLiveList();
     void viewMayHaveChanged();
     void updatePeerGauges();
+    void forgetRemovedDaemons();
     void onStoreAnswered(bool answered);
     void callStore(const ConfirmAction& action, std::function<void(StoreAnswer)> done);
     void stepConfirm(
@@ -125,6 +128,8 @@
 
     std::atomic<bool> stopping = false;
     std::uint64_t announcedSequence = 0;
+    // Daemons of the view at the last change; guarded by versionMutex.
+    std::set<DaemonId> viewedDaemons;
     std::uint64_t outageEntry = 0;
     Time outageSince;
 };
--- a/src/edge/operator_api.cc
+++ b/src/edge/operator_api.cc
@@ -2,6 +2,7 @@
 
 #include "base/hmac.h"
 
+#include <charconv>
 #include <map>
 
 namespace endivetrestle {
@@ -152,6 +153,13 @@
         if (!query.kind)
             return errorResponse(400, ErrorCode::BadRequest, { "unknown kind: " + parameters["kind"] });
     }
+    if (parameters.contains("limit")) {
+        const auto& text = parameters["limit"];
+        const auto* const last = text.data() + text.size();
+        const auto [end, error] = std::from_chars(text.data(), last, query.limit);
+        if (error != std::errc() || end != last || query.limit == 0)
+            return errorResponse(400, ErrorCode::BadRequest, { "limit must be a whole number above 0: " + text });
+    }
     return jsonResponse(200, toJson(this->journal.query(query), MonotonicClock::now()));
 }
 
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -16,21 +16,27 @@
 std::vector<kj::Promise<CallerAnswer>> startWrites(
     RunningDeployment& running, std::size_t daemon, const std::string& key = "n")
 {
+    // Nothing is answered before all are in flight.
+    running.control({ { "endpoints", { { "*", { { "serviceTimeMs", 2000 } } } } } });
     std::vector<kj::Promise<CallerAnswer>> result;
     for (std::size_t i = 0; i < writeCount; ++i) {
         auto call = running.writeCall("add " + key + " 1", key + std::to_string(i));
         call.priority = Priority::Payment;
+        call.deadline = 40s;
         result.push_back(running.client.send(daemon, call).eagerlyEvaluate(nullptr));
     }
     return result;
 }
 
-bool awaitInFlight(RunningDeployment& running, std::size_t daemon, std::size_t count)
+// Waits until all writes are in flight, then lets the endpoint work fast.
+bool awaitInFlight(RunningDeployment& running, std::size_t daemon)
 {
-    return running.waitUntil([&] {
+    const bool reached = running.waitUntil([&] {
         const auto status = running.operate(daemon, "/admin/v1/status");
-        return status.value("inFlight", std::size_t { 0 }) >= count;
+        return status.value("inFlight", std::size_t { 0 }) >= writeCount;
     });
+    running.control({ { "endpoints", { { "*", { { "serviceTimeMs", 5 } } } } } });
+    return reached;
 }
 
 // The counter when replicas and owners agree again.
@@ -44,24 +50,17 @@
     return read.rows;
 }
 
-DeploymentOptions slowShape()
-{
-    auto shape = demoShape();
-    shape.serviceTime = 10ms;
-    return shape;
-}
-
 } // namespace
 
 // Guards against requests that are cut off by the shutdown of the daemon that serves their database.
 TEST_CASE("Shutdown, completes every request in flight when the active owner shuts down")
 {
-    RunningDeployment running(slowShape());
+    RunningDeployment running(demoShape());
     REQUIRE(running.problem.empty());
     const auto owner = running.activeOwner(0);
     const auto other = 1 - owner;
     auto writes = startWrites(running, owner);
-    REQUIRE(awaitInFlight(running, owner, writeCount));
+    REQUIRE(awaitInFlight(running, owner));
     const bool clean = running.runAside<bool>([&] { return running.deployment.daemon(owner).shutDown(30s); });
     CHECK(clean);
     for (auto& write : writes) {
@@ -77,12 +76,12 @@
 // Guards against requests that are cut off in the daemon that forwards them.
 TEST_CASE("Shutdown, completes every request in flight when a forwarding daemon shuts down")
 {
-    RunningDeployment running(slowShape());
+    RunningDeployment running(demoShape());
     REQUIRE(running.problem.empty());
     const auto owner = running.activeOwner(0);
     const auto forwarding = 1 - owner;
     auto writes = startWrites(running, forwarding);
-    REQUIRE(awaitInFlight(running, forwarding, writeCount));
+    REQUIRE(awaitInFlight(running, forwarding));
     const bool clean = running.runAside<bool>([&] { return running.deployment.daemon(forwarding).shutDown(30s); });
     CHECK(clean);
     for (auto& write : writes) {
@@ -97,12 +96,12 @@
 // Guards against forwarded requests that are cut off when the owner that runs them shuts down.
 TEST_CASE("Shutdown, completes forwarded requests when the active owner shuts down")
 {
-    RunningDeployment running(slowShape());
+    RunningDeployment running(demoShape());
     REQUIRE(running.problem.empty());
     const auto owner = running.activeOwner(0);
     const auto forwarding = 1 - owner;
     auto writes = startWrites(running, forwarding);
-    REQUIRE(awaitInFlight(running, forwarding, writeCount));
+    REQUIRE(awaitInFlight(running, forwarding));
     CHECK(running.runAside<bool>([&] { return running.deployment.daemon(owner).shutDown(30s); }));
     for (auto& write : writes) {
         const auto answer = write.wait(running.io.waitScope);
@@ -147,11 +146,11 @@
 // Guards against a shutdown that waits for callers that have gone.
 TEST_CASE("Shutdown, is clean when callers disconnected before their answers")
 {
-    RunningDeployment running(slowShape());
+    RunningDeployment running(demoShape());
     REQUIRE(running.problem.empty());
     {
         auto abandoned = startWrites(running, 0);
-        REQUIRE(awaitInFlight(running, 0, writeCount));
+        REQUIRE(awaitInFlight(running, 0));
     }
     CHECK(running.runAside<bool>([&] { return running.deployment.daemon(0).shutDown(30s); }));
 }
@@ -159,7 +158,7 @@
 // Guards against writes that are lost or doubled when a daemon dies with them in flight.
 TEST_CASE("Shutdown, resolves every write through the other daemon when a daemon is killed")
 {
-    RunningDeployment running(slowShape());
+    RunningDeployment running(demoShape());
     REQUIRE(running.problem.empty());
     const auto owner = running.activeOwner(0);
     const auto other = 1 - owner;
@@ -171,7 +170,7 @@
         const auto survivor = 1 - killed;
         const std::string name = "kill-" + std::to_string(killed) + "-";
         auto writes = startWrites(running, killed, name);
-        REQUIRE(awaitInFlight(running, killed, writeCount / 2));
+        REQUIRE(awaitInFlight(running, killed));
         running.runAside<bool>([&] {
             running.deployment.killDaemon(killed);
             return true;
