Add experiment command with the failover gap under real faults

Change: "experiment NAME" starts a deployment in one process and runs load and faults against it, once for each variant of the settings. The enumeration of mixes is renamed to DeploymentMix, since Deployment is also the class that the experiments run.

--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -1,5 +1,6 @@
 #include "cli/command.h"
 
+#include "cli/experiment_command.h"
 #include "cli/load_command.h"
 #include "cli/operator_command.h"
 #include "cli/report_command.h"
@@ -18,6 +19,7 @@
         { "plan", "makes a plan from an operator's intent", runPlan },
         { "confirm", "puts a plan in force", runConfirm },
         { "load", "sends a deployment's mix of requests and checks every answer", runLoad },
+        { "experiment", "measures one property of a deployment, with variants of its settings", runExperiment },
         { "report", "shows how fast error budgets are spent, and why", runReport },
     };
     return commands;
--- a/src/cli/load_command.cc
+++ b/src/cli/load_command.cc
@@ -97,7 +97,7 @@
 {
     LoadSettings settings;
     auto& workload = settings.workload;
-    workload.deployment = deploymentFromName(arguments.mix.getValue()).value_or(Deployment::Saengchan);
+    workload.deployment = deploymentFromName(arguments.mix.getValue()).value_or(DeploymentMix::Saengchan);
     workload.sessions = arguments.sessions.getValue();
     workload.rate = arguments.rate.getValue();
     workload.duration = Duration(std::llround(arguments.duration.getValue() * 1e6));
--- a/src/tool/load_test.cc
+++ b/src/tool/load_test.cc
@@ -111,7 +111,7 @@
 {
     FakeDaemon daemon;
     auto settings = daemon.settings();
-    settings.workload.deployment = GENERATE(Deployment::Saengchan, Deployment::Prism);
+    settings.workload.deployment = GENERATE(DeploymentMix::Saengchan, DeploymentMix::Prism);
     const auto result = runLoadTest(settings);
     INFO(toTable(result));
     CHECK(result.total().intended > 200);
@@ -171,7 +171,7 @@
     loop.start();
     std::unique_ptr<standin::StandinGroup> group;
     LoadSettings settings;
-    settings.workload.deployment = GENERATE(Deployment::Saengchan, Deployment::Prism);
+    settings.workload.deployment = GENERATE(DeploymentMix::Saengchan, DeploymentMix::Prism);
     settings.workload.databases = { DatabaseId("a") };
     settings.workload.sessions = 4;
     settings.workload.rate = 300;
--- a/src/tool/workload.cc
+++ b/src/tool/workload.cc
@@ -26,11 +26,11 @@
     Share { WorkName::Booking, 8 }, Share { WorkName::CertificateUpdate, 5 }, Share { WorkName::CertificateCheck, 45 },
     Share { WorkName::OwnEntry, 20 } };
 
-std::discrete_distribution<int> distributionOf(Deployment deployment)
+std::discrete_distribution<int> distributionOf(DeploymentMix deployment)
 {
     std::vector<double> weights(workNameCount, 0.0);
     const auto add = [&](const Share& share) { weights[static_cast<std::size_t>(share.name)] = share.weight; };
-    if (deployment == Deployment::Saengchan)
+    if (deployment == DeploymentMix::Saengchan)
         std::for_each(saengchanShares.begin(), saengchanShares.end(), add);
     else
         std::for_each(prismShares.begin(), prismShares.end(), add);
@@ -39,14 +39,14 @@
 
 } // namespace
 
-std::string_view deploymentName(Deployment deployment)
+std::string_view deploymentName(DeploymentMix deployment)
 {
-    return deployment == Deployment::Saengchan ? "saengchan" : "prism";
+    return deployment == DeploymentMix::Saengchan ? "saengchan" : "prism";
 }
 
-std::optional<Deployment> deploymentFromName(std::string_view name)
+std::optional<DeploymentMix> deploymentFromName(std::string_view name)
 {
-    for (const auto deployment : { Deployment::Saengchan, Deployment::Prism }) {
+    for (const auto deployment : { DeploymentMix::Saengchan, DeploymentMix::Prism }) {
         if (deploymentName(deployment) == name)
             return deployment;
     }
--- a/src/tool/workload.h
+++ b/src/tool/workload.h
@@ -16,10 +16,10 @@
 namespace endivetrestle {
 
 // Deployments whose mix of requests can be generated.
-enum class Deployment { Saengchan, Prism };
+enum class DeploymentMix { Saengchan, Prism };
 
-std::string_view deploymentName(Deployment deployment);
-std::optional<Deployment> deploymentFromName(std::string_view name);
+std::string_view deploymentName(DeploymentMix deployment);
+std::optional<DeploymentMix> deploymentFromName(std::string_view name);
 
 // What a generated item stands for.
 enum class WorkName {
@@ -70,7 +70,7 @@
 };
 
 struct WorkloadSettings {
-    Deployment deployment = Deployment::Saengchan;
+    DeploymentMix deployment = DeploymentMix::Saengchan;
     std::vector<DatabaseId> databases;
     std::size_t sessions = 100;
     // Items per second outside of the peak.
--- a/src/tool/workload_test.cc
+++ b/src/tool/workload_test.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-WorkloadSettings settingsOf(Deployment deployment)
+WorkloadSettings settingsOf(DeploymentMix deployment)
 {
     WorkloadSettings settings;
     settings.deployment = deployment;
@@ -33,7 +33,7 @@
 // Guards against a run that cannot be repeated with its seed.
 TEST_CASE("Workload, gives equal items for equal seeds and other items for another seed")
 {
-    auto settings = settingsOf(Deployment::Prism);
+    auto settings = settingsOf(DeploymentMix::Prism);
     const auto items = allItems(settings);
     CHECK(items == allItems(settings));
     settings.seed = 12;
@@ -43,7 +43,7 @@
 // Guards against payments or levy entries that are marked repeatable or get a wrong class.
 TEST_CASE("Workload, marks requests as the deployments state them")
 {
-    const auto deployment = GENERATE(Deployment::Saengchan, Deployment::Prism);
+    const auto deployment = GENERATE(DeploymentMix::Saengchan, DeploymentMix::Prism);
     std::map<WorkName, int> counts;
     for (const auto& item : allItems(settingsOf(deployment))) {
         counts[item.name] += 1;
@@ -57,7 +57,7 @@
         CHECK((item.name == WorkName::CertificateCheck) == (statement.maxAge == Duration(10s)));
         CHECK(item.isTransaction() == (item.name == WorkName::Booking));
     }
-    CHECK(counts.size() == (deployment == Deployment::Saengchan ? 5U : 6U));
+    CHECK(counts.size() == (deployment == DeploymentMix::Saengchan ? 5U : 6U));
 }
 
 // Guards against a mark that is used twice, which the checker would take for a doubled write.
@@ -65,7 +65,7 @@
 {
     std::set<HistoryMark> marks;
     std::map<std::string, std::size_t> session;
-    for (const auto& item : allItems(settingsOf(Deployment::Prism))) {
+    for (const auto& item : allItems(settingsOf(DeploymentMix::Prism))) {
         for (const auto& mark : item.writes) {
             CHECK(marks.insert(mark).second);
             CHECK(findMarks(item.statements.back().statement) == std::vector<HistoryMark> { mark });
@@ -78,7 +78,7 @@
 // Guards against a rate that does not follow the afternoon peak.
 TEST_CASE("Workload, sends more items in the middle of a run with a peak")
 {
-    auto settings = settingsOf(Deployment::Saengchan);
+    auto settings = settingsOf(DeploymentMix::Saengchan);
     settings.peakFactor = 3;
     std::array<int, 5> fifths {};
     for (const auto& item : allItems(settings))
@@ -93,7 +93,7 @@
 // Guards against marks of one database that are written to another.
 TEST_CASE("Workload, sends statements to the database that its keys name")
 {
-    for (const auto& item : allItems(settingsOf(Deployment::Saengchan))) {
+    for (const auto& item : allItems(settingsOf(DeploymentMix::Saengchan))) {
         const auto& key = item.writes.empty() ? item.readKeys.front() : item.writes.front().key;
         CAPTURE(key);
         CHECK(key.find("run/" + item.database.value + "/") == 0);
