--- a/src/tool/experiment.cc
+++ b/src/tool/experiment.cc
@@ -83,6 +83,13 @@
     static const std::vector<Experiment> experiments = {
         { "failover-gap", "time without acknowledged writes while primaries are replaced", runFailoverGap },
         { "history", "the mix under repeated replacements, checked answer by answer", runHistory },
+        { "replica-reads", "share of reads that replicas serve at a lag of 50 ms", runReplicaReads },
+        { "false-failovers", "replacements of primaries that were only slow or partly cut off", runFalseFailovers },
+        { "leaving", "time until a leaving endpoint gets its last statement", runLeaving },
+        { "configuration", "time until a configuration is in force, restart without the store", runConfiguration },
+        { "added-latency", "latency through one daemon compared with direct access", runAddedLatency },
+        { "throughput", "reads through one daemon and CPU time of its threads", runThroughput },
+        { "overload", "useful work at 3 times the load that the slots can carry", runOverload },
     };
     return experiments;
 }
