--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -72,6 +72,8 @@
     TCLAP::CmdLine line { "Runs two daemons, a database group and the platform's stand-ins in one process.", ' ',
         versionText };
     TCLAP::SwitchArg once { "1", "once", "ends after the example requests", line };
+    TCLAP::ValueArg<int> daemons { "", "daemons", "number of daemons (2 to 64)", false, 2, "N", line };
+    TCLAP::ValueArg<int> databases { "", "databases", "number of databases (1 to 64)", false, 1, "N", line };
 };
 
 CallerCall demoCall(RequestKind kind, const std::string& statement, const std::string& session)
@@ -164,6 +166,24 @@
     return ExitSuccess;
 }
 
+namespace {
+
+DeploymentOptions demoOptions(DemoArguments& arguments)
+{
+    auto result = demoShape();
+    const auto places = result.dataCentres;
+    const int daemons = std::clamp(arguments.daemons.getValue(), 2, 64);
+    for (int i = 2; i < daemons; ++i)
+        result.daemons.push_back(
+            { DaemonId("daemon-" + std::to_string(i + 1)), places[static_cast<std::size_t>(i) % places.size()] });
+    const int databases = std::clamp(arguments.databases.getValue(), 1, 64);
+    for (int i = 1; i < databases; ++i)
+        result.databases.emplace_back("shop-" + std::to_string(i + 1));
+    return result;
+}
+
+} // namespace
+
 int runDemo(std::vector<std::string>& arguments)
 {
     DemoArguments parsed;
@@ -171,7 +191,7 @@
         return *exit;
     configureLogging("warning");
     const auto signals = blockStopSignals();
-    Deployment deployment(demoShape());
+    Deployment deployment(demoOptions(parsed));
     if (const auto problem = deployment.start(demoStartLimit); !problem.empty()) {
         std::cerr << "the demo did not start: " << problem << "\n";
         return ExitUnreachable;
--- a/src/edge/network_loop.cc
+++ b/src/edge/network_loop.cc
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <pthread.h>
+
 #include <future>
 
 namespace endivetrestle {
@@ -24,12 +26,13 @@
 
 NetworkLoop::~NetworkLoop() { this->stop(); }
 
-void NetworkLoop::start()
+void NetworkLoop::start(const char* name)
 {
     std::promise<void> ready;
     auto started = ready.get_future();
     this->running = true;
     this->thread = std::thread([this] { this->serve(); });
+    pthread_setname_np(this->thread.native_handle(), name);
     this->post([&](kj::AsyncIoContext&) { ready.set_value(); });
     started.wait();
 }
--- a/src/edge/network_loop.h
+++ b/src/edge/network_loop.h
@@ -27,8 +27,9 @@
     NetworkLoop(const NetworkLoop&) = delete;
     NetworkLoop& operator=(const NetworkLoop&) = delete;
 
-    // Starts the thread and returns when its event loop runs.
-    void start();
+    // Starts the thread and returns when its event loop runs. The name, at most 15 bytes, is shown by the system's
+    // tools.
+    void start(const char* name = "network");
 
     // Runs a task on the loop's thread. May be called from any thread, also from the loop itself; the task never runs
     // before post() returns when called from the loop. Tasks posted after stop() are dropped.
--- a/src/tool/deployment.cc
+++ b/src/tool/deployment.cc
@@ -72,7 +72,7 @@
     , callerIdentity { CallerId("shop"), randomKey() }
     , listen(this->options.daemons.size())
 {
-    this->standinLoop.start();
+    this->standinLoop.start("standin");
     this->startStandins();
     for (std::size_t i = 0; i < this->options.daemons.size(); ++i) {
         this->listen[i] = { { loopback, 0 }, { loopback, 0 }, { loopback, 0 } };
