--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -105,15 +105,21 @@
     return written.state == OutcomeState::Completed && read.rows == R"(["12"])";
 }
 
+// Prints how to reach the demo as lines that can be pasted into a shell; the samples use these variables.
 void printHints(Deployment& deployment)
 {
-    const auto callers = "127.0.0.1:" + std::to_string(deployment.daemon(0).callerPort());
-    std::cout << "\ntry:\n  curl -i -H 'Authorization: Bearer " << deployment.caller().key
-              << "' -d '{\"statement\": \"get mango\"}' http://" << callers << "/v1/databases/shop-1/statements\n"
-              << "operator key: " << deployment.operatorKey() << "\noperators' ports:";
-    for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
-        std::cout << " 127.0.0.1:" << deployment.daemon(i).operatorPort();
-    std::cout << "\n\nserving until stopped (Ctrl-C)\n" << std::flush;
+    std::cout << "\nexport CALLER_KEY=" << deployment.caller().key
+              << "\nexport OPERATOR_KEY=" << deployment.operatorKey() << "\n";
+    for (std::size_t i = 0; i < deployment.daemonCount(); ++i) {
+        const auto number = std::to_string(i + 1);
+        std::cout << "export DAEMON_" << number << "=127.0.0.1:" << deployment.daemon(i).callerPort()
+                  << "\nexport OPERATORS_" << number << "=127.0.0.1:" << deployment.daemon(i).operatorPort() << "\n";
+    }
+    std::cout << "\npaste the lines above into another shell and run samples/01-write-and-read.sh, or:\n"
+              << "  curl -i -H \"Authorization: Bearer $CALLER_KEY\" -d '{\"statement\": \"get mango\"}' "
+                 "http://$DAEMON_1/v1/databases/shop-1/statements\n"
+              << "\nserving until stopped (Ctrl-C)\n"
+              << std::flush;
 }
 
 } // namespace
