--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -2,6 +2,7 @@
 
 #include "cli/load_command.h"
 #include "cli/operator_command.h"
+#include "cli/query_command.h"
 #include "cli/report_command.h"
 #include "cli/serve_command.h"
 
@@ -13,6 +14,7 @@
         { "serve", "runs one daemon from a settings file", runServe },
         { "demo", "runs two daemons and all stand-ins in one process", runDemo },
         { "check", "checks a settings file or a configuration", runCheck },
+        { "query", "sends one statement as a caller", runQuery },
         { "status", "prints the state of daemons, versions and databases", runStatus },
         { "explain", "prints recorded decisions and their reasons", runExplain },
         { "plan", "makes a plan from an operator's intent", runPlan },
--- a/src/cli/operator_command.cc
+++ b/src/cli/operator_command.cc
@@ -49,9 +49,11 @@
             return CallerClient::Response { 0, "no answer", "", true };
         });
         result.push_back(client.fetch(i, method, path, body).exclusiveJoin(kj::mv(late)).wait(io.waitScope));
-        // One daemon is enough for a change.
-        if (method == kj::HttpMethod::POST && result.back().status != 0)
+        // One daemon is enough for a change; those that could not be reached before it do not matter then.
+        if (method == kj::HttpMethod::POST && result.back().status != 0) {
+            result.erase(result.begin(), result.end() - 1);
             break;
+        }
     }
     return result;
 }
