--- a/src/process/journal.cc
+++ b/src/process/journal.cc
@@ -191,9 +191,8 @@
 std::vector<JournalEntry> journalFromJson(const json& value, Time now)
 {
     std::vector<JournalEntry> entries;
-    if (!value.is_object() || !value.contains("entries") || !value["entries"].is_array())
-        return entries;
-    for (const auto& object : value["entries"]) {
+    const bool hasEntries = value.is_object() && value.contains("entries");
+    for (const auto& object : hasEntries ? value["entries"] : value) {
         if (object.is_object())
             entries.push_back(entryFromJson(object, now));
     }
--- a/src/process/journal.h
+++ b/src/process/journal.h
@@ -114,7 +114,8 @@
 // {"entries": [...]}; monotonic times are given as age in milliseconds before `now`.
 nlohmann::json toJson(const std::vector<JournalEntry>& entries, Time now);
 
-// Inverse of toJson() with times relative to `now`. Members that are missing or of another type keep their defaults.
+// Inverse of toJson() with times relative to `now`; also accepts the list alone. Members that are missing or of another
+// type keep their defaults.
 std::vector<JournalEntry> journalFromJson(const nlohmann::json& value, Time now);
 
 // One line per entry: id, wall time, count, database, kind, and what was seen, decided and done.
--- a/src/process/journal_test.cc
+++ b/src/process/journal_test.cc
@@ -84,6 +84,8 @@
     journal.amend(id, "promoted a2", { { "gapMs", "640" }, { "term", "4" } });
     const auto entries = journal.query({});
     CHECK(journalFromJson(toJson(entries, Time(9s)), Time(9s)) == entries);
+    CHECK(journalFromJson(toJson(entries, Time(9s))["entries"], Time(9s)) == entries);
+    CHECK(journalFromJson("text", Time(9s)).empty());
     CHECK(journalFromJson(nlohmann::json { { "entries", { 1, "x" } } }, Time(9s)).empty());
     CHECK(toTable(entries).find("gapMs: 640") != std::string::npos);
 }
