--- a/src/tool/load.h
+++ b/src/tool/load.h
@@ -34,6 +34,8 @@
     Duration resolveInterval = std::chrono::milliseconds(200);
     // Reads every written key after the run and checks that no acknowledged write is missing.
     bool audit = true;
+    // Keys that are not read within this time count as not audited.
+    Duration auditWindow = std::chrono::seconds(60);
     Duration progressInterval = std::chrono::seconds(2);
     // Receives one line per interval; not called if empty.
     std::function<void(const std::string&)> onProgress;
--- a/src/tool/load_count.cc
+++ b/src/tool/load_count.cc
@@ -91,25 +91,34 @@
     this->pointLatency = {};
 }
 
+std::string LoadRun::progressLine() const
+{
+    std::array<char, 256> line {};
+    if (this->auditUntil) {
+        std::snprintf(line.data(), line.size(), "audit: %llu keys read, %llu not answered, %zu left",
+            static_cast<unsigned long long>(this->result.auditedKeys),
+            static_cast<unsigned long long>(this->result.unauditedKeys), this->auditKeys.size());
+        return line.data();
+    }
+    const auto total = this->result.total();
+    std::snprintf(line.data(), line.size(),
+        "%.0f s of %.0f s: intended %llu, completed %llu, did not run %llu, unknown %llu, p50 %.2f ms, p99 %.2f ms, "
+        "violations %llu",
+        toSeconds(MonotonicClock::now() - this->start), toSeconds(this->settings.workload.duration),
+        static_cast<unsigned long long>(total.intended), static_cast<unsigned long long>(total.completed),
+        static_cast<unsigned long long>(total.didNotRun), static_cast<unsigned long long>(total.unknown),
+        toMilliseconds(total.latency.percentile(50)), toMilliseconds(total.latency.percentile(99)),
+        static_cast<unsigned long long>(this->checker.violationCount()));
+    return line.data();
+}
+
 kj::Promise<void> LoadRun::reportProgress()
 {
     if (!this->settings.onProgress)
         return kj::NEVER_DONE;
     const auto interval = this->settings.progressInterval.count() * kj::MICROSECONDS;
     return this->timer.afterDelay(interval).then([this] {
-        const auto total = this->result.total();
-        const auto elapsed = MonotonicClock::now() - this->start;
-        std::array<char, 256> line {};
-        std::snprintf(line.data(), line.size(),
-            "%.0f s of %.0f s: intended %llu, completed %llu, did not run %llu, unknown %llu, p50 %.2f ms, p99 %.2f "
-            "ms, "
-            "violations %llu",
-            toSeconds(elapsed), toSeconds(this->settings.workload.duration),
-            static_cast<unsigned long long>(total.intended), static_cast<unsigned long long>(total.completed),
-            static_cast<unsigned long long>(total.didNotRun), static_cast<unsigned long long>(total.unknown),
-            toMilliseconds(total.latency.percentile(50)), toMilliseconds(total.latency.percentile(99)),
-            static_cast<unsigned long long>(this->checker.violationCount()));
-        this->settings.onProgress(line.data());
+        this->settings.onProgress(this->progressLine());
         return this->reportProgress();
     });
 }
--- a/src/tool/load_run.cc
+++ b/src/tool/load_run.cc
@@ -43,11 +43,11 @@
     auto progress = this->reportProgress().eagerlyEvaluate(nullptr);
     this->dispatchItems().wait(this->io.waitScope);
     this->waitUntilIdle().wait(this->io.waitScope);
-    progress = nullptr;
     this->closePoint();
     this->result.elapsed = MonotonicClock::now() - this->start;
     if (this->settings.audit)
         this->auditAll().wait(this->io.waitScope);
+    progress = nullptr;
     this->result.checkedAnswers = this->checker.checkedAnswers();
     this->result.unresolvedWrites = this->checker.unresolvedWrites();
     this->result.violations = this->checker.violations();
@@ -245,6 +245,7 @@
 kj::Promise<void> LoadRun::auditAll()
 {
     this->auditKeys = this->checker.writtenKeys();
+    this->auditUntil = MonotonicClock::now() + this->settings.auditWindow;
     // Without the proxy a session has one connection, which carries one request at a time.
     const auto concurrency = this->settings.rawEndpoints.empty() ? auditConcurrency : 1;
     auto lanes = kj::heapArrayBuilder<kj::Promise<void>>(concurrency);
@@ -257,6 +258,11 @@
 {
     if (this->auditKeys.empty())
         return kj::READY_NOW;
+    if (MonotonicClock::now() >= this->auditUntil) {
+        this->result.unauditedKeys += this->auditKeys.size();
+        this->auditKeys.clear();
+        return kj::READY_NOW;
+    }
     auto key = std::move(this->auditKeys.back());
     this->auditKeys.pop_back();
     return this->auditKey(std::move(key), auditAttempts).then([this] { return this->auditNext(); });
@@ -278,7 +284,7 @@
                   CallerAnswer answer) mutable -> kj::Promise<void> {
             this->recordAnswered(operation, answer);
             const bool isCompleted = answer.state == OutcomeState::Completed;
-            if (isCompleted || attemptsLeft <= 1) {
+            if (isCompleted || attemptsLeft <= 1 || MonotonicClock::now() >= this->auditUntil) {
                 (isCompleted ? this->result.auditedKeys : this->result.unauditedKeys) += 1;
                 return kj::READY_NOW;
             }
--- a/src/tool/load_run.h
+++ b/src/tool/load_run.h
@@ -42,6 +42,7 @@
     kj::Promise<void> dispatchItems();
     void dispatch(WorkItem item);
     kj::Promise<void> reportProgress();
+    [[nodiscard]] std::string progressLine() const;
     kj::Promise<void> waitUntilIdle();
     kj::Promise<void> auditAll();
     kj::Promise<void> auditNext();
@@ -83,6 +84,8 @@
     LoadPoint point;
     LatencyHistogram pointLatency;
     std::vector<HistoryChecker::WrittenKey> auditKeys;
+    // Set while the audit runs.
+    std::optional<Time> auditUntil;
 
     // Ends the promises of all sessions before the members that they use.
     class Failures : public kj::TaskSet::ErrorHandler {
