Report an unknown outcome when a resolve is refused

Cause: a daemon without a known owner, or whose owners all refuse, answered a resolve with did_not_run. The caller takes it as the outcome of the request, which may have completed (I5). Shown by steady/read.2.before.daemon_killed#1. Change: Forwarder treats the request behind a resolve as one that may have run. Conclusion: a resolve ends with the recorded outcome or as unknown.

--- a/src/request/forwarder.cc
+++ b/src/request/forwarder.cc
@@ -30,6 +30,8 @@
     , self(std::move(self))
     , holder(std::move(holder))
     , settings(settings)
+    // A refusal of a resolve says nothing about the request that it asks for.
+    , mayHaveRun(this->request.kind == RequestKind::Resolve)
 {
 }
 
@@ -46,6 +48,9 @@
 {
     if (!this->holder.empty())
         return this->sendTo(this->holder);
+    if (this->mayHaveRun)
+        return this->resolveAtNext(
+            owners, now, unknownOutcome(ErrorCode::NotOwner, "no live owner of the database is known"));
     return this->sendToNext(owners, now, didNotRun(ErrorCode::NotOwner, "no live owner of the database is known"));
 }
 
--- a/src/request/forwarder_test.cc
+++ b/src/request/forwarder_test.cc
@@ -89,3 +89,15 @@
     const auto outcome = answered(forwarder.onOutcome(didNotRun(ErrorCode::NotOwner), owners, Time(1s)));
     CHECK(outcome.state == OutcomeState::DidNotRun);
 }
+
+// Guards against a refusal of a resolve that is read as "the request did not run" although it had completed.
+TEST_CASE("Forwarder, reports an unknown outcome when no owner can resolve a request")
+{
+    Forwarder withoutOwner(request(RequestKind::Resolve), self, {}, {});
+    CHECK(answered(withoutOwner.start({}, Time(0s))).state == OutcomeState::Unknown);
+    Forwarder refused(request(RequestKind::Resolve), self, {}, {});
+    auto step = refused.start(owners, Time(0s));
+    for (int attempt = 0; attempt < 10 && !std::holds_alternative<AnswerCaller>(step); ++attempt)
+        step = refused.onOutcome(didNotRun(ErrorCode::NotOwner), owners, Time(1s));
+    CHECK(answered(step).state == OutcomeState::Unknown);
+}
--- a/tests/fault_matrix_cell.h
+++ b/tests/fault_matrix_cell.h
@@ -133,5 +133,7 @@
 
 std::vector<Cell> singleCells(const StepRow& row, std::uint64_t seed);
 std::vector<Cell> pairCells(const StepRow& row, std::uint64_t seed);
+// A fault before the primary dies, and a second one at a fence or promote call.
+std::vector<Cell> prefixedCells(std::uint64_t seed);
 
 } // namespace endivetrestle::testing::matrix
--- a/tests/fault_matrix_world.h
+++ b/tests/fault_matrix_world.h
@@ -34,6 +34,8 @@
     void run();
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return this->found; }
+    // Reads that showed a write which was later reported, truthfully as to the final log, as not run.
+    [[nodiscard]] const std::vector<std::string>& unheldReads() const { return this->unheld; }
     // Injections whose step occurred. A cell that injects less than its list has tested less than its name says.
     [[nodiscard]] std::size_t injected() const { return this->injectedCount; }
     [[nodiscard]] std::size_t completed() const { return this->completedCount; }
@@ -243,8 +245,11 @@
     std::uint64_t lastOperation = 0;
     std::map<std::uint64_t, Operation> operations;
     std::vector<Promotion> promotions;
+    // Writes that ResendUnknown has presented to a controller as unsent.
+    std::set<RequestId> resent;
     HistoryChecker checker;
     std::vector<std::string> found;
+    std::vector<std::string> unheld;
     std::size_t injectedCount = 0;
     std::size_t completedCount = 0;
     std::size_t auditsDone = 0;
