Confirm a position that went backwards before it decides a promotion

Cause: a fence answer with a position below an earlier one of the same endpoint was counted, so the failover promoted an endpoint without acknowledged writes. Change: such an answer is counted only when a repeated fence call confirms it after repeatAfter. Conclusion: one wrong answer no longer drops writes; an endpoint that always reports too low a position still can.

--- a/src/process/failover.cc
+++ b/src/process/failover.cc
@@ -52,6 +52,7 @@
     if (found == this->members.end() || !isPlausible(status))
         return actions;
     Member& member = found->second;
+    member.highestLog = std::max(member.highestLog, status.lastLog);
     const bool outdated = member.status && (sentAt < member.sentAt || status.term < member.status->term);
     if (!outdated) {
         member.status = status;
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -214,6 +214,8 @@
         bool reachable = false;
         std::optional<EndpointStatus> status;
         Time sentAt;
+        // Highest last log position in any status.
+        Position highestLog;
     };
     struct PeerView {
         Opinion opinion;
@@ -225,6 +227,8 @@
         Time repeatAt;
         bool fenceAll = false;
         std::map<EndpointId, Position> granted;
+        // Positions below an earlier one of the same endpoint, with the time of the first answer that reported them.
+        std::map<EndpointId, std::pair<Position, Time>> doubted;
         EndpointId chosen;
     };
 
@@ -250,6 +254,7 @@
     void changePrimary(const KnownPrimary& found, bool promotedHere, Time now, Actions& actions);
     void enter(FailoverState state, std::string_view reason, Actions& actions);
     void addFence(const EndpointId& endpoint, const FenceAnswer& answer, Time now, Actions& actions);
+    bool isDoubtful(const EndpointId& endpoint, const Position& position, Time now);
     void sendFences(Time now, Actions& actions);
     void askOpinions(Time now, Actions& actions);
     void fenceEveryone(Time now, Actions& actions);
--- a/src/process/failover_test.cc
+++ b/src/process/failover_test.cc
@@ -110,6 +110,23 @@
     CHECK(fixture.failover.state() == FailoverState::Watching);
 }
 
+// Guards against a fence answer with a position below an earlier one that makes the failover drop acknowledged writes.
+TEST_CASE("Failover, does not count a position that went backwards until it is confirmed")
+{
+    Fixture fixture;
+    fixture.loseContact();
+    fixture.pass(500ms, { b, c });
+    CHECK(fixture.take<failover::Fence>() == Fences { { a, 2 }, { b, 2 }, { c, 2 } });
+    const auto trueStatus = fixture.statuses[b];
+    fixture.statuses[b].lastLog = fixture.statuses[b].applied = { 1, 7 };
+    fixture.answerFence(b, 2);
+    fixture.answerFence(c, 2);
+    CHECK(fixture.take<failover::Promote>().empty());
+    fixture.statuses[b] = trueStatus;
+    fixture.answerFence(b, 2);
+    CHECK(fixture.take<failover::Promote>() == Promotes { { b, 2 } });
+}
+
 // Guards against a failover by a daemon that is itself cut off from a working primary.
 TEST_CASE("Failover, keeps the primary when a replica has contact")
 {
--- a/src/process/failover_transitions.cc
+++ b/src/process/failover_transitions.cc
@@ -166,7 +166,21 @@
     if (!usable)
         return this->backOff("fence_refused", now, actions);
     this->members[endpoint].reachable = true;
-    this->attempt.granted.emplace(endpoint, status.lastLog);
+    if (!this->isDoubtful(endpoint, status.lastLog, now))
+        this->attempt.granted.emplace(endpoint, status.lastLog);
+}
+
+// A position below an earlier one may be a wrong answer, and counting it could drop acknowledged writes. It is believed
+// once a repeated call has confirmed it, because a log also gets shorter when a divergent suffix is removed.
+bool Failover::isDoubtful(const EndpointId& endpoint, const Position& position, Time now)
+{
+    if (position >= this->members[endpoint].highestLog)
+        return false;
+    const auto known = this->attempt.doubted.find(endpoint);
+    if (known != this->attempt.doubted.end() && known->second.first == position)
+        return now - known->second.second < this->options.settings.repeatAfter;
+    this->attempt.doubted[endpoint] = { position, now };
+    return true;
 }
 
 void Failover::sendFences(Time now, Actions& actions)
