--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -72,6 +72,8 @@
     TCLAP::CmdLine line { "Runs two daemons, a database group and the platform's stand-ins in one process.", ' ',
         versionText };
     TCLAP::SwitchArg once { "1", "once", "ends after the example requests", line };
+    TCLAP::ValueArg<int> daemons { "", "daemons", "number of daemons (2 to 64)", false, 2, "N", line };
+    TCLAP::ValueArg<int> databases { "", "databases", "number of databases (1 to 64)", false, 1, "N", line };
 };
 
 CallerCall demoCall(RequestKind kind, const std::string& statement, const std::string& session)
@@ -105,15 +107,21 @@
     return written.state == OutcomeState::Completed && read.rows == R"(["12"])";
 }
 
+// Prints how to reach the demo as lines that can be pasted into a shell; the samples use these variables.
 void printHints(Deployment& deployment)
 {
-    const auto callers = "127.0.0.1:" + std::to_string(deployment.daemon(0).callerPort());
-    std::cout << "\ntry:\n  curl -i -H 'Authorization: Bearer " << deployment.caller().key
-              << "' -d '{\"statement\": \"get mango\"}' http://" << callers << "/v1/databases/shop-1/statements\n"
-              << "operator key: " << deployment.operatorKey() << "\noperators' ports:";
-    for (std::size_t i = 0; i < deployment.daemonCount(); ++i)
-        std::cout << " 127.0.0.1:" << deployment.daemon(i).operatorPort();
-    std::cout << "\n\nserving until stopped (Ctrl-C)\n" << std::flush;
+    std::cout << "\nexport CALLER_KEY=" << deployment.caller().key
+              << "\nexport OPERATOR_KEY=" << deployment.operatorKey() << "\n";
+    for (std::size_t i = 0; i < deployment.daemonCount(); ++i) {
+        const auto number = std::to_string(i + 1);
+        std::cout << "export DAEMON_" << number << "=127.0.0.1:" << deployment.daemon(i).callerPort()
+                  << "\nexport OPERATORS_" << number << "=127.0.0.1:" << deployment.daemon(i).operatorPort() << "\n";
+    }
+    std::cout << "\npaste the lines above into another shell and run samples/01-write-and-read.sh, or:\n"
+              << "  curl -i -H \"Authorization: Bearer $CALLER_KEY\" -d '{\"statement\": \"get mango\"}' "
+                 "http://$DAEMON_1/v1/databases/shop-1/statements\n"
+              << "\nserving until stopped (Ctrl-C)\n"
+              << std::flush;
 }
 
 } // namespace
@@ -164,6 +172,24 @@
     return ExitSuccess;
 }
 
+namespace {
+
+DeploymentOptions demoOptions(DemoArguments& arguments)
+{
+    auto result = demoShape();
+    const auto places = result.dataCentres;
+    const int daemons = std::clamp(arguments.daemons.getValue(), 2, 64);
+    for (int i = 2; i < daemons; ++i)
+        result.daemons.push_back(
+            { DaemonId("daemon-" + std::to_string(i + 1)), places[static_cast<std::size_t>(i) % places.size()] });
+    const int databases = std::clamp(arguments.databases.getValue(), 1, 64);
+    for (int i = 1; i < databases; ++i)
+        result.databases.emplace_back("shop-" + std::to_string(i + 1));
+    return result;
+}
+
+} // namespace
+
 int runDemo(std::vector<std::string>& arguments)
 {
     DemoArguments parsed;
@@ -171,7 +197,7 @@
         return *exit;
     configureLogging("warning");
     const auto signals = blockStopSignals();
-    Deployment deployment(demoShape());
+    Deployment deployment(demoOptions(parsed));
     if (const auto problem = deployment.start(demoStartLimit); !problem.empty()) {
         std::cerr << "the demo did not start: " << problem << "\n";
         return ExitUnreachable;
