Keep the state of the peer client after it was stopped

Cause: PeerClient::stop() released the state while requests in flight still led to calls; the task that was posted then read a null pointer. Change: the state lives as long as the client, and calls after stop() are answered as not run. Conclusion: the new test of a call after stop() guards it.

--- a/src/edge/peer_client.cc
+++ b/src/edge/peer_client.cc
@@ -123,13 +123,13 @@
 
 void PeerClient::stop()
 {
-    if (!this->state)
+    if (this->stopped)
         return;
+    this->stopped = true;
     this->loop.run([this](kj::AsyncIoContext&) {
         this->state->stopped = true;
         this->state->entries.clear();
     });
-    this->state = nullptr;
 }
 
 namespace {
--- a/src/edge/peer_rpc.h
+++ b/src/edge/peer_rpc.h
@@ -96,7 +96,9 @@
     struct State;
 
     NetworkLoop& loop;
+    // Stays after stop(), since calls of other threads may follow; they are answered as failed.
     std::shared_ptr<State> state;
+    bool stopped = false;
 };
 
 } // namespace endivetrestle
--- a/src/edge/peer_rpc_test.cc
+++ b/src/edge/peer_rpc_test.cc
@@ -89,6 +89,19 @@
     loop.stop();
 }
 
+// Guards against the use of freed state when a request is forwarded while its daemon shuts down.
+TEST_CASE("PeerRpc, reports that a request did not run when the client was stopped")
+{
+    NetworkLoop loop;
+    loop.start();
+    {
+        PeerClient client(loop, { DaemonId("b"), "key" }, 1s);
+        client.stop();
+        CHECK(forwardAndWait(client, "127.0.0.1:1", {}).state == OutcomeState::DidNotRun);
+    }
+    loop.stop();
+}
+
 // Guards against a write reported as "did not run" although the owner may have run it before it died.
 TEST_CASE("PeerRpc, reports an unknown outcome when the owner closes after the request was sent")
 {
