Answer reads at the primary whose age bound is shorter than a sample's way

Cause: a read with an age bound waited for a sample younger than the bound at the moment of the answer, which no sample can be if the bound is zero or below the time of a probe; the read then waited until its deadline.

--- a/src/process/controller_reads.cc
+++ b/src/process/controller_reads.cc
@@ -139,10 +139,14 @@
 bool DatabaseController::isFresh(const Pending& entry, Time now) const
 {
     const auto& request = entry.request;
-    if (request.requiresPrimary) {
+    if (request.requiresPrimary || (request.maxAge && entry.atPrimary)) {
+        // The primary of the term confirmed after the arrival held every write that was acknowledged before it.
         const auto sample = this->freshness.confirmedSince(entry.arrival);
-        return sample && sample->term == entry.answer.status.term;
+        if (sample && sample->term == entry.answer.status.term)
+            return true;
     }
+    if (request.requiresPrimary)
+        return false;
     if (!request.maxAge)
         return true;
     const auto oldest = this->freshness.positionForAge(*request.maxAge, now);
