--- a/src/process/controller_reads.cc
+++ b/src/process/controller_reads.cc
@@ -136,8 +136,9 @@
         this->complete(ticket, didNotRun(answer.code, "no endpoint could serve the read"));
 }
 
-// Whether the answer satisfies the age bound, or the confirmation that the token asks for. An answer of the primary whose
-// term a majority confirmed since the request arrived holds everything acknowledged before, which satisfies any bound.
+// Whether the answer satisfies the age bound, or the confirmation that the token asks for. An answer of the primary
+// whose term a majority confirmed since the request arrived holds everything acknowledged before, which satisfies any
+// bound.
 bool DatabaseController::isFresh(const Pending& entry, Time now) const
 {
     const auto& request = entry.request;
