Read the operators' ports from the demo's export lines

Cause: the demo prints export lines now, so the script found no ports and ended. Change: scripts/measure-control-cost.sh reads those lines. Conclusion: the script runs again.

--- a/scripts/measure-control-cost.sh
+++ b/scripts/measure-control-cost.sh
@@ -40,7 +40,7 @@
   pid=$!
   for _ in $(seq 100); do grep -q 'serving until' "$out" && break; sleep 0.2; done
   sleep 3
-  ports=$(grep -oE "operators' ports:.*" "$out" | cut -d: -f2-)
+  ports=$(sed -n 's/^export OPERATORS_[0-9]*=//p' "$out")
   ticks=$(cpu_ticks $pid); sent=$(sent_bytes $pid); gossip=$(gossip_bytes $pid "$ports")
   sleep "$seconds"
   ticks=$(($(cpu_ticks $pid) - ticks)); sent=$(($(sent_bytes $pid) - sent))
