--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -16,8 +16,7 @@
 
 // Counts open connections. RESTinio calls it on a worker for every change of a connection's state.
 struct ConnectionCounter {
-    void state_changed(
-        const restinio::connection_state::notice_t& notice) noexcept
+    void state_changed(const restinio::connection_state::notice_t& notice) noexcept
     {
         const auto& cause = notice.cause();
         if (restinio::holds_alternative<restinio::connection_state::accepted_t>(cause))
@@ -32,7 +31,7 @@
 struct ServerTraits : public restinio::default_traits_t {
     using connection_state_listener_t = ConnectionCounter;
     using stream_socket_t = internal::ClosingSocket; // NOLINT(readability-identifier-naming): name set by RESTinio.
-    static constexpr bool use_connection_count_limiter = true;
+    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
 };
 
 using Server = restinio::http_server_t<ServerTraits>;
