Restore rollBack signature and measure service only while entries wait

Change: rollBack takes the request id again; measurement ends when the last entry for an endpoint is gone.

--- a/src/connection/transaction.cc
+++ b/src/connection/transaction.cc
@@ -212,13 +212,13 @@
 }
 
 std::optional<TransactionRefusal> TransactionTable::rollBack(
-    const TransactionIdParts& id, const CallerId& caller, Time now)
+    const TransactionIdParts& id, const CallerId& caller, const RequestId& request, Time now)
 {
-    auto found = this->findOpen(id, caller, {});
+    auto found = this->findOpen(id, caller, request);
     if (auto* refusal = std::get_if<TransactionRefusal>(&found)) {
         if (refusal->code == ErrorCode::TransactionAborted)
             return std::nullopt;
-        // A rollback is never sent under a request id of its own, so the refused one had no effect.
+        // A rollback is not sent to the endpoint as a request, so the refused one had no effect.
         refusal->outcome = OutcomeState::DidNotRun;
         return std::move(*refusal);
     }
--- a/src/connection/transaction.h
+++ b/src/connection/transaction.h
@@ -170,7 +170,8 @@
     // Ends an open transaction on its caller's wish. It never commits, so the wish is fulfilled at once. Returns a
     // refusal if a request is running or the transaction was or may have been committed; the transaction then goes on.
     // Repeating it is harmless.
-    std::optional<TransactionRefusal> rollBack(const TransactionIdParts& id, const CallerId& caller, Time now);
+    std::optional<TransactionRefusal> rollBack(
+        const TransactionIdParts& id, const CallerId& caller, const RequestId& request, Time now);
 
     // Ends the transaction of a connection that was closed, for whatever reason. No action follows. No value if no open
     // transaction held it.
--- a/src/connection/transaction_test.cc
+++ b/src/connection/transaction_test.cc
@@ -138,7 +138,8 @@
             RC_ASSERT((ended.has_value() == (found != this->open.end() && !found->second.commitSent)));
             if (ended)
                 this->ended(*ended);
-        } else if (!this->table.rollBack(target.id, target.caller, this->now) && found != this->open.end()) {
+        } else if (!this->table.rollBack(target.id, target.caller, RequestId("r"), this->now)
+            && found != this->open.end()) {
             RC_ASSERT((found->second.state == TransactionState::Open));
             this->open.erase(found);
         }
@@ -213,7 +214,7 @@
         table.startStatement(id, shop, RequestId("s2"), Time()), ErrorCode::BadRequest, OutcomeState::DidNotRun));
     CHECK(refusedWith(
         table.startCommit(id, shop, RequestId("s1"), Time()), ErrorCode::BadRequest, OutcomeState::Unknown));
-    CHECK(table.rollBack(id, shop, Time())->code == ErrorCode::BadRequest);
+    CHECK(table.rollBack(id, shop, RequestId("r"), Time())->code == ErrorCode::BadRequest);
     REQUIRE(table.finishStatement(id.number, Time()));
     CHECK(refusedWith(
         table.startStatement(id, shop, RequestId("s1"), Time()), ErrorCode::BadRequest, OutcomeState::Unknown));
@@ -303,5 +304,5 @@
         == ErrorCode::UnknownTransaction);
     CHECK(refusalOf(table.startStatement(otherOwner, shop, RequestId("s"), Time())).code
         == ErrorCode::UnknownTransaction);
-    CHECK(table.rollBack(earlierRun, shop, Time())->code == ErrorCode::UnknownTransaction);
+    CHECK(table.rollBack(earlierRun, shop, RequestId("r"), Time())->code == ErrorCode::UnknownTransaction);
 }
--- a/src/request/admission_queue.cc
+++ b/src/request/admission_queue.cc
@@ -87,6 +87,8 @@
     const auto count = this->perCaller.find(entry.caller);
     if (--count->second == 0)
         this->perCaller.erase(count);
+    if (!queue.byTarget.contains(entry.target))
+        this->noteDrained(entry.target);
     return record;
 }
 
@@ -247,10 +249,8 @@
     this->watchDelay(server, targets, now);
     this->shedIfOverloaded(server, targets, now);
     const auto priority = this->chooseClass(server, targets);
-    if (!priority) {
-        server.backlogged = false;
+    if (!priority)
         return std::nullopt;
-    }
     const auto sequence = this->nextInClass(this->queueOf(*priority), targets);
     auto record = this->remove({ *priority, *sequence });
     this->measure(server, now);
--- a/src/request/admission_queue.h
+++ b/src/request/admission_queue.h
@@ -201,7 +201,8 @@
     struct Server {
         EndpointRole role = EndpointRole::Replica;
         Time lastPop;
-        // True if the last pop left an entry behind, so that the time to the next pop is a service interval.
+        // True if there has been an entry for the endpoint ever since the last pop, so that the time to the next pop is
+        // a service interval.
         bool backlogged = false;
         // Smoothed service interval in microseconds.
         double interval = 0;
@@ -244,6 +245,8 @@
     std::optional<Priority> chooseClass(Server& server, const Targets& targets);
     Server& serverOf(const EndpointId& endpoint, EndpointRole role, Time now);
     void measure(Server& server, Time now) const;
+    // Ends the measurements of the endpoints that have no entry left after the last one of a target was removed.
+    void noteDrained(const QueueTarget& target);
     void watchDelay(Server& server, const Targets& targets, Time now) const;
     void shedIfOverloaded(Server& server, const Targets& targets, Time now);
     [[nodiscard]] bool delayed(const Server& server, Time now) const;
--- a/src/request/admission_queue_service.cc
+++ b/src/request/admission_queue_service.cc
@@ -67,6 +67,20 @@
     server.lastPop = now;
 }
 
+void AdmissionQueue::noteDrained(const QueueTarget& target)
+{
+    for (auto& [endpoint, server] : this->servers) {
+        if (!serves(endpoint, server.role, target))
+            continue;
+        const auto targets = targetsOf(endpoint, server.role);
+        const auto waiting = [&](const auto& queue) { return hasAny(queue.byTarget, targets); };
+        if (std::any_of(this->classes.begin(), this->classes.end(), waiting))
+            continue;
+        server.backlogged = false;
+        server.delayedSince.reset();
+    }
+}
+
 void AdmissionQueue::watchDelay(Server& server, const Targets& targets, Time now) const
 {
     Duration delay {};
--- a/src/request/admission_queue_test.cc
+++ b/src/request/admission_queue_test.cc
@@ -271,6 +271,25 @@
     CHECK_FALSE(queue.push(entryOf(33, Priority::Payment, "a", now + 5ms), now));
 }
 
+// Guards against idle time that is measured as service time after queued entries were cancelled or expired.
+TEST_CASE("AdmissionQueue, does not count idle time as service when the queue was emptied without a pop")
+{
+    AdmissionQueue queue({ .minimumSamples = 4 });
+    Time now;
+    for (std::uint64_t id = 1; id <= 10; ++id)
+        REQUIRE_FALSE(queue.push(entryOf(id, Priority::Read, "a", Time(1s)), now));
+    for (int pops = 0; pops < 8; ++pops, now += 10ms)
+        REQUIRE(popId(queue, now) != 0);
+    REQUIRE(queue.cancel(9));
+    queue.expire(Time(1s));
+    now = Time(100s);
+    for (std::uint64_t id = 11; id <= 21; ++id)
+        REQUIRE_FALSE(queue.push(entryOf(id, Priority::Read, "a", Time(200s)), now));
+    REQUIRE(popId(queue, now) == 11);
+    CHECK(queue.estimateWait(entryOf(22, Priority::Read)) == 100ms);
+    CHECK_FALSE(queue.overloaded(primary, now));
+}
+
 // Guards against a standing queue, and against shedding of classes that fit.
 TEST_CASE("AdmissionQueue, sheds the lowest class first when the delay stays above the target")
 {
