--- a/src/process/controller_transactions.cc
+++ b/src/process/controller_transactions.cc
@@ -42,7 +42,7 @@
 void DatabaseController::rollBack(Ticket ticket, const TransactionIdParts& parts, Time now)
 {
     const auto& request = this->pending.at(ticket).request;
-    if (const auto refusal = this->transactions.rollBack(parts, request.caller, now)) {
+    if (const auto refusal = this->transactions.rollBack(parts, request.caller, request.id, now)) {
         this->complete(ticket, didNotRun(refusal->code, refusal->detail));
         return;
     }
