--- a/src/process/controller_failover.cc
+++ b/src/process/controller_failover.cc
@@ -67,7 +67,7 @@
     this->actions.emplace_back(controller::PrimaryReplaced {
         change.endpoint, change.term, change.gap, change.promotedHere, this->plannedChange });
     this->perform(this->writes.onTerm(change.term), now);
-    this->abandonOldPrimary(now);
+    this->abandonWritesInFlight(now);
     this->abortTransactions(this->transactions.abortAll(now), now);
     this->applyEndpoints(now);
     if (const auto probe = this->probes.find(change.endpoint); probe != this->probes.end())
@@ -79,8 +79,9 @@
     }
 }
 
-// Gives up the answers of writes that were sent to a primary of an earlier term: they are resolved at the new one.
-void DatabaseController::abandonOldPrimary(Time now)
+// Gives up the answers of writes that were sent to a primary which has been replaced or cannot be reached; they are
+// resolved.
+void DatabaseController::abandonWritesInFlight(Time now)
 {
     std::vector<Ticket> affected;
     for (const auto& [connection, ticket] : this->running) {
@@ -127,7 +128,7 @@
         return;
     this->queue.refuseAll(ErrorCode::NotOwner, Duration::zero());
     this->takeRefusals(now);
-    this->abandonOldPrimary(now);
+    this->abandonWritesInFlight(now);
     // Another owner can ask the primary for these outcomes.
     const std::vector<Ticket> open(this->resolving.begin(), this->resolving.end());
     for (const auto ticket : open)
--- a/src/process/controller_requests.cc
+++ b/src/process/controller_requests.cc
@@ -1,4 +1,5 @@
 #include "process/database_controller.h"
+#include "request/execute_kind.h"
 
 #include <algorithm>
 
@@ -17,24 +18,6 @@
     return kind == RequestKind::Statement || kind == RequestKind::Commit || kind == RequestKind::Rollback;
 }
 
-ExecuteKind executeKind(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Write:
-        return ExecuteKind::Write;
-    case RequestKind::Begin:
-        return ExecuteKind::Begin;
-    case RequestKind::Statement:
-        return ExecuteKind::Statement;
-    case RequestKind::Commit:
-        return ExecuteKind::Commit;
-    case RequestKind::Rollback:
-        return ExecuteKind::Rollback;
-    default:
-        return ExecuteKind::Read;
-    }
-}
-
 } // namespace
 
 // Request ids are unique per caller only; endpoints record them per database.
@@ -137,7 +120,7 @@
         }
         auto& entry = this->pending.at(popped->entry.id);
         entry.endpoint = endpoint;
-        this->send(popped->entry.id, *use, executeKind(entry.request.kind), now);
+        this->send(popped->entry.id, *use, executeKindOf(entry.request.kind), now);
     }
 }
 
--- a/src/process/database_controller.h
+++ b/src/process/database_controller.h
@@ -233,7 +233,7 @@
     // controller_failover.cc
     void perform(const FailoverActions& actions, Time now);
     void onPrimaryChanged(const failover::PrimaryChanged& change, Time now);
-    void abandonOldPrimary(Time now);
+    void abandonWritesInFlight(Time now);
     void abortTransactions(const std::vector<EndedTransaction>& ended, Time now);
     void requestSwitchoverIfLeaving(Time now);
     void refuseIfCutOff(Time now);
--- a/src/tool/raw_sender.cc
+++ b/src/tool/raw_sender.cc
@@ -1,29 +1,11 @@
 #include "tool/raw_sender.h"
 
+#include "request/execute_kind.h"
+
 namespace endivetrestle::internal {
 
 namespace {
 
-ExecuteKind executeKindOf(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Write:
-        return ExecuteKind::Write;
-    case RequestKind::Begin:
-        return ExecuteKind::Begin;
-    case RequestKind::Statement:
-        return ExecuteKind::Statement;
-    case RequestKind::Commit:
-        return ExecuteKind::Commit;
-    case RequestKind::Rollback:
-        return ExecuteKind::Rollback;
-    case RequestKind::Read:
-    case RequestKind::Resolve:
-        return ExecuteKind::Read;
-    }
-    return ExecuteKind::Read;
-}
-
 CallerAnswer toAnswer(EndpointResult<ExecuteAnswer> result)
 {
     if (result.error != ErrorCode::None) {
