--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -3,6 +3,7 @@
 #include "cli/experiment_command.h"
 #include "cli/load_command.h"
 #include "cli/operator_command.h"
+#include "cli/proxy_command.h"
 #include "cli/query_command.h"
 #include "cli/report_command.h"
 #include "cli/serve_command.h"
@@ -13,6 +14,7 @@
 {
     static const std::vector<Command> commands = {
         { "serve", "runs one daemon from a settings file", runServe },
+        { "proxy", "serves client sessions on the users' platform", runProxy },
         { "demo", "runs two daemons and all stand-ins in one process", runDemo },
         { "check", "checks a settings file or a configuration", runCheck },
         { "query", "sends one statement as a caller", runQuery },
--- /dev/null
+++ b/src/connection/client_session.cc
@@ -0,0 +1,355 @@
+#include "connection/client_session.h"
+
+#include <utility>
+
+namespace endivetrestle {
+
+ClientSession::ClientSession(std::string databaseName, TimerService& timers, SessionHooks hooks)
+    : databaseName(std::move(databaseName))
+    , timers(timers)
+    , hooks(std::move(hooks))
+{
+}
+
+ClientSession::~ClientSession() { this->cancelIdleTimer(); }
+
+SessionPhase ClientSession::phase() const
+{
+    switch (this->transaction) {
+    case TransactionPhase::None:
+        return SessionPhase::Idle;
+    case TransactionPhase::Failed:
+        return SessionPhase::FailedTransaction;
+    default:
+        return SessionPhase::Transaction;
+    }
+}
+
+void ClientSession::onStatement(Statement statement, Time now)
+{
+    if (this->busy) {
+        if (this->waiting.size() < maxPipelined)
+            this->waiting.push_back(std::move(statement));
+        else
+            this->hooks.close();
+        return;
+    }
+    this->busy = true;
+    this->cancelIdleTimer();
+    this->current = std::move(statement);
+    this->currentSince = now;
+    this->process(this->current, now);
+}
+
+void ClientSession::process(const Statement& statement, Time now)
+{
+    this->currentRoute.reset();
+    if (this->transaction == TransactionPhase::Failed && statement.kind != StatementKind::Unknown) {
+        this->processInFailed(statement);
+        return;
+    }
+    switch (statement.kind) {
+    case StatementKind::Unknown:
+        this->replyError(ReplyCode::Malformed, "the statement cannot be understood", "malformed");
+        return;
+    case StatementKind::Begin:
+    case StatementKind::BeginRead:
+        this->begin(statement);
+        return;
+    case StatementKind::Rollback:
+        this->rollback(now);
+        return;
+    case StatementKind::SetValue: {
+        auto next = std::make_shared<SessionState>(*this->state);
+        next->values[statement.name] = statement.argument;
+        this->state = std::move(next);
+        this->replySuccess();
+        return;
+    }
+    case StatementKind::Prepare:
+        this->prepare(statement);
+        return;
+    case StatementKind::Deallocate: {
+        auto next = std::make_shared<SessionState>(*this->state);
+        next->prepared.erase(statement.name);
+        this->state = std::move(next);
+        this->replySuccess();
+        return;
+    }
+    case StatementKind::Execute:
+        this->execute(statement, now);
+        return;
+    case StatementKind::Commit:
+        if (this->transaction == TransactionPhase::None) {
+            this->replyError(ReplyCode::Malformed, "no transaction is open", "malformed");
+            return;
+        }
+        this->sendToGroup(statement, std::nullopt, now);
+        return;
+    case StatementKind::Read:
+    case StatementKind::Write:
+        this->sendToGroup(statement, std::nullopt, now);
+        return;
+    }
+}
+
+void ClientSession::processInFailed(const Statement& statement)
+{
+    if (statement.kind != StatementKind::Rollback && statement.kind != StatementKind::Commit) {
+        // The first statement after a rollback of the proxy's own learns the reason.
+        if (!this->failureReason.empty()) {
+            this->replyError(ReplyCode::Aborted, std::exchange(this->failureReason, ""), "transaction_aborted");
+            return;
+        }
+        this->replyError(ReplyCode::Malformed, "the transaction has failed and must be rolled back", "malformed");
+        return;
+    }
+    this->transaction = TransactionPhase::None;
+    this->transactionRoute.reset();
+    this->failureReason.clear();
+    if (statement.kind == StatementKind::Rollback)
+        this->replySuccess();
+    else
+        this->replyError(ReplyCode::Aborted, "the transaction had failed and was rolled back", "transaction_aborted");
+}
+
+void ClientSession::begin(const Statement& statement)
+{
+    if (this->transaction != TransactionPhase::None) {
+        this->replyError(ReplyCode::Malformed, "a transaction is already open", "malformed");
+        return;
+    }
+    const auto table = this->hooks.routes();
+    const auto* route = table ? table->find(this->databaseName) : nullptr;
+    if (route == nullptr) {
+        this->replyError(ReplyCode::UnknownDatabase, "no such database", "no_route");
+        return;
+    }
+    this->transactionRoute = *route;
+    this->transaction = TransactionPhase::Begun;
+    this->transactionWrote = false;
+    this->transactionStart
+        = statement.kind == StatementKind::Begin ? TransactionStart::Plain : TransactionStart::ReadOnly;
+    this->replySuccess();
+}
+
+void ClientSession::rollback(Time now)
+{
+    if (this->transaction == TransactionPhase::Open) {
+        if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
+            scheduler->endTransaction(this->transactionConnection, now);
+    }
+    this->transaction = TransactionPhase::None;
+    this->transactionRoute.reset();
+    this->replySuccess();
+}
+
+void ClientSession::prepare(const Statement& statement)
+{
+    auto next = std::make_shared<SessionState>(*this->state);
+    next->prepared[statement.name] = { statement.writes, statement.argument };
+    this->state = std::move(next);
+    this->replySuccess();
+}
+
+void ClientSession::execute(const Statement& statement, Time now)
+{
+    const auto found = this->state->prepared.find(statement.name);
+    if (found == this->state->prepared.end()) {
+        this->replyError(ReplyCode::NoStatement, "no statement is prepared under this name", "no_statement");
+        return;
+    }
+    this->sendToGroup(statement, found->second, now);
+}
+
+ExecutionPtr ClientSession::makeExecution(
+    const Statement& statement, std::optional<PreparedStatement> prepared, const Route& route, Time now)
+{
+    auto execution = std::make_shared<Execution>();
+    auto& work = execution->work;
+    work.statement = statement;
+    work.prepared = std::move(prepared);
+    work.session = this->state;
+    if (this->transaction == TransactionPhase::Begun)
+        work.start = this->transactionStart;
+    work.needsPrimary = route.consistency == RouteConsistency::Primary || work.changesData()
+        || work.start == TransactionStart::Plain;
+    work.maxStaleness = route.maxStaleness;
+    if (route.consistency == RouteConsistency::ReadYourWrites && this->lastWriteGroup == route.group)
+        work.lastWrite = this->lastWrite;
+    work.priority = route.priority;
+    work.arrivedAt = now;
+    work.expiresAt = now + route.statementTimeout;
+    work.objective = route.objective;
+    execution->callback = [this, weak = std::weak_ptr<Execution>(execution)](const StatementResult& result) {
+        if (const auto self = weak.lock())
+            this->onResult(self, result);
+    };
+    return execution;
+}
+
+void ClientSession::sendToGroup(const Statement& statement, std::optional<PreparedStatement> prepared, Time now)
+{
+    const auto table = this->hooks.routes();
+    if (this->transactionRoute)
+        this->currentRoute = this->transactionRoute;
+    else if (const auto* route = table ? table->find(this->databaseName) : nullptr)
+        this->currentRoute = *route;
+    if (!this->currentRoute) {
+        this->replyError(ReplyCode::UnknownDatabase, "no such database", "no_route");
+        return;
+    }
+    auto* scheduler = this->hooks.scheduler(this->currentRoute->group);
+    if (scheduler == nullptr) {
+        this->replyError(ReplyCode::Busy, "no endpoint of the database is known", "no_endpoint");
+        return;
+    }
+    this->execution = this->makeExecution(statement, std::move(prepared), *this->currentRoute, now);
+    const auto started = this->execution;
+    if (this->transaction == TransactionPhase::Open)
+        scheduler->continueTransaction(this->transactionConnection, started, now);
+    else
+        scheduler->submit(started, now);
+}
+
+void ClientSession::updateTransaction(const ScheduledStatement& work, const StatementResult& result)
+{
+    if (this->transaction == TransactionPhase::None)
+        return;
+    if (work.statement.kind == StatementKind::Commit) {
+        this->transaction = TransactionPhase::None;
+        this->transactionRoute.reset();
+        return;
+    }
+    if (!result.connection) {
+        this->transaction = TransactionPhase::Failed;
+        return;
+    }
+    this->transactionConnection = *result.connection;
+    this->transactionWrote = this->transactionWrote || work.changesData();
+    this->transaction = TransactionPhase::Open;
+    if (result.answer.phase != SessionPhase::FailedTransaction)
+        return;
+    this->transaction = TransactionPhase::Failed;
+    if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
+        scheduler->endTransaction(this->transactionConnection, this->currentSince);
+}
+
+void ClientSession::onResult(const ExecutionPtr& finished, const StatementResult& result)
+{
+    if (finished != this->execution || this->disconnected)
+        return;
+    this->execution.reset();
+    const auto& work = finished->work;
+    const bool commit = work.statement.kind == StatementKind::Commit;
+    const bool wrote = commit ? this->transactionWrote
+                              : work.changesData() && this->transaction == TransactionPhase::None;
+    if (result.answer.succeeded && wrote && result.answer.position) {
+        this->lastWrite = result.answer.position;
+        this->lastWriteGroup = this->currentRoute->group;
+    }
+    this->updateTransaction(work, result);
+    SessionReply reply;
+    reply.succeeded = result.answer.succeeded;
+    reply.code = result.answer.code;
+    reply.errorText = result.answer.errorText;
+    reply.payload = result.answer.payload;
+    reply.position = result.answer.position;
+    reply.phase = this->phase();
+    this->finishStatement(reply, result.reason, result.endpoint, finished->attempts);
+}
+
+void ClientSession::replySuccess()
+{
+    SessionReply reply;
+    reply.succeeded = true;
+    reply.phase = this->phase();
+    this->finishStatement(reply, "", "", 0);
+}
+
+void ClientSession::replyError(ReplyCode code, const std::string& text, const std::string& reason)
+{
+    SessionReply reply;
+    reply.code = code;
+    reply.errorText = text;
+    reply.phase = this->phase();
+    this->finishStatement(reply, reason, "", 0);
+}
+
+void ClientSession::finishStatement(
+    const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts)
+{
+    const auto now = this->hooks.now();
+    this->hooks.record({ this->current, this->currentRoute ? &*this->currentRoute : nullptr, reply, reason, endpoint,
+        attempts, now - this->currentSince });
+    this->hooks.reply(reply);
+    this->busy = false;
+    if (this->transaction == TransactionPhase::Begun || this->transaction == TransactionPhase::Open)
+        this->armIdleTimer(now);
+    if (!this->waiting.empty())
+        this->nextStatement();
+    else if (this->closing && this->isIdle())
+        this->hooks.close();
+}
+
+void ClientSession::nextStatement()
+{
+    auto statement = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    this->onStatement(std::move(statement), this->hooks.now());
+}
+
+void ClientSession::armIdleTimer(Time now)
+{
+    const auto table = this->hooks.routes();
+    if (!table)
+        return;
+    this->idleTimer = this->timers.subscribeAt(now + table->transactionIdleLimit, [this](Time at) {
+        this->idleTimer = 0;
+        this->abortTransaction(at, "the transaction was idle for too long");
+    });
+}
+
+void ClientSession::cancelIdleTimer()
+{
+    if (this->idleTimer != 0)
+        this->timers.cancel(std::exchange(this->idleTimer, 0));
+}
+
+void ClientSession::abortTransaction(Time now, const std::string& reason)
+{
+    if (this->busy || (this->transaction != TransactionPhase::Begun && this->transaction != TransactionPhase::Open))
+        return;
+    this->cancelIdleTimer();
+    if (this->transaction == TransactionPhase::Open) {
+        if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
+            scheduler->endTransaction(this->transactionConnection, now);
+    }
+    this->transaction = TransactionPhase::Failed;
+    this->failureReason = reason;
+}
+
+void ClientSession::onDisconnected(Time now)
+{
+    this->disconnected = true;
+    this->cancelIdleTimer();
+    this->waiting.clear();
+    auto* scheduler = this->currentRoute ? this->hooks.scheduler(this->currentRoute->group) : nullptr;
+    if (this->execution) {
+        if (scheduler != nullptr)
+            scheduler->abandon(this->execution, now);
+        this->execution.reset();
+    } else if (this->transaction == TransactionPhase::Open) {
+        if (auto* owner = this->hooks.scheduler(this->transactionRoute->group))
+            owner->endTransaction(this->transactionConnection, now);
+    }
+}
+
+void ClientSession::closeWhenIdle()
+{
+    this->closing = true;
+    if (this->isIdle())
+        this->hooks.close();
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/connection/client_session.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "base/timer_service.h"
+#include "connection/session_state.h"
+#include "process/group_scheduler.h"
+#include "request/scheduled_statement.h"
+#include "version/route_table.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endivetrestle {
+
+// Reply to one statement of a client.
+struct SessionReply {
+    bool succeeded = false;
+    ReplyCode code = ReplyCode::Unknown;
+    std::string errorText;
+    // Encoded result of an endpoint; empty if the proxy answered itself.
+    std::string payload;
+    SessionPhase phase = SessionPhase::Idle;
+    std::optional<Position> position;
+};
+
+// What became of a statement, for logs and metrics.
+struct StatementRecord {
+    const Statement& statement;
+    const Route* route = nullptr;
+    const SessionReply& reply;
+    // Why the proxy answered with an error of its own; empty for answers of an endpoint.
+    std::string reason;
+    std::string endpoint;
+    int attempts = 0;
+    Duration elapsed {};
+};
+
+// What a session asks of its surroundings.
+struct SessionHooks {
+    std::function<Time()> now;
+    std::function<void(const SessionReply&)> reply;
+    // Closes the connection after everything written so far.
+    std::function<void()> close;
+    // Present configuration; null before the first one is known.
+    std::function<std::shared_ptr<const RouteTable>()> routes;
+    // Scheduler of a group, or null.
+    std::function<GroupScheduler*(const DatabaseId&)> scheduler;
+    std::function<void(const StatementRecord&)> record;
+};
+
+// One client session: its values, prepared statements and transaction. It answers the statements that need no endpoint
+// itself and passes the others to the scheduler of the route's group, one at a time and in order.
+//
+// A transaction is opened at an endpoint only with its first statement. It stays on one connection until it ends.
+//
+//     transaction:  None -> Begun -> Open -> None
+//                              \-------\--> Failed -> None    by ROLLBACK or COMMIT, which then rolls back
+class ClientSession {
+public:
+    ClientSession(std::string databaseName, TimerService& timers, SessionHooks hooks);
+    ~ClientSession();
+    ClientSession(const ClientSession&) = delete;
+    ClientSession& operator=(const ClientSession&) = delete;
+
+    // Takes the next statement. Statements that arrive while one is under way wait.
+    void onStatement(Statement statement, Time now);
+    // The client has left.
+    void onDisconnected(Time now);
+    // Ends the session as soon as no statement is under way and no transaction is open.
+    void closeWhenIdle();
+    // Rolls an open transaction back; the client learns it with its next statement.
+    void abortTransaction(Time now, const std::string& reason);
+
+    [[nodiscard]] bool isIdle() const { return !this->busy && this->transaction == TransactionPhase::None; }
+    [[nodiscard]] bool isBusy() const { return this->busy; }
+    [[nodiscard]] const std::string& database() const { return this->databaseName; }
+
+    // Statements that may wait behind the one under way.
+    static constexpr std::size_t maxPipelined = 64;
+
+private:
+    enum class TransactionPhase { None, Begun, Open, Failed };
+
+    void process(const Statement& statement, Time now);
+    void processInFailed(const Statement& statement);
+    void begin(const Statement& statement);
+    void rollback(Time now);
+    void prepare(const Statement& statement);
+    void execute(const Statement& statement, Time now);
+    void sendToGroup(const Statement& statement, std::optional<PreparedStatement> prepared, Time now);
+    [[nodiscard]] ExecutionPtr makeExecution(
+        const Statement& statement, std::optional<PreparedStatement> prepared, const Route& route, Time now);
+    void onResult(const ExecutionPtr& execution, const StatementResult& result);
+    void updateTransaction(const ScheduledStatement& work, const StatementResult& result);
+    void replySuccess();
+    void replyError(ReplyCode code, const std::string& text, const std::string& reason);
+    void finishStatement(const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts);
+    void nextStatement();
+    void armIdleTimer(Time now);
+    void cancelIdleTimer();
+    [[nodiscard]] SessionPhase phase() const;
+
+    std::string databaseName;
+    TimerService& timers;
+    SessionHooks hooks;
+    std::shared_ptr<SessionState> state = std::make_shared<SessionState>();
+    std::deque<Statement> waiting;
+    Statement current;
+    Time currentSince;
+    bool busy = false;
+    bool disconnected = false;
+    bool closing = false;
+    TransactionPhase transaction = TransactionPhase::None;
+    TransactionStart transactionStart = TransactionStart::None;
+    // Route at the beginning of the transaction; changes apply from the next one on.
+    std::optional<Route> transactionRoute;
+    // Route of the statement under way.
+    std::optional<Route> currentRoute;
+    ConnectionId transactionConnection = 0;
+    bool transactionWrote = false;
+    std::string failureReason;
+    std::uint64_t idleTimer = 0;
+    ExecutionPtr execution;
+    // Last acknowledged write of the session, and its group.
+    std::optional<Position> lastWrite;
+    DatabaseId lastWriteGroup;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/connection/endpoint_state.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "connection/endpoint_connection.h"
+#include "process/endpoint_directory.h"
+
+#include <map>
+#include <optional>
+
+namespace endivetrestle {
+
+// Limits how many statements run at one endpoint at once. The limit grows slowly while statements succeed and shrinks
+// when the endpoint refuses one as busy, so that the statements wait here, by priority, and not at the endpoint.
+class ConcurrencyLimit {
+public:
+    explicit ConcurrencyLimit(int slots);
+
+    void onSuccess();
+    void onBusy(Time now);
+    void setSlots(int slots);
+    [[nodiscard]] bool allows(int running) const { return running < static_cast<int>(this->limit); }
+    [[nodiscard]] double value() const { return this->limit; }
+
+private:
+    // Statements beyond the slots that keep an endpoint busy between two answers.
+    static constexpr double slotMultiple = 2.0;
+    static constexpr double decrease = 0.7;
+    // A burst of refusals counts once.
+    static constexpr Duration decreaseInterval = std::chrono::milliseconds(50);
+
+    double limit;
+    double ceiling;
+    Time decreasedAt;
+};
+
+// What is known about one endpoint of a group.
+struct EndpointState {
+    explicit EndpointState(const EndpointRecord& record)
+        : record(record)
+        , limit(record.slots)
+    {
+    }
+
+    EndpointRecord record;
+    ConcurrencyLimit limit;
+    std::map<ConnectionId, EndpointConnection> connections;
+    // Control commands that wait for a connection.
+    std::deque<ControlTaskPtr> controls;
+    // Statements that run.
+    int running = 0;
+    int opening = 0;
+    // Last known position of its log.
+    std::optional<Position> position;
+    // Smoothed time from sending a statement to its answer.
+    Duration latency = std::chrono::milliseconds(10);
+    // Age that a position must have before the endpoint is expected to hold it.
+    Duration lagEstimate = std::chrono::milliseconds(60);
+    // Time until which it gets no reads for positions that it is not known to hold.
+    Time laggingUntil;
+    Time lastAnswerAt;
+    // Whether statements have been outstanding for long without any answer.
+    bool silent = false;
+    // Failed attempts to open a connection since the last success.
+    int openFailures = 0;
+    Time openNotBefore;
+
+    // An idle connection, preferably one that already holds the state of the session.
+    EndpointConnection* findIdle(const SessionState& session);
+    [[nodiscard]] bool hasIdle() const;
+    // Time at which the oldest outstanding statement was sent; no value if none is outstanding.
+    [[nodiscard]] std::optional<Time> oldestOutstanding() const;
+
+    // Smooths a measured latency.
+    void addLatency(Duration sample);
+    // Learns that the endpoint did not hold a position of the given age.
+    void onLagging(Duration positionAge, Time now);
+    // Learns that the endpoint held a position of the given age that it was not known to hold.
+    void onCaughtUp(Duration positionAge);
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/connection/session_state.cc
@@ -0,0 +1,46 @@
+#include "connection/session_state.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+std::string PreparedStatement::sharedName() const { return (this->writes ? "w_" : "r_") + this->shape; }
+
+bool HeldState::isCompatible(const SessionState& session) const
+{
+    return std::all_of(this->values.begin(), this->values.end(),
+        [&](const auto& entry) { return session.values.count(entry.first) != 0; });
+}
+
+std::vector<EndpointCommand> HeldState::commandsFor(
+    const SessionState& session, const std::optional<PreparedStatement>& statement) const
+{
+    std::vector<EndpointCommand> commands;
+    const bool prepare = statement && this->prepared.count(statement->sharedName()) == 0;
+    const bool reset = !this->isCompatible(session) || (prepare && this->prepared.size() >= maxPrepared);
+    if (reset)
+        commands.push_back({ CommandKind::Reset });
+    for (const auto& [name, value] : session.values) {
+        const auto held = this->values.find(name);
+        if (reset || held == this->values.end() || held->second != value)
+            commands.push_back({ CommandKind::SetValue, "", name, value });
+    }
+    if (statement && (prepare || reset))
+        commands.push_back({ CommandKind::Prepare, "", statement->sharedName(), statement->shape, statement->writes });
+    return commands;
+}
+
+void HeldState::confirm(const EndpointCommand& command)
+{
+    if (command.kind == CommandKind::Reset) {
+        this->values.clear();
+        this->prepared.clear();
+    } else if (command.kind == CommandKind::SetValue)
+        this->values[command.text] = command.argument;
+    else if (command.kind == CommandKind::Prepare)
+        this->prepared.insert(command.text);
+}
+
+void HeldState::forgetPrepared(const std::string& sharedName) { this->prepared.erase(sharedName); }
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/connection/session_state.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "request/statement.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endivetrestle {
+
+// Statement that a client prepared under a name of its own.
+struct PreparedStatement {
+    bool writes = false;
+    std::string shape;
+
+    bool operator==(const PreparedStatement&) const = default;
+
+    // Name under which endpoint connections hold it. It depends on the shape only, so that sessions share it.
+    [[nodiscard]] std::string sharedName() const;
+};
+
+// Values and prepared statements of one client session, as acknowledged to the client.
+struct SessionState {
+    std::map<std::string, std::string> values;
+    std::map<std::string, PreparedStatement> prepared;
+
+    bool operator==(const SessionState&) const = default;
+};
+
+// What one endpoint connection holds: session values and prepared statements. A connection is shared between client
+// sessions, so it must be brought to the state of the session before a statement runs on it.
+//
+// Example:
+//     for (const auto& command : held.commandsFor(session, statement))
+//         send(command);   // one after the other; confirm(command) after each success
+class HeldState {
+public:
+    // Prepared statements above which a connection is reset instead of extended.
+    static constexpr std::size_t maxPrepared = 200;
+
+    // Commands that bring the connection to the state of the session and prepare the given statement, in order. Empty
+    // if the connection is ready.
+    [[nodiscard]] std::vector<EndpointCommand> commandsFor(
+        const SessionState& session, const std::optional<PreparedStatement>& statement) const;
+
+    // Records that the endpoint has executed a command.
+    void confirm(const EndpointCommand& command);
+
+    // Records that the endpoint does not know a prepared statement.
+    void forgetPrepared(const std::string& sharedName);
+
+    // Whether the connection can serve the session without a reset.
+    [[nodiscard]] bool isCompatible(const SessionState& session) const;
+    // Whether the connection holds exactly the values of the session.
+    [[nodiscard]] bool matches(const SessionState& session) const { return this->values == session.values; }
+
+private:
+    std::map<std::string, std::string> values;
+    std::set<std::string> prepared;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/endpoint_transport.cc
@@ -0,0 +1,91 @@
+#include "edge/endpoint_transport.h"
+
+#include "base/log.h"
+
+namespace endivetrestle {
+
+EndpointTransport::EndpointTransport(asio::io_context& context, EndpointInput input)
+    : context(context)
+    , input(std::move(input))
+{
+}
+
+EndpointTransport::~EndpointTransport()
+{
+    for (auto& [id, link] : this->links)
+        link.socket->close();
+}
+
+void EndpointTransport::open(ConnectionId id, const EndpointRecord& record)
+{
+    auto& link = this->links[id];
+    link.socket
+        = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
+    asio::error_code error;
+    const auto address = asio::ip::make_address(record.address.ip, error);
+    link.socket->connect(
+        asio::ip::tcp::endpoint(address, record.address.port),
+        [this, id, greeting = platform::encodeStartup(record.group, record.id)] {
+            const auto found = this->links.find(id);
+            if (found != this->links.end())
+                found->second.socket->write(greeting);
+        },
+        [this, id](std::string_view line) { return this->onLine(id, line); }, [this, id] { this->onLost(id); });
+}
+
+bool EndpointTransport::onLine(ConnectionId id, std::string_view line)
+{
+    const auto found = this->links.find(id);
+    if (found == this->links.end())
+        return false;
+    auto& link = found->second;
+    switch (link.parser.addLine(line)) {
+    case platform::AnswerParser::Result::NeedMore:
+        return true;
+    case platform::AnswerParser::Result::StartupRefused: {
+        const auto answer = link.parser.take();
+        logEvent(LogLevel::Info, "endpoint_refused_session",
+            { { "connection", id }, { "code", replyCodeName(answer.code) } });
+        this->onLost(id);
+        return false;
+    }
+    case platform::AnswerParser::Result::Broken:
+        logEvent(LogLevel::Warning, "endpoint_answer_unreadable", { { "connection", id }, { "bytes", line.size() } });
+        this->onLost(id);
+        return false;
+    case platform::AnswerParser::Result::Complete:
+        break;
+    }
+    const auto answer = link.parser.take();
+    if (!link.started) {
+        link.started = true;
+        this->input.opened(id);
+    } else
+        this->input.answered(id, answer);
+    return this->links.count(id) != 0;
+}
+
+void EndpointTransport::onLost(ConnectionId id)
+{
+    this->close(id);
+    this->input.closed(id);
+}
+
+void EndpointTransport::send(ConnectionId id, const EndpointCommand& command)
+{
+    const auto found = this->links.find(id);
+    if (found != this->links.end())
+        found->second.socket->write(platform::encodeCommand(command));
+}
+
+void EndpointTransport::close(ConnectionId id)
+{
+    const auto found = this->links.find(id);
+    if (found == this->links.end())
+        return;
+    const auto socket = found->second.socket;
+    this->links.erase(found);
+    socket->close();
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/endpoint_transport.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/clock.h"
+#include "edge/line_socket.h"
+#include "platform/line_codec.h"
+#include "process/endpoint_directory.h"
+#include "request/scheduled_statement.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace endivetrestle {
+
+// Input that connections to endpoints deliver.
+struct EndpointInput {
+    std::function<void(ConnectionId)> opened;
+    std::function<void(ConnectionId, const EndpointAnswer&)> answered;
+    std::function<void(ConnectionId)> closed;
+};
+
+// Connections to the endpoints of one group: sockets, session start and the decoding of answers.
+class EndpointTransport {
+public:
+    EndpointTransport(asio::io_context& context, EndpointInput input);
+    ~EndpointTransport();
+    EndpointTransport(const EndpointTransport&) = delete;
+    EndpointTransport& operator=(const EndpointTransport&) = delete;
+
+    void open(ConnectionId id, const EndpointRecord& record);
+    void send(ConnectionId id, const EndpointCommand& command);
+    void close(ConnectionId id);
+
+private:
+    struct Link {
+        std::shared_ptr<LineSocket> socket;
+        platform::AnswerParser parser;
+        bool started = false;
+    };
+
+    bool onLine(ConnectionId id, std::string_view line);
+    void onLost(ConnectionId id);
+
+    asio::io_context& context;
+    EndpointInput input;
+    std::unordered_map<ConnectionId, Link> links;
+};
+
+} // namespace endivetrestle
--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -61,8 +61,16 @@
 } // namespace
 
 struct HttpServer::State {
+    State(asio::io_context* loop, Handler handler)
+        : handler(std::move(handler))
+        , ownContext(loop == nullptr ? std::make_unique<asio::io_context>() : nullptr)
+        , context(loop == nullptr ? *this->ownContext : *loop)
+    {
+    }
+
     Handler handler;
-    asio::io_context context;
+    std::unique_ptr<asio::io_context> ownContext;
+    asio::io_context& context;
     std::unique_ptr<Server> server;
     std::vector<std::thread> workers;
     std::atomic<std::size_t> inFlight = 0;
@@ -72,6 +80,17 @@
     std::mutex mutex;
     std::condition_variable answered;
 
+    void open(const HttpServerSettings& settings)
+    {
+        this->server = std::make_unique<Server>(
+            restinio::external_io_context(this->context), this->makeSettings(settings));
+        std::exception_ptr failure;
+        this->server->open_async([] {}, [&](std::exception_ptr error) { failure = error; });
+        this->context.run_for(std::chrono::milliseconds(1));
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
     void sendAnswer(const RequestHandle& handle, const HttpResponse& response)
     {
         auto builder = handle->create_response(restinio::http_status_line_t(
@@ -130,16 +149,9 @@
 };
 
 HttpServer::HttpServer(const HttpServerSettings& settings, Handler handler)
-    : state(std::make_unique<State>())
+    : state(std::make_unique<State>(nullptr, std::move(handler)))
 {
-    this->state->handler = std::move(handler);
-    this->state->server = std::make_unique<Server>(
-        restinio::external_io_context(this->state->context), this->state->makeSettings(settings));
-    std::exception_ptr failure;
-    this->state->server->open_async([] {}, [&](std::exception_ptr error) { failure = error; });
-    this->state->context.run_for(std::chrono::milliseconds(1));
-    if (failure)
-        std::rethrow_exception(failure);
+    this->state->open(settings);
     this->state->context.restart();
     for (unsigned i = 0; i < settings.workers; ++i) {
         this->state->workers.emplace_back([context = &this->state->context] {
@@ -149,6 +161,12 @@
     }
 }
 
+HttpServer::HttpServer(asio::io_context& loop, const HttpServerSettings& settings, Handler handler)
+    : state(std::make_unique<State>(&loop, std::move(handler)))
+{
+    this->state->open(settings);
+}
+
 HttpServer::~HttpServer() { this->stop(); }
 
 std::uint16_t HttpServer::port() const { return this->state->port; }
@@ -175,7 +193,7 @@
 
 void HttpServer::stop()
 {
-    if (this->state->workers.empty())
+    if (!this->state->ownContext || this->state->workers.empty())
         return;
     this->state->context.stop();
     for (auto& worker : this->state->workers)
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 
+#include <asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -69,6 +71,8 @@
 
     // Opens the port and starts the workers. Throws std::exception if the port cannot be opened.
     HttpServer(const HttpServerSettings& settings, Handler handler);
+    // Serves on an event loop that the caller runs; settings.workers is not used. Throws like the constructor above.
+    HttpServer(asio::io_context& loop, const HttpServerSettings& settings, Handler handler);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- /dev/null
+++ b/src/edge/loop_http_client.cc
@@ -0,0 +1,235 @@
+#include "edge/loop_http_client.h"
+
+#include "base/boot_clock.h"
+
+#include <array>
+#include <deque>
+#include <http_parser.h>
+
+namespace endivetrestle {
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 16384;
+
+std::string encodeRequest(const HttpCall& call, const SocketAddress& server)
+{
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + toString(server) + "\r\n";
+    for (const auto& [name, value] : call.headers)
+        text += name + ": " + value + "\r\n";
+    if (!call.body.empty() || call.method != "GET")
+        text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    text += "\r\n";
+    text += call.body;
+    return text;
+}
+
+} // namespace
+
+class LoopHttpClient::State : public std::enable_shared_from_this<LoopHttpClient::State> {
+public:
+    State(asio::io_context& context, SocketAddress server)
+        : context(context)
+        , server(std::move(server))
+        , socket(context)
+        , timer(context)
+    {
+        http_parser_settings_init(&this->parserSettings);
+        this->parserSettings.on_body = [](http_parser* parser, const char* data, std::size_t length) {
+            static_cast<State*>(parser->data)->answer.body.append(data, length);
+            return 0;
+        };
+        this->parserSettings.on_message_complete = [](http_parser* parser) {
+            auto* self = static_cast<State*>(parser->data);
+            self->complete = true;
+            self->keepAlive = http_should_keep_alive(parser) != 0;
+            // Stops the parser, so that bytes after the answer are noticed.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+    }
+
+    void send(HttpCall call, Duration timeout, Callback callback)
+    {
+        this->queue.push_back({ std::move(call), bootNow(), timeout, std::move(callback) });
+        if (!this->active)
+            this->startNext();
+    }
+
+    void shutDown()
+    {
+        this->stopped = true;
+        this->timer.cancel();
+        this->closeSocket();
+        this->queue.clear();
+    }
+
+    [[nodiscard]] const SocketAddress& serverAddress() const { return this->server; }
+    [[nodiscard]] std::uint64_t opened() const { return this->connectionCount; }
+
+private:
+    struct Pending {
+        HttpCall call;
+        Time queuedAt;
+        Duration timeout;
+        Callback callback;
+    };
+
+    void startNext()
+    {
+        if (this->queue.empty() || this->stopped)
+            return;
+        this->active = true;
+        this->complete = false;
+        this->written = false;
+        this->answer = {};
+        auto& pending = this->queue.front();
+        const auto left = pending.queuedAt + pending.timeout - bootNow();
+        const auto sequence = ++this->callSequence;
+        this->timer.expires_after(std::max(left, Duration(1000)));
+        this->timer.async_wait([self = this->shared_from_this(), sequence](const asio::error_code& error) {
+            if (!error && sequence == self->callSequence && self->active)
+                self->fail(false);
+        });
+        if (this->socket.is_open())
+            this->write(sequence);
+        else
+            this->connect(sequence);
+    }
+
+    void connect(std::uint64_t sequence)
+    {
+        ++this->connectionCount;
+        asio::error_code error;
+        const auto address = asio::ip::make_address(this->server.ip, error);
+        this->socket.async_connect(asio::ip::tcp::endpoint(address, this->server.port),
+            [self = this->shared_from_this(), sequence](const asio::error_code& error) {
+                if (sequence != self->callSequence || !self->active)
+                    return;
+                if (error) {
+                    self->fail(error == asio::error::connection_refused);
+                    return;
+                }
+                asio::error_code ignored;
+                self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                self->write(sequence);
+            });
+    }
+
+    void write(std::uint64_t sequence)
+    {
+        this->answer.sentAt = bootNow();
+        this->written = true;
+        this->outgoing = encodeRequest(this->queue.front().call, this->server);
+        http_parser_init(&this->parser, HTTP_RESPONSE);
+        this->parser.data = this;
+        asio::async_write(this->socket, asio::buffer(this->outgoing),
+            [self = this->shared_from_this(), sequence](const asio::error_code& error, std::size_t) {
+                if (sequence != self->callSequence || !self->active)
+                    return;
+                if (error)
+                    self->fail(false);
+                else
+                    self->read(sequence);
+            });
+    }
+
+    void read(std::uint64_t sequence)
+    {
+        this->socket.async_read_some(asio::buffer(this->incoming),
+            [self = this->shared_from_this(), sequence](const asio::error_code& error, std::size_t length) {
+                if (sequence != self->callSequence || !self->active)
+                    return;
+                self->onBytes(error, length, sequence);
+            });
+    }
+
+    void onBytes(const asio::error_code& error, std::size_t length, std::uint64_t sequence)
+    {
+        if (error) {
+            this->fail(false);
+            return;
+        }
+        const auto parsed
+            = http_parser_execute(&this->parser, &this->parserSettings, this->incoming.data(), length);
+        if (this->complete) {
+            this->answer.status = static_cast<int>(this->parser.status_code);
+            this->finish(this->keepAlive && parsed == length);
+            return;
+        }
+        if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
+            this->fail(false);
+            return;
+        }
+        this->read(sequence);
+    }
+
+    void fail(bool refused)
+    {
+        this->answer.status = 0;
+        this->answer.mayHaveRun = this->written;
+        this->answer.connectionRefused = refused;
+        this->finish(false);
+    }
+
+    void finish(bool keepConnection)
+    {
+        ++this->callSequence;
+        this->timer.cancel();
+        if (!keepConnection)
+            this->closeSocket();
+        this->answer.answeredAt = bootNow();
+        auto callback = std::move(this->queue.front().callback);
+        this->queue.pop_front();
+        this->active = false;
+        const auto result = std::move(this->answer);
+        const auto self = this->shared_from_this();
+        callback(result);
+        if (!this->active)
+            this->startNext();
+    }
+
+    void closeSocket()
+    {
+        asio::error_code ignored;
+        // A reset drops bytes that have not arrived yet, so that a request given up here cannot run much later.
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->socket.close(ignored);
+    }
+
+    asio::io_context& context;
+    SocketAddress server;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::deque<Pending> queue;
+    bool active = false;
+    bool stopped = false;
+    bool written = false;
+    bool complete = false;
+    bool keepAlive = false;
+    std::uint64_t callSequence = 0;
+    std::uint64_t connectionCount = 0;
+    std::string outgoing;
+    std::array<char, readBufferBytes> incoming {};
+    http_parser parser {};
+    http_parser_settings parserSettings {};
+    HttpAnswer answer;
+};
+
+LoopHttpClient::LoopHttpClient(asio::io_context& context, SocketAddress server)
+    : state(std::make_shared<State>(context, std::move(server)))
+{
+}
+
+LoopHttpClient::~LoopHttpClient() { this->state->shutDown(); }
+
+void LoopHttpClient::send(HttpCall call, Duration timeout, Callback callback)
+{
+    this->state->send(std::move(call), timeout, std::move(callback));
+}
+
+const SocketAddress& LoopHttpClient::server() const { return this->state->serverAddress(); }
+
+std::uint64_t LoopHttpClient::connectionsOpened() const { return this->state->opened(); }
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/loop_http_client.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/socket_address.h"
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endivetrestle {
+
+// One outgoing HTTP request.
+struct HttpCall {
+    std::string method = "GET";
+    // Path and query.
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+// Answer to an outgoing request.
+struct HttpAnswer {
+    // Status code, or 0 if there was no complete answer.
+    int status = 0;
+    std::string body;
+    // Whether the request may have reached the server although there is no answer.
+    bool mayHaveRun = false;
+    // Whether the server refused the connection, which means that no process listens there.
+    bool connectionRefused = false;
+    // Times at which the request was handed over and the answer was complete.
+    Time sentAt;
+    Time answeredAt;
+};
+
+// HTTP/1.1 client on the caller's event loop. It keeps one connection to one server and runs one request at a time;
+// further requests wait in order. A request that is not answered within its time is given up and the connection is
+// reset, so that bytes still under way are lost.
+class LoopHttpClient {
+public:
+    using Callback = std::function<void(const HttpAnswer&)>;
+
+    LoopHttpClient(asio::io_context& context, SocketAddress server);
+    ~LoopHttpClient();
+    LoopHttpClient(const LoopHttpClient&) = delete;
+    LoopHttpClient& operator=(const LoopHttpClient&) = delete;
+
+    // Sends a request. The callback runs once, on the event loop, at the latest after the time-out. The time-out covers
+    // the time in the queue.
+    void send(HttpCall call, Duration timeout, Callback callback);
+
+    [[nodiscard]] const SocketAddress& server() const;
+
+    // Connections opened so far.
+    [[nodiscard]] std::uint64_t connectionsOpened() const;
+
+private:
+    class State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/peer_calls.cc
@@ -0,0 +1,138 @@
+#include "edge/peer_calls.h"
+
+#include <nlohmann/json.hpp>
+
+namespace endivetrestle {
+
+namespace {
+
+using nlohmann::json;
+
+HttpCall makeCall(const char* path, std::string body)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.target = path;
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = std::move(body);
+    return call;
+}
+
+// Text field of a decoded body, or an empty text.
+std::string text(const json& body, const char* name)
+{
+    const auto found = body.find(name);
+    return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::optional<std::uint64_t> number(const json& body, const char* name)
+{
+    const auto found = body.find(name);
+    if (found == body.end() || !found->is_number_unsigned())
+        return std::nullopt;
+    return found->get<std::uint64_t>();
+}
+
+} // namespace
+
+std::string encodeMessage(const SuspendMessage& message)
+{
+    return json { { "group", message.group.value }, { "claim", message.claimVersion } }.dump();
+}
+
+std::string encodeMessage(const ReachableQuestion& question)
+{
+    return json { { "group", question.group.value }, { "endpoint", question.endpoint.value } }.dump();
+}
+
+std::string encodeMessage(const PrimaryRow& row)
+{
+    return json { { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
+        { "version", row.version }, { "writer", row.writer.value } }
+        .dump();
+}
+
+std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    const auto claim = number(value, "claim");
+    const auto group = text(value, "group");
+    if (!claim || group.empty())
+        return std::nullopt;
+    return SuspendMessage { DatabaseId(group), *claim };
+}
+
+std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object() || text(value, "group").empty() || text(value, "endpoint").empty())
+        return std::nullopt;
+    return ReachableQuestion { DatabaseId(text(value, "group")), EndpointId(text(value, "endpoint")) };
+}
+
+std::optional<PrimaryRow> decodePrimaryMessage(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    const auto term = number(value, "term");
+    const auto version = number(value, "version");
+    if (!term || !version || text(value, "group").empty() || text(value, "endpoint").empty())
+        return std::nullopt;
+    PrimaryRow row;
+    row.group = DatabaseId(text(value, "group"));
+    row.endpoint = EndpointId(text(value, "endpoint"));
+    row.term = *term;
+    row.writer = DaemonId(text(value, "writer"));
+    row.version = *version;
+    return row;
+}
+
+PeerCalls::PeerCalls(asio::io_context& context)
+    : context(context)
+{
+}
+
+LoopHttpClient& PeerCalls::clientFor(const SocketAddress& address)
+{
+    auto& client = this->clients[address];
+    if (!client)
+        client = std::make_unique<LoopHttpClient>(this->context, address);
+    return *client;
+}
+
+void PeerCalls::suspend(
+    const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback)
+{
+    constexpr int ok = 200;
+    this->clientFor(address).send(makeCall(peerSuspendPath, encodeMessage(message)), suspendTimeout,
+        [callback = std::move(callback)](const HttpAnswer& answer) {
+            if (answer.status == ok)
+                callback(PeerStatus::Done);
+            else
+                callback(answer.connectionRefused ? PeerStatus::Refused : PeerStatus::Silent);
+        });
+}
+
+void PeerCalls::announce(const SocketAddress& address, const PrimaryRow& row)
+{
+    this->clientFor(address).send(
+        makeCall(peerPrimaryPath, encodeMessage(row)), suspendTimeout, [](const HttpAnswer&) {});
+}
+
+void PeerCalls::askReachable(const SocketAddress& address, const ReachableQuestion& question,
+    std::function<void(std::optional<bool>)> callback)
+{
+    this->clientFor(address).send(makeCall(peerReachablePath, encodeMessage(question)), reachableTimeout,
+        [callback = std::move(callback)](const HttpAnswer& answer) {
+            const auto body = json::parse(answer.body, nullptr, false);
+            if (!body.is_object() || !body.contains("reachable") || !body["reachable"].is_boolean())
+                callback(std::nullopt);
+            else
+                callback(body["reachable"].get<bool>());
+        });
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/peer_calls.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "edge/loop_http_client.h"
+#include "process/fleet_link.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endivetrestle {
+
+// Paths of the calls between daemons.
+inline constexpr const char* peerSuspendPath = "/peer/suspend";
+inline constexpr const char* peerPrimaryPath = "/peer/primary";
+inline constexpr const char* peerReachablePath = "/peer/reachable";
+
+// Asks a daemon to stop using the primary of a group.
+struct SuspendMessage {
+    DatabaseId group;
+    std::uint64_t claimVersion = 0;
+
+    bool operator==(const SuspendMessage&) const = default;
+};
+
+// Asks a daemon whether it reaches an endpoint.
+struct ReachableQuestion {
+    DatabaseId group;
+    EndpointId endpoint;
+
+    bool operator==(const ReachableQuestion&) const = default;
+};
+
+std::string encodeMessage(const SuspendMessage& message);
+std::string encodeMessage(const ReachableQuestion& question);
+std::string encodeMessage(const PrimaryRow& row);
+// The decoders return no value for a body that is not such a message.
+std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body);
+std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body);
+std::optional<PrimaryRow> decodePrimaryMessage(const std::string& body);
+
+// Calls to other daemons over HTTP. A connection to each daemon is kept open.
+class PeerCalls {
+public:
+    explicit PeerCalls(asio::io_context& context);
+
+    void suspend(
+        const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
+    void announce(const SocketAddress& address, const PrimaryRow& row);
+    void askReachable(const SocketAddress& address, const ReachableQuestion& question,
+        std::function<void(std::optional<bool>)> callback);
+
+private:
+    // Longest wait for a daemon. It exceeds the time that another daemon may need to drain its statements.
+    static constexpr Duration suspendTimeout = std::chrono::milliseconds(450);
+    // Longest wait for an opinion. It exceeds the time that the other daemon gives the endpoint.
+    static constexpr Duration reachableTimeout = std::chrono::milliseconds(500);
+
+    LoopHttpClient& clientFor(const SocketAddress& address);
+
+    asio::io_context& context;
+    std::map<SocketAddress, std::unique_ptr<LoopHttpClient>> clients;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/session_proxy.cc
@@ -0,0 +1,315 @@
+#include "edge/session_proxy.h"
+
+#include "base/boot_clock.h"
+#include "base/log.h"
+#include "platform/store_rows.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace endivetrestle {
+
+namespace {
+
+// Interval of periodic work: connections, silent endpoints, doubts about primaries, the lease.
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+// Time between SIGTERM and the first sessions that are ended. The balancer needs it to notice that this daemon is not
+// ready, so that the clients reconnect to others.
+constexpr Duration sessionEndDelay = std::chrono::milliseconds(2200);
+// Part of the grace period that is kept for giving the lease back.
+constexpr Duration stopReserve = std::chrono::milliseconds(500);
+// Descriptors kept for files, the store, other daemons and endpoints.
+constexpr int reservedDescriptors = 500;
+constexpr std::size_t httpBodyLimit = 65536;
+
+std::string makeIncarnation()
+{
+    std::random_device random;
+    return std::to_string(random()) + std::to_string(random());
+}
+
+} // namespace
+
+SessionProxy::SessionProxy(const ProxySettings& settings)
+    : settings(settings)
+    , context(1)
+    , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+    , incarnation(makeIncarnation())
+    , store(this->context, settings.storeAddress)
+    , promotions(this->context, settings.promotionAddress)
+    , peers(this->context)
+{
+}
+
+SessionProxy::~SessionProxy() = default;
+
+int SessionProxy::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    logEvent(LogLevel::Info, "daemon_started",
+        { { "daemon", this->settings.daemon.value }, { "incarnation", this->incarnation },
+            { "data_centre", this->settings.dataCentre.value } });
+    this->fleet = std::make_unique<FleetController>(
+        FleetIdentity { this->settings.daemon, this->incarnation, this->settings.peerAddress }, this->store,
+        this->timers, this->makeFleetHooks(), [] { return bootNow(); });
+    this->listen();
+    this->startFeeds();
+    this->fleet->start();
+    this->waitForSignal();
+    this->timers.subscribeEvery(bootNow(), tickInterval, [this](Time now) { this->tick(now); });
+    this->runLoop();
+    logEvent(LogLevel::Info, "daemon_stopped", { { "sessions", this->sessions->sessions() } });
+    return 0;
+}
+
+void SessionProxy::runLoop()
+{
+    while (!this->finished) {
+        const auto due = this->timers.nextDue();
+        const auto wait = std::max(Duration::zero(), due - bootNow());
+        if (wait > Duration::zero())
+            this->context.run_one_for(wait);
+        this->context.poll();
+        this->timers.advance(bootNow());
+    }
+}
+
+void SessionProxy::listen()
+{
+    HttpServerSettings readiness;
+    readiness.address = this->settings.readinessAddress.ip;
+    readiness.port = this->settings.readinessAddress.port;
+    readiness.bodyLimit = httpBodyLimit;
+    this->readinessServer
+        = std::make_unique<HttpServer>(this->context, readiness, [this](const HttpRequest&, const auto& answer) {
+              constexpr int unavailable = 503;
+              HttpResponse response;
+              if (!this->isReady())
+                  response.status = unavailable;
+              answer(response);
+          });
+    HttpServerSettings peer;
+    peer.address = this->settings.peerAddress.ip;
+    peer.port = this->settings.peerAddress.port;
+    peer.bodyLimit = httpBodyLimit;
+    this->peerServer = std::make_unique<HttpServer>(this->context, peer,
+        [this](const HttpRequest& request, HttpServer::Answer answer) { this->handlePeer(request, std::move(answer)); });
+    SessionServerHooks hooks;
+    hooks.now = [] { return bootNow(); };
+    hooks.routes = [this] { return this->routes; };
+    hooks.scheduler = [this](const DatabaseId& group) { return this->schedulerOf(group); };
+    hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
+    const auto maxSessions = std::max(64, this->settings.descriptorLimit - reservedDescriptors);
+    this->sessions = std::make_unique<SessionServer>(
+        this->context, this->timers, std::move(hooks), static_cast<std::size_t>(maxSessions));
+    this->sessions->listen(this->settings.clientAddress);
+}
+
+void SessionProxy::startFeeds()
+{
+    TableFeedHooks configuration;
+    configuration.now = [] { return bootNow(); };
+    configuration.snapshot = [this](const std::vector<StoreRow>& rows) { this->onConfigurationRows(rows); };
+    configuration.changed = configuration.snapshot;
+    configuration.reachable = [](bool) {};
+    this->configurationFeed = std::make_unique<TableFeed>(
+        platform::configurationTable, this->store, this->timers, std::move(configuration));
+    this->configurationFeed->start();
+    TableFeedHooks registry;
+    registry.now = [] { return bootNow(); };
+    registry.snapshot = [this](const std::vector<StoreRow>& rows) { this->onRegistryRows(rows, true); };
+    registry.changed = [this](const std::vector<StoreRow>& rows) { this->onRegistryRows(rows, false); };
+    registry.reachable = [this](bool reachable) {
+        if (reachable)
+            this->directory.restartGrace(bootNow());
+    };
+    this->registryFeed
+        = std::make_unique<TableFeed>(platform::registryTable, this->store, this->timers, std::move(registry));
+    this->registryFeed->start();
+}
+
+void SessionProxy::onConfigurationRows(const std::vector<StoreRow>& rows)
+{
+    for (const auto& row : rows) {
+        if (row.key != platform::configurationKey || row.removed)
+            continue;
+        auto table = platform::decodeConfigurationRow(row.value);
+        if (!table) {
+            logEvent(LogLevel::Error, "configuration_unreadable", { { "row_version", row.version } });
+            continue;
+        }
+        if (this->routes && table->version <= this->routes->version)
+            continue;
+        logEvent(LogLevel::Info, "configuration_in_force",
+            { { "version", table->version }, { "routes", table->routes.size() } });
+        this->routes = std::make_shared<const RouteTable>(std::move(*table));
+        this->updateGroups();
+    }
+}
+
+void SessionProxy::onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot)
+{
+    const auto now = bootNow();
+    std::vector<EndpointRecord> records;
+    for (const auto& row : rows) {
+        auto record = row.removed ? std::nullopt : platform::decodeEndpointRow(row.key, row.value);
+        if (!row.removed && !record)
+            logEvent(LogLevel::Warning, "registry_row_unreadable", { { "key", row.key }, { "version", row.version } });
+        if (!snapshot)
+            this->directory.apply(EndpointId(row.key), record, now);
+        else if (record)
+            records.push_back(std::move(*record));
+    }
+    if (snapshot)
+        this->directory.replaceAll(records, now);
+    this->registryKnown = true;
+    this->updateGroups();
+}
+
+std::vector<EndpointRecord> SessionProxy::endpointsOf(const DatabaseId& group) const
+{
+    std::vector<EndpointRecord> result;
+    for (const auto& [id, record] : this->directory.records()) {
+        if (record.group == group)
+            result.push_back(record);
+    }
+    return result;
+}
+
+SessionProxy::Group SessionProxy::makeGroup(const DatabaseId& id)
+{
+    Group group;
+    EndpointInput input;
+    input.opened = [this, id](ConnectionId connection) {
+        if (auto* scheduler = this->schedulerOf(id))
+            scheduler->onOpened(connection, bootNow());
+    };
+    input.answered = [this, id](ConnectionId connection, const EndpointAnswer& answer) {
+        if (auto* scheduler = this->schedulerOf(id))
+            scheduler->onAnswer(connection, answer, bootNow());
+    };
+    input.closed = [this, id](ConnectionId connection) {
+        if (auto* scheduler = this->schedulerOf(id))
+            scheduler->onClosed(connection, bootNow());
+    };
+    group.transport = std::make_unique<EndpointTransport>(this->context, std::move(input));
+    SchedulerHooks hooks;
+    hooks.nextConnectionId = [this] { return ++this->lastConnectionId; };
+    hooks.open = [transport = group.transport.get()](
+                     ConnectionId connection, const EndpointRecord& record) { transport->open(connection, record); };
+    hooks.send = [transport = group.transport.get()](
+                     ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
+    hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
+    hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
+    group.scheduler
+        = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks));
+    return group;
+}
+
+void SessionProxy::updateGroups()
+{
+    if (!this->routes)
+        return;
+    const auto now = bootNow();
+    for (const auto& [id, declaration] : this->routes->groups) {
+        auto found = this->groups.find(id);
+        if (found == this->groups.end()) {
+            found = this->groups.emplace(id, this->makeGroup(id)).first;
+            const auto primary = this->fleet->primaries().find(id);
+            if (primary != this->fleet->primaries().end() && !primary->second.replacing)
+                found->second.scheduler->setPrimary(primary->second.endpoint, primary->second.term, now);
+        }
+        found->second.scheduler->setEndpoints(this->endpointsOf(id), now);
+    }
+    this->updateShares();
+}
+
+void SessionProxy::updateShares()
+{
+    if (!this->routes)
+        return;
+    for (auto& [id, group] : this->groups) {
+        const auto declared = this->routes->groups.find(id);
+        if (declared != this->routes->groups.end()) {
+            group.scheduler->setConnectionShare(
+                declared->second.connectionLimit / static_cast<int>(this->liveDaemons));
+        }
+    }
+}
+
+GroupScheduler* SessionProxy::schedulerOf(const DatabaseId& group)
+{
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? nullptr : found->second.scheduler.get();
+}
+
+bool SessionProxy::isReady() const
+{
+    return !this->stopping && this->routes && this->registryKnown && this->fleet->leaseValid(bootNow());
+}
+
+void SessionProxy::record(const StatementRecord& statement)
+{
+    if (statement.reply.succeeded)
+        return;
+    logEvent(LogLevel::Info, "statement_failed",
+        { { "request", statement.statement.id }, { "code", replyCodeName(statement.reply.code) },
+            { "reason", statement.reason }, { "endpoint", statement.endpoint },
+            { "attempts", statement.attempts }, { "elapsed_ms", toMilliseconds(statement.elapsed) },
+            { "detail", statement.reply.errorText } });
+}
+
+void SessionProxy::waitForSignal()
+{
+    this->signals.async_wait([this](const asio::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            logEvent(LogLevel::Info, "settings_reload", {});
+            if (this->onReload)
+                this->onReload();
+        } else if (!this->stopping)
+            this->beginStop();
+        this->waitForSignal();
+    });
+}
+
+void SessionProxy::beginStop()
+{
+    const auto now = bootNow();
+    this->stopping = true;
+    this->stopAt = now + this->settings.stopGrace - stopReserve;
+    logEvent(LogLevel::Info, "stop_requested",
+        { { "sessions", this->sessions->sessions() },
+            { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
+    const auto firstEnd = std::min<Duration>(sessionEndDelay, this->settings.stopGrace / 3);
+    this->timers.subscribeAt(now + firstEnd, [this](Time) { this->sessions->closeIdleSessions(); });
+    this->timers.subscribeAt(now + this->settings.stopGrace / 2,
+        [this](Time) { this->sessions->abortTransactions("the daemon is stopping"); });
+}
+
+void SessionProxy::finishStop()
+{
+    this->sessions->stopAccepting();
+    constexpr Duration storeLimit = std::chrono::milliseconds(300);
+    this->stopAt = Time::max();
+    this->fleet->stop([this] { this->finished = true; });
+    this->timers.subscribeAt(bootNow() + storeLimit, [this](Time) { this->finished = true; });
+}
+
+void SessionProxy::tick(Time now)
+{
+    if (this->directory.expire(now))
+        this->updateGroups();
+    for (auto& [id, group] : this->groups)
+        group.scheduler->tick(now);
+    this->fleet->tick();
+    if (!this->stopping || this->stopAt == Time::max())
+        return;
+    const bool sessionsEnded = this->sessions->sessions() == 0 && now + stopReserve > this->stopAt - sessionEndDelay;
+    if (sessionsEnded || now >= this->stopAt)
+        this->finishStop();
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/session_proxy.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "edge/endpoint_transport.h"
+#include "edge/http_server.h"
+#include "edge/peer_calls.h"
+#include "edge/session_server.h"
+#include "platform/promotion_client.h"
+#include "platform/store_client.h"
+#include "process/endpoint_directory.h"
+#include "process/fleet_controller.h"
+#include "process/group_scheduler.h"
+#include "process/proxy_settings.h"
+#include "process/table_feed.h"
+
+#include <asio/signal_set.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace endivetrestle {
+
+// One daemon that serves client sessions of the statement protocol on the users' platform. Everything runs on one event
+// loop: the hosts have half a core, and a statement needs no hand-off between threads.
+//
+// Example:
+//     SessionProxy proxy(settings);
+//     return proxy.run();
+class SessionProxy {
+public:
+    explicit SessionProxy(const ProxySettings& settings);
+    ~SessionProxy();
+    SessionProxy(const SessionProxy&) = delete;
+    SessionProxy& operator=(const SessionProxy&) = delete;
+
+    // Serves until SIGTERM or SIGINT and returns the exit code. Throws std::system_error if a port cannot be opened.
+    int run();
+
+    // Called on SIGHUP, to read the settings again.
+    std::function<void()> onReload;
+
+private:
+    struct Group {
+        std::unique_ptr<EndpointTransport> transport;
+        std::unique_ptr<GroupScheduler> scheduler;
+    };
+
+    // session_proxy_fleet.cc
+    FleetHooks makeFleetHooks();
+    void queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
+        std::function<void(std::optional<EndpointReport>)> callback);
+    void handlePeer(const HttpRequest& request, HttpServer::Answer answer);
+
+    void listen();
+    void startFeeds();
+    void onConfigurationRows(const std::vector<StoreRow>& rows);
+    void onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot);
+    void updateGroups();
+    void updateShares();
+    GroupScheduler* schedulerOf(const DatabaseId& group);
+    Group makeGroup(const DatabaseId& group);
+    void record(const StatementRecord& statement);
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::vector<EndpointRecord> endpointsOf(const DatabaseId& group) const;
+    void waitForSignal();
+    void beginStop();
+    void finishStop();
+    void tick(Time now);
+    void runLoop();
+
+    ProxySettings settings;
+    asio::io_context context;
+    TimerService timers;
+    asio::signal_set signals;
+    std::string incarnation;
+    platform::StoreClient store;
+    platform::PromotionClient promotions;
+    PeerCalls peers;
+    std::shared_ptr<const RouteTable> routes;
+    EndpointDirectory directory;
+    bool registryKnown = false;
+    std::map<DatabaseId, Group> groups;
+    std::unique_ptr<FleetController> fleet;
+    std::unique_ptr<SessionServer> sessions;
+    std::unique_ptr<TableFeed> configurationFeed;
+    std::unique_ptr<TableFeed> registryFeed;
+    std::unique_ptr<HttpServer> readinessServer;
+    std::unique_ptr<HttpServer> peerServer;
+    ConnectionId lastConnectionId = 0;
+    std::size_t liveDaemons = 1;
+    bool stopping = false;
+    bool finished = false;
+    Time stopAt;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/session_proxy_fleet.cc
@@ -0,0 +1,155 @@
+// How the daemon talks to other daemons, and to endpoints and the platform for promotions.
+#include "edge/session_proxy.h"
+
+#include "base/boot_clock.h"
+#include "base/log.h"
+
+namespace endivetrestle {
+
+namespace {
+
+// Longest wait for an endpoint's report.
+constexpr Duration reportTimeout = std::chrono::milliseconds(400);
+// Longest wait for the answer to a demotion, which may never come from an unreachable endpoint.
+constexpr Duration demoteTimeout = std::chrono::milliseconds(200);
+
+PromotionOutcome outcomeOf(platform::PromotionAnswer answer)
+{
+    switch (answer) {
+    case platform::PromotionAnswer::Accepted:
+        return PromotionOutcome::Accepted;
+    case platform::PromotionAnswer::Rejected:
+        return PromotionOutcome::Rejected;
+    case platform::PromotionAnswer::Unavailable:
+        return PromotionOutcome::Unavailable;
+    case platform::PromotionAnswer::Unknown:
+        break;
+    }
+    return PromotionOutcome::Unknown;
+}
+
+} // namespace
+
+void SessionProxy::queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
+    std::function<void(std::optional<EndpointReport>)> callback)
+{
+    auto* scheduler = this->schedulerOf(group);
+    if (scheduler == nullptr) {
+        this->timers.subscribeAt(bootNow(), [callback = std::move(callback)](Time) { callback(std::nullopt); });
+        return;
+    }
+    EndpointCommand command;
+    command.kind = CommandKind::Status;
+    scheduler->control(endpoint, command, reportTimeout, bootNow(),
+        [callback = std::move(callback)](const EndpointAnswer* answer) {
+            const auto status
+                = answer != nullptr && answer->succeeded ? platform::parseStatusRow(answer->firstRow) : std::nullopt;
+            if (status)
+                callback(EndpointReport { status->isPrimary, status->term, status->received });
+            else
+                callback(std::nullopt);
+        });
+}
+
+FleetHooks SessionProxy::makeFleetHooks()
+{
+    FleetHooks hooks;
+    hooks.suspendAt = [this](const SocketAddress& address, const DatabaseId& group, std::uint64_t claimVersion,
+                          std::function<void(PeerStatus)> callback) {
+        this->peers.suspend(address, { group, claimVersion }, std::move(callback));
+    };
+    hooks.announce
+        = [this](const SocketAddress& address, const PrimaryRow& row) { this->peers.announce(address, row); };
+    hooks.askReachable = [this](const SocketAddress& address, const DatabaseId& group, const EndpointId& endpoint,
+                             std::function<void(std::optional<bool>)> callback) {
+        this->peers.askReachable(address, { group, endpoint }, std::move(callback));
+    };
+    hooks.queryEndpoint = [this](const DatabaseId& group, const EndpointId& endpoint,
+                              std::function<void(std::optional<EndpointReport>)> callback) {
+        this->queryEndpoint(group, endpoint, std::move(callback));
+    };
+    hooks.demote = [this](const DatabaseId& group, const EndpointId& endpoint, std::uint64_t term,
+                       std::function<void()> callback) {
+        auto* scheduler = this->schedulerOf(group);
+        if (scheduler == nullptr) {
+            this->timers.subscribeAt(bootNow(), [callback = std::move(callback)](Time) { callback(); });
+            return;
+        }
+        EndpointCommand command;
+        command.kind = CommandKind::Demote;
+        command.term = term;
+        scheduler->control(endpoint, command, demoteTimeout, bootNow(),
+            [callback = std::move(callback)](const EndpointAnswer*) { callback(); });
+    };
+    hooks.promote = [this](const DatabaseId& group, const EndpointId& endpoint, std::uint64_t token,
+                        std::function<void(PromotionOutcome)> callback) {
+        this->promotions.promote({ group, endpoint, this->settings.daemon, token },
+            [callback = std::move(callback)](platform::PromotionAnswer answer) { callback(outcomeOf(answer)); });
+    };
+    hooks.usePrimary = [this](const PrimaryRow& row) {
+        if (auto* scheduler = this->schedulerOf(row.group))
+            scheduler->setPrimary(row.endpoint, row.term, bootNow());
+    };
+    hooks.suspendHere = [this](const DatabaseId& group, std::function<void()> drained) {
+        auto* scheduler = this->schedulerOf(group);
+        if (scheduler != nullptr)
+            scheduler->suspendPrimary(bootNow(), std::move(drained));
+        else
+            drained();
+    };
+    hooks.endpointsOf = [this](const DatabaseId& group) { return this->endpointsOf(group); };
+    hooks.groups = [this] {
+        std::vector<DatabaseId> result;
+        for (const auto& [id, group] : this->groups)
+            result.push_back(id);
+        return result;
+    };
+    hooks.doubtsPrimary = [this](const DatabaseId& group) {
+        auto* scheduler = this->schedulerOf(group);
+        return scheduler != nullptr && scheduler->primaryDoubt(bootNow()) != PrimaryDoubt::None;
+    };
+    hooks.onLiveDaemons = [this](std::size_t count) {
+        if (count != this->liveDaemons)
+            logEvent(LogLevel::Info, "live_daemons", { { "count", count } });
+        this->liveDaemons = count;
+        this->updateShares();
+    };
+    return hooks;
+}
+
+void SessionProxy::handlePeer(const HttpRequest& request, HttpServer::Answer answer)
+{
+    constexpr int badRequest = 400;
+    constexpr int notFound = 404;
+    if (request.path == peerSuspendPath) {
+        if (const auto message = decodeSuspendMessage(request.body)) {
+            this->fleet->onSuspendRequest(message->group, message->claimVersion,
+                [answer = std::move(answer)] { answer(HttpResponse { 200, "application/json", "{}" }); });
+            return;
+        }
+    } else if (request.path == peerPrimaryPath) {
+        if (const auto row = decodePrimaryMessage(request.body)) {
+            this->fleet->onAnnouncement(*row);
+            answer(HttpResponse { 200, "application/json", "{}" });
+            return;
+        }
+    } else if (request.path == peerReachablePath) {
+        if (const auto question = decodeReachableQuestion(request.body)) {
+            this->queryEndpoint(question->group, question->endpoint,
+                [answer = std::move(answer)](const std::optional<EndpointReport>& report) {
+                    const bool reachable = report && report->isPrimary;
+                    answer(HttpResponse {
+                        200, "application/json", reachable ? "{\"reachable\":true}" : "{\"reachable\":false}" });
+                });
+            return;
+        }
+    } else {
+        answer(HttpResponse { notFound, "application/json", "{}" });
+        return;
+    }
+    logEvent(LogLevel::Warning, "peer_request_unreadable",
+        { { "path", request.path }, { "bytes", request.body.size() } });
+    answer(HttpResponse { badRequest, "application/json", "{}" });
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/fleet_controller.cc
@@ -0,0 +1,233 @@
+#include "process/fleet_controller.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+namespace {
+
+// Pause before a failed renewal or read is repeated.
+constexpr Duration storeRetry = std::chrono::milliseconds(300);
+// Interval at which the fleet table is read while a primary is being replaced.
+constexpr Duration replacingPoll = std::chrono::milliseconds(300);
+// Interval at which the leases of all daemons are listed.
+constexpr Duration listingInterval = std::chrono::seconds(4);
+// A daemon whose lease was renewed this recently counts as alive.
+constexpr Duration aliveWindow = std::chrono::seconds(4);
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+FleetController::FleetController(FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks,
+    std::function<Time()> now)
+    : identity(std::move(identity))
+    , store(store)
+    , timers(timers)
+    , hooks(std::move(hooks))
+    , now(std::move(now))
+    , duty(this->identity.daemon, this->identity.incarnation, store)
+{
+}
+
+FleetController::~FleetController() = default;
+
+void FleetController::start() { this->readFleet(); }
+
+void FleetController::tick()
+{
+    const auto at = this->now();
+    const bool replacing = std::any_of(
+        this->rows.begin(), this->rows.end(), [](const auto& entry) { return entry.second.replacing; });
+    if ((!this->fleetKnown || replacing) && at >= this->nextFleetRead)
+        this->readFleet();
+    if (at >= this->nextRenewal)
+        this->renew();
+    if (at >= this->nextListing)
+        this->listLeases();
+    if (this->fleetKnown && !this->stopping)
+        this->watchGroups(at);
+}
+
+void FleetController::readFleet()
+{
+    if (this->fleetReading || this->stopping)
+        return;
+    this->fleetReading = true;
+    this->nextFleetRead = this->now() + replacingPoll;
+    this->store.readAll(fleetTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+        if (weak.expired())
+            return;
+        this->fleetReading = false;
+        if (result.status != StoreStatus::Done) {
+            this->nextFleetRead = this->now() + storeRetry;
+            return;
+        }
+        this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+        std::uint64_t epoch = 0;
+        for (const auto& row : result.rows) {
+            if (row.key == epochKey)
+                epoch = row.version;
+            else if (const auto primary = decodePrimaryRow(row))
+                this->applyRow(*primary);
+        }
+        this->epochVersion = std::max(this->epochVersion, epoch);
+        if (!this->fleetKnown)
+            logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
+        this->fleetKnown = true;
+        if (this->now() >= this->nextRenewal)
+            this->renew();
+    });
+}
+
+void FleetController::applyRow(const PrimaryRow& row)
+{
+    const auto known = this->rows.find(row.group);
+    if (known != this->rows.end()) {
+        const bool announced
+            = row.version == known->second.version && known->second.replacing && !row.replacing;
+        if (row.version < known->second.version || (row.version == known->second.version && !announced))
+            return;
+    }
+    this->rows[row.group] = row;
+    if (row.replacing) {
+        this->replacingSince.try_emplace(row.group, this->now());
+        this->suspend(row.group, nullptr);
+        return;
+    }
+    this->replacingSince.erase(row.group);
+    this->suspensions.erase(row.group);
+    this->hooks.usePrimary(row);
+}
+
+void FleetController::suspend(const DatabaseId& group, std::function<void()> done)
+{
+    const auto [entry, added] = this->suspensions.try_emplace(group);
+    if (!added) {
+        if (!done)
+            return;
+        if (entry->second.drained)
+            done();
+        else
+            entry->second.waiting.push_back(std::move(done));
+        return;
+    }
+    if (done)
+        entry->second.waiting.push_back(std::move(done));
+    logEvent(LogLevel::Info, "primary_suspended",
+        { { "group", group.value }, { "version", this->rows.at(group).version } });
+    this->hooks.suspendHere(group, [this, group, weak = std::weak_ptr<int>(this->lifetime)] {
+        if (weak.expired())
+            return;
+        const auto found = this->suspensions.find(group);
+        if (found == this->suspensions.end())
+            return;
+        found->second.drained = true;
+        const auto waiting = std::move(found->second.waiting);
+        found->second.waiting.clear();
+        for (const auto& callback : waiting)
+            callback();
+    });
+}
+
+void FleetController::onSuspendRequest(
+    const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done)
+{
+    const auto known = this->rows.find(group);
+    // A newer row has replaced the claim already.
+    if (known != this->rows.end() && known->second.version > claimVersion && !known->second.replacing) {
+        done();
+        return;
+    }
+    if (known == this->rows.end() || known->second.version < claimVersion) {
+        auto& row = this->rows[group];
+        row.group = group;
+        row.replacing = true;
+        row.version = claimVersion;
+        this->replacingSince.try_emplace(group, this->now());
+    }
+    this->suspend(group, std::move(done));
+}
+
+void FleetController::onAnnouncement(const PrimaryRow& row) { this->applyRow(row); }
+
+void FleetController::renew()
+{
+    const bool draining = std::any_of(this->suspensions.begin(), this->suspensions.end(),
+        [](const auto& entry) { return !entry.second.drained; });
+    if (this->renewing || this->stopping || !this->fleetKnown || draining)
+        return;
+    this->renewing = true;
+    const auto preparedAt = this->now();
+    this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
+    LeaseRow row { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
+        this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion };
+    StoreChange change;
+    change.conditions.push_back({ fleetTable, epochKey, this->epochVersion });
+    change.writes.push_back(encodeRow(row));
+    this->store.change(
+        change, [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+            if (weak.expired())
+                return;
+            this->renewing = false;
+            const bool reached = result.status == StoreStatus::Done || result.status == StoreStatus::Conflict;
+            if (reached != this->storeReachable) {
+                logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_regained" : "store_lost",
+                    { { "lease_left_ms", toMilliseconds(this->lease.end() - this->now()) } });
+                this->storeReachable = reached;
+            }
+            if (reached)
+                this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+            if (result.status == StoreStatus::Done) {
+                this->lease.onRenewed(preparedAt);
+                this->everLeased = true;
+                return;
+            }
+            this->nextRenewal = this->now();
+            if (result.status == StoreStatus::Conflict)
+                this->readFleet();
+            else
+                this->nextRenewal += storeRetry;
+        });
+}
+
+void FleetController::listLeases()
+{
+    this->nextListing = this->now() + listingInterval;
+    this->store.readAll(leaseTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+        if (weak.expired() || result.status != StoreStatus::Done)
+            return;
+        this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+        const auto storeMs = this->clock.earliestMs(this->now());
+        const auto aliveUntil = storeMs + milliseconds(PrimaryLease::validity - aliveWindow);
+        this->peers.clear();
+        this->liveCount = 1;
+        for (const auto& row : result.rows) {
+            const auto lease = decodeLeaseRow(row);
+            if (!lease || lease->daemon == this->identity.daemon || lease->untilStoreMs <= storeMs)
+                continue;
+            this->peers[lease->daemon] = *lease;
+            if (lease->untilStoreMs > aliveUntil)
+                ++this->liveCount;
+        }
+        this->hooks.onLiveDaemons(this->liveCount);
+    });
+}
+
+void FleetController::stop(std::function<void()> done)
+{
+    this->stopping = true;
+    // A replacement in progress is taken over by another daemon.
+    this->promotions.clear();
+    this->duty.giveBack();
+    StoreChange change;
+    change.removals.push_back({ leaseTable, this->identity.daemon.value });
+    this->store.change(change, [done = std::move(done)](const StoreResult&) { done(); });
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/fleet_controller.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "process/fleet_link.h"
+#include "process/primary_lease.h"
+#include "process/promotion.h"
+#include "process/promotion_duty.h"
+#include "process/store_clock.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace endivetrestle {
+
+// Who this daemon is towards the others.
+struct FleetIdentity {
+    DaemonId daemon;
+    // Unique for each start of the process.
+    std::string incarnation;
+    SocketAddress peerAddress;
+};
+
+// Keeps this daemon's view of the groups' primaries and its lease, and replaces primaries.
+//
+// The view comes from the store's fleet table, from announcements of the daemon that replaces a primary, and from its
+// requests to stop using one. A row only ever gives way to a row of a newer version. The lease is renewed only when
+// every claim that the view holds has been obeyed, so a renewed lease proves that the daemon has stopped using the
+// primaries that are being replaced.
+class FleetController {
+public:
+    FleetController(FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks,
+        std::function<Time()> now);
+    ~FleetController();
+    FleetController(const FleetController&) = delete;
+    FleetController& operator=(const FleetController&) = delete;
+
+    // Reads the fleet table and begins to renew the lease.
+    void start();
+    // Periodic work; called several times a second.
+    void tick();
+    // Gives the lease back. The callback runs when the store has answered or the time is over.
+    void stop(std::function<void()> done);
+
+    // Request of the daemon that claimed a group. The callback runs when nothing is outstanding at the primary.
+    void onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done);
+    // Announcement of a new primary.
+    void onAnnouncement(const PrimaryRow& row);
+
+    [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
+    // Whether the fleet table has been read and a lease was held at least once.
+    [[nodiscard]] bool isReady() const { return this->everLeased; }
+    [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
+    [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
+
+private:
+    struct Suspension {
+        bool drained = false;
+        std::vector<std::function<void()>> waiting;
+    };
+    // Evidence gathered about a doubted primary.
+    struct Inquiry {
+        std::size_t outstanding = 0;
+        int reachable = 0;
+        int unreachable = 0;
+        // Daemons that did not answer although their lease is valid.
+        int silent = 0;
+        // Other endpoints of the group that this daemon reaches.
+        int replicas = 0;
+    };
+
+    void renew();
+    void readFleet();
+    void listLeases();
+    void applyRow(const PrimaryRow& row);
+    void suspend(const DatabaseId& group, std::function<void()> done);
+    void watchGroups(Time now);
+    void adopt(const DatabaseId& group);
+    void inquire(const DatabaseId& group, const EndpointId& primary);
+    void onInquiryAnswer(const DatabaseId& group);
+    void startPromotion(const DatabaseId& group, const std::string& reason);
+    void runPromotion(const DatabaseId& group, const std::string& reason);
+    void promotionEnded(const DatabaseId& group);
+    [[nodiscard]] std::string plannedReason(const PrimaryRow& row) const;
+    [[nodiscard]] std::size_t ownRank() const;
+    [[nodiscard]] PromotionContext promotionContext();
+
+    FleetIdentity identity;
+    TableStore& store;
+    TimerService& timers;
+    FleetHooks hooks;
+    std::function<Time()> now;
+    PrimaryLease lease;
+    StoreClock clock;
+    PromotionDuty duty;
+    std::uint64_t epochVersion = 0;
+    bool fleetKnown = false;
+    bool fleetReading = false;
+    bool renewing = false;
+    bool everLeased = false;
+    bool storeReachable = true;
+    bool stopping = false;
+    Time nextRenewal;
+    Time nextListing;
+    Time nextFleetRead;
+    std::map<DatabaseId, PrimaryRow> rows;
+    std::map<DatabaseId, Suspension> suspensions;
+    // Since when a row has been seen as being replaced.
+    std::map<DatabaseId, Time> replacingSince;
+    // Leases of the other daemons as last listed.
+    std::map<DaemonId, LeaseRow> peers;
+    std::size_t liveCount = 1;
+    std::map<DatabaseId, Inquiry> inquiries;
+    std::map<DatabaseId, std::unique_ptr<Promotion>> promotions;
+    // Time before which no new attempt is made for a group.
+    std::map<DatabaseId, Time> attemptNotBefore;
+    std::map<DatabaseId, Time> plannedSince;
+    std::map<DatabaseId, bool> adopting;
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/fleet_controller_groups.cc
@@ -0,0 +1,240 @@
+// When the primary of a group is adopted or replaced.
+#include "process/fleet_controller.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+namespace {
+
+// Pause after an attempt that did not replace a primary.
+constexpr Duration attemptPause = std::chrono::milliseconds(300);
+// Time after which a replacement that another daemon began counts as unfinished, unless that daemon holds the duty.
+constexpr Duration takeOverAfter = std::chrono::milliseconds(2500);
+// Head start of each daemon over the next one for planned replacements, which all daemons notice at the same time.
+constexpr Duration plannedHeadStart = std::chrono::milliseconds(600);
+
+} // namespace
+
+void FleetController::watchGroups(Time at)
+{
+    if (!this->lease.isValid(at))
+        return;
+    for (const auto& group : this->hooks.groups()) {
+        if (this->promotions.count(group) != 0 || at < this->attemptNotBefore[group])
+            continue;
+        const auto found = this->rows.find(group);
+        if (found == this->rows.end()) {
+            this->adopt(group);
+            continue;
+        }
+        const auto& row = found->second;
+        if (row.replacing) {
+            if (at - this->replacingSince[group] > takeOverAfter)
+                this->startPromotion(group, "unfinished");
+            continue;
+        }
+        const auto planned = this->plannedReason(row);
+        if (planned.empty()) {
+            this->plannedSince.erase(group);
+            if (this->hooks.doubtsPrimary(group))
+                this->inquire(group, row.endpoint);
+            continue;
+        }
+        const auto since = this->plannedSince.try_emplace(group, at).first->second;
+        if (at - since >= plannedHeadStart * this->ownRank())
+            this->startPromotion(group, planned);
+    }
+}
+
+std::string FleetController::plannedReason(const PrimaryRow& row) const
+{
+    const auto records = this->hooks.endpointsOf(row.group);
+    if (records.empty())
+        return {};
+    const auto found = std::find_if(records.begin(), records.end(),
+        [&](const EndpointRecord& record) { return record.id == row.endpoint; });
+    if (found == records.end())
+        return "gone";
+    return found->draining ? "draining" : "";
+}
+
+std::size_t FleetController::ownRank() const
+{
+    std::size_t rank = 0;
+    for (const auto& [daemon, lease] : this->peers)
+        rank += daemon < this->identity.daemon ? 1 : 0;
+    return rank;
+}
+
+void FleetController::adopt(const DatabaseId& group)
+{
+    if (this->adopting[group])
+        return;
+    const auto records = this->hooks.endpointsOf(group);
+    std::vector<EndpointId> claimants;
+    for (const auto& record : records) {
+        if (record.claimsPrimary)
+            claimants.push_back(record.id);
+    }
+    if (claimants.size() != 1)
+        return;
+    this->adopting[group] = true;
+    const auto endpoint = claimants.front();
+    this->hooks.queryEndpoint(group, endpoint,
+        [this, group, endpoint, weak = std::weak_ptr<int>(this->lifetime)](
+            const std::optional<EndpointReport>& report) {
+            if (weak.expired())
+                return;
+            this->adopting[group] = false;
+            this->attemptNotBefore[group] = this->now() + attemptPause;
+            if (!report || !report->isPrimary)
+                return;
+            PrimaryRow row { group, false, endpoint, report->term, this->identity.daemon };
+            StoreChange change;
+            const auto encoded = encodeRow(row);
+            change.conditions.push_back({ fleetTable, encoded.key, 0 });
+            change.writes.push_back(encoded);
+            this->store.change(change, [this, row, weak](const StoreResult& result) mutable {
+                if (weak.expired())
+                    return;
+                if (result.status == StoreStatus::Done) {
+                    row.version = result.version;
+                    this->applyRow(row);
+                } else
+                    this->readFleet();
+            });
+        });
+}
+
+void FleetController::inquire(const DatabaseId& group, const EndpointId& primary)
+{
+    if (this->inquiries.count(group) != 0)
+        return;
+    const auto records = this->hooks.endpointsOf(group);
+    auto& inquiry = this->inquiries[group];
+    inquiry.outstanding = this->peers.size() + records.size();
+    const std::weak_ptr<int> weak = this->lifetime;
+    for (const auto& [daemon, lease] : this->peers) {
+        this->hooks.askReachable(lease.address, group, primary, [this, group, weak](std::optional<bool> reachable) {
+            if (weak.expired())
+                return;
+            auto& asked = this->inquiries[group];
+            if (!reachable)
+                ++asked.silent;
+            else
+                ++(*reachable ? asked.reachable : asked.unreachable);
+            this->onInquiryAnswer(group);
+        });
+    }
+    for (const auto& record : records) {
+        const bool isPrimary = record.id == primary;
+        this->hooks.queryEndpoint(
+            group, record.id, [this, group, isPrimary, weak](const std::optional<EndpointReport>& report) {
+                if (weak.expired())
+                    return;
+                auto& asked = this->inquiries[group];
+                if (isPrimary)
+                    ++(report && report->isPrimary ? asked.reachable : asked.unreachable);
+                else if (report)
+                    ++asked.replicas;
+                this->onInquiryAnswer(group);
+            });
+    }
+}
+
+void FleetController::onInquiryAnswer(const DatabaseId& group)
+{
+    auto& inquiry = this->inquiries[group];
+    if (--inquiry.outstanding > 0)
+        return;
+    const auto result = inquiry;
+    this->inquiries.erase(group);
+    // A daemon that is cut off itself reaches no replica, and its peers are silent.
+    const bool replace = result.unreachable > 0 && result.replicas > 0
+        && 2 * result.unreachable >= 2 * result.reachable + result.silent;
+    logEvent(LogLevel::Info, "primary_doubted",
+        { { "group", group.value }, { "reachable_votes", result.reachable },
+            { "unreachable_votes", result.unreachable }, { "silent_daemons", result.silent },
+            { "replicas_reached", result.replicas }, { "replace", replace ? 1 : 0 } });
+    if (replace)
+        this->startPromotion(group, "unreachable");
+    else
+        this->attemptNotBefore[group] = this->now() + attemptPause;
+}
+
+void FleetController::startPromotion(const DatabaseId& group, const std::string& reason)
+{
+    this->attemptNotBefore[group] = this->now() + attemptPause;
+    if (this->duty.isHeld(this->now())) {
+        this->runPromotion(group, reason);
+        return;
+    }
+    this->store.readAll(
+        leaseTable, [this, group, reason, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+            if (weak.expired() || result.status != StoreStatus::Done)
+                return;
+            this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+            DutyRow present;
+            for (const auto& row : result.rows) {
+                if (const auto decoded = decodeDutyRow(row))
+                    present = *decoded;
+            }
+            this->duty.acquire(present, this->clock, this->now(), [this, group, reason, weak](bool held) {
+                if (!weak.expired() && held)
+                    this->runPromotion(group, reason);
+            });
+        });
+}
+
+void FleetController::runPromotion(const DatabaseId& group, const std::string& reason)
+{
+    const auto found = this->rows.find(group);
+    if (this->stopping || found == this->rows.end() || this->promotions.count(group) != 0)
+        return;
+    auto promotion = std::make_unique<Promotion>(
+        this->promotionContext(), found->second, reason, [this, group](bool) { this->promotionEnded(group); });
+    auto& running = this->promotions[group] = std::move(promotion);
+    running->start();
+}
+
+void FleetController::promotionEnded(const DatabaseId& group)
+{
+    this->attemptNotBefore[group] = this->now() + attemptPause;
+    // The promotion is still on the stack.
+    this->timers.subscribeAt(this->now(), [this, group, weak = std::weak_ptr<int>(this->lifetime)](Time) {
+        if (weak.expired())
+            return;
+        this->promotions.erase(group);
+        if (this->promotions.empty())
+            this->duty.giveBack();
+    });
+}
+
+PromotionContext FleetController::promotionContext()
+{
+    return PromotionContext {
+        this->identity.daemon,
+        this->store,
+        this->timers,
+        this->hooks,
+        this->duty,
+        this->clock,
+        this->now,
+        [this] { return this->epochVersion; },
+        [this](const PrimaryRow& row, std::uint64_t epoch) {
+            this->epochVersion = std::max(this->epochVersion, epoch);
+            this->applyRow(row);
+        },
+        [this](const PrimaryRow& row) { this->applyRow(row); },
+        [this](const DatabaseId& group) {
+            const auto found = this->suspensions.find(group);
+            return found != this->suspensions.end() && found->second.drained;
+        },
+        [this] { this->readFleet(); },
+    };
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/fleet_link.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/socket_address.h"
+#include "connection/endpoint_connection.h"
+#include "process/endpoint_directory.h"
+#include "process/fleet_rows.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace endivetrestle {
+
+// Role, term and log position of an endpoint, as it reports them on request.
+struct EndpointReport {
+    bool isPrimary = false;
+    std::uint64_t term = 0;
+    Position received;
+
+    bool operator==(const EndpointReport&) const = default;
+};
+
+// How a call to another daemon ended.
+enum class PeerStatus {
+    Done,
+    // No process listens at the address: the daemon that did has ended.
+    Refused,
+    // No answer in time.
+    Silent,
+};
+
+// How the platform answered to an order to promote.
+enum class PromotionOutcome { Accepted, Rejected, Unavailable, Unknown };
+
+// What the fleet controller asks of its surroundings. Every callback runs once, never from inside the call.
+struct FleetHooks {
+    // Asks another daemon to stop using the primary of a group, because of the claim with the given row version. Done
+    // means that the daemon has stopped.
+    std::function<void(const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion,
+        std::function<void(PeerStatus)>)>
+        suspendAt;
+    // Tells another daemon the state of a group's primary. Lost messages are made up for by the store.
+    std::function<void(const SocketAddress&, const PrimaryRow&)> announce;
+    // Asks another daemon whether it reaches an endpoint; no value if the daemon does not answer.
+    std::function<void(const SocketAddress&, const DatabaseId&, const EndpointId&,
+        std::function<void(std::optional<bool>)>)>
+        askReachable;
+    // Asks an endpoint for its report; no value if it does not answer in time.
+    std::function<void(const DatabaseId&, const EndpointId&, std::function<void(std::optional<EndpointReport>)>)>
+        queryEndpoint;
+    // Tells an endpoint to give up the lead of terms below the given one.
+    std::function<void(const DatabaseId&, const EndpointId&, std::uint64_t term, std::function<void()>)> demote;
+    // Orders the platform to promote an endpoint.
+    std::function<void(const DatabaseId&, const EndpointId&, std::uint64_t token, std::function<void(PromotionOutcome)>)>
+        promote;
+    // Uses the primary of a steady row.
+    std::function<void(const PrimaryRow&)> usePrimary;
+    // Stops using the primary of a group; the callback runs when nothing is outstanding there.
+    std::function<void(const DatabaseId&, std::function<void()>)> suspendHere;
+    // Registered endpoints of a group.
+    std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
+    // Groups of the present configuration.
+    std::function<std::vector<DatabaseId>()> groups;
+    // Whether statements to the primary of a group go unanswered or are refused.
+    std::function<bool(const DatabaseId&)> doubtsPrimary;
+    // Reports how many daemons are alive, this one included.
+    std::function<void(std::size_t)> onLiveDaemons;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/group_scheduler.cc
@@ -0,0 +1,269 @@
+#include "process/group_scheduler.h"
+
+#include "base/log.h"
+
+#include <utility>
+
+namespace endivetrestle {
+
+GroupScheduler::GroupScheduler(DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks)
+    : group(std::move(group))
+    , local(std::move(local))
+    , timers(timers)
+    , hooks(std::move(hooks))
+{
+}
+
+GroupScheduler::~GroupScheduler()
+{
+    *this->alive = false;
+    if (this->drainTimer != 0)
+        this->timers.cancel(this->drainTimer);
+}
+
+EndpointConnection* GroupScheduler::findConnection(ConnectionId id)
+{
+    const auto owner = this->connectionOwners.find(id);
+    if (owner == this->connectionOwners.end())
+        return nullptr;
+    auto* endpoint = this->findEndpoint(owner->second);
+    return endpoint == nullptr ? nullptr : &endpoint->connections.at(id);
+}
+
+EndpointState* GroupScheduler::findEndpoint(const EndpointId& id)
+{
+    const auto found = this->endpoints.find(id);
+    return found == this->endpoints.end() ? nullptr : &found->second;
+}
+
+const EndpointState* GroupScheduler::findEndpoint(const EndpointId& id) const
+{
+    const auto found = this->endpoints.find(id);
+    return found == this->endpoints.end() ? nullptr : &found->second;
+}
+
+void GroupScheduler::setEndpoints(const std::vector<EndpointRecord>& records, Time now)
+{
+    std::map<EndpointId, const EndpointRecord*> listed;
+    for (const auto& record : records)
+        listed[record.id] = &record;
+    for (auto entry = this->endpoints.begin(); entry != this->endpoints.end();) {
+        const auto found = listed.find(entry->first);
+        // A process that started anew under its id holds nothing of before; its connections are broken.
+        const bool same = found != listed.end() && found->second->bornMs == entry->second.record.bornMs
+            && found->second->address == entry->second.record.address;
+        if (same) {
+            ++entry;
+            continue;
+        }
+        while (!entry->second.connections.empty()) {
+            auto& connection = entry->second.connections.begin()->second;
+            const auto id = connection.id;
+            this->hooks.close(id);
+            this->failExecution(connection, false, "endpoint left", now);
+            this->eraseConnection(id);
+        }
+        entry = this->endpoints.erase(entry);
+    }
+    for (const auto& [id, record] : listed) {
+        const auto [entry, added] = this->endpoints.try_emplace(id, *record);
+        if (added)
+            entry->second.lastAnswerAt = now;
+        entry->second.record = *record;
+        entry->second.limit.setSlots(record->slots);
+    }
+    this->dispatch(now);
+}
+
+void GroupScheduler::setConnectionShare(int share) { this->connectionShare = std::max(1, share); }
+
+void GroupScheduler::setPrimary(const EndpointId& endpoint, std::uint64_t term, Time now)
+{
+    if (this->primaryId != endpoint || this->primaryTerm != term) {
+        logEvent(LogLevel::Info, "primary_in_use",
+            { { "group", this->group.value }, { "endpoint", endpoint.value }, { "term", term } });
+    }
+    this->primaryId = endpoint;
+    this->primaryTerm = term;
+    this->suspended = false;
+    this->suspensionConfirmed = false;
+    this->primaryDenied = false;
+    this->primaryExpectedAt = Time();
+    this->history.startTerm(term);
+    this->dispatch(now);
+}
+
+void GroupScheduler::suspendPrimary(Time now, std::function<void()> drained)
+{
+    this->suspended = true;
+    // A second suspension replaces the first; both are drained at the same time.
+    if (this->onDrained) {
+        drained = [first = std::move(this->onDrained), second = std::move(drained)] {
+            first();
+            second();
+        };
+    }
+    this->onDrained = std::move(drained);
+    if (this->drainTimer != 0)
+        this->timers.cancel(this->drainTimer);
+    this->drainTimer = this->timers.subscribeAt(now + drainLimit, [this](Time) {
+        this->drainTimer = 0;
+        this->checkDrained(true);
+    });
+    auto* endpoint = this->primaryId ? this->findEndpoint(*this->primaryId) : nullptr;
+    if (endpoint != nullptr) {
+        std::vector<ConnectionId> pinned;
+        for (const auto& [id, connection] : endpoint->connections) {
+            if (connection.phase == EndpointConnection::Phase::Pinned && connection.plainTransaction)
+                pinned.push_back(id);
+        }
+        // Closing rolls the transaction back. The session learns it with its next statement.
+        for (const auto id : pinned) {
+            this->hooks.close(id);
+            this->eraseConnection(id);
+        }
+    }
+    this->checkDrained(false);
+}
+
+void GroupScheduler::checkDrained(bool force)
+{
+    if (!this->onDrained)
+        return;
+    const auto* endpoint = this->primaryId ? std::as_const(*this).findEndpoint(*this->primaryId) : nullptr;
+    if (!force && endpoint != nullptr) {
+        for (const auto& [id, connection] : endpoint->connections) {
+            const bool changes = connection.execution
+                && (connection.execution->work.changesData() || connection.plainTransaction);
+            if (connection.phase == EndpointConnection::Phase::Running && changes)
+                return;
+        }
+    }
+    if (this->drainTimer != 0)
+        this->timers.cancel(this->drainTimer);
+    this->drainTimer = 0;
+    this->suspensionConfirmed = true;
+    const auto callback = std::exchange(this->onDrained, nullptr);
+    callback();
+}
+
+void GroupScheduler::submit(const ExecutionPtr& execution, Time now)
+{
+    execution->timer = this->timers.subscribeAt(execution->work.expiresAt, [this, execution](Time at) {
+        execution->timer = 0;
+        this->onExpired(execution, at);
+    });
+    if (this->queue.empty() && this->tryStart(execution, now))
+        return;
+    if (this->cannotBeServed(*execution, now)) {
+        this->refuse(execution, ReplyCode::Busy, "no endpoint can serve this in time", "not_in_time");
+        return;
+    }
+    this->queue.push(execution);
+    this->dispatch(now);
+}
+
+void GroupScheduler::continueTransaction(ConnectionId id, const ExecutionPtr& execution, Time now)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr || connection->phase != EndpointConnection::Phase::Pinned) {
+        this->refuse(execution, ReplyCode::Aborted, "the transaction was rolled back", "connection_lost");
+        return;
+    }
+    const bool usable = this->primaryUsable(now) && connection->endpoint == *this->primaryId;
+    if (connection->plainTransaction && !usable) {
+        this->hooks.close(id);
+        this->eraseConnection(id);
+        this->refuse(execution, ReplyCode::Aborted, "the primary was replaced", "primary_replaced");
+        return;
+    }
+    execution->timer = this->timers.subscribeAt(execution->work.expiresAt, [this, execution](Time at) {
+        execution->timer = 0;
+        this->onExpired(execution, at);
+    });
+    auto* endpoint = this->findEndpoint(connection->endpoint);
+    this->start(*connection, Target { endpoint, usable, std::nullopt }, execution, now);
+}
+
+void GroupScheduler::endTransaction(ConnectionId id, Time now)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    if (connection->phase != EndpointConnection::Phase::Pinned) {
+        this->closeConnection(*connection);
+        return;
+    }
+    connection->phase = EndpointConnection::Phase::Ending;
+    connection->steps = { { CommandKind::Rollback } };
+    connection->sentAt = now;
+    this->hooks.send(id, connection->steps.front());
+}
+
+void GroupScheduler::abandon(const ExecutionPtr& execution, Time)
+{
+    // A statement that runs is left to finish: its endpoint works on it anyway, and the connection stays usable.
+    execution->finished = true;
+    this->queue.remove(execution);
+    if (execution->timer != 0 && !execution->firstSentAt) {
+        this->timers.cancel(execution->timer);
+        execution->timer = 0;
+    }
+}
+
+void GroupScheduler::control(const EndpointId& id, const EndpointCommand& command, Duration timeout, Time now,
+    ControlCallback callback)
+{
+    auto* endpoint = this->findEndpoint(id);
+    if (endpoint == nullptr) {
+        callback(nullptr);
+        return;
+    }
+    const auto task = std::make_shared<ControlTask>();
+    task->command = command;
+    task->callback = std::move(callback);
+    task->timer = this->timers.subscribeAt(now + timeout, [task](Time) {
+        if (std::exchange(task->finished, true))
+            return;
+        task->callback(nullptr);
+    });
+    endpoint->controls.push_back(task);
+    for (auto& [connectionId, connection] : endpoint->connections) {
+        if (connection.phase == EndpointConnection::Phase::Idle && this->startControl(*endpoint, connection, now))
+            return;
+    }
+    // Control commands may exceed the share: promotions must not wait for statements.
+    if (endpoint->opening == 0)
+        this->openConnection(*endpoint, now);
+}
+
+PrimaryDoubt GroupScheduler::primaryDoubt(Time now) const
+{
+    constexpr int refusalsForDoubt = 2;
+    const auto* endpoint = this->primaryId ? this->findEndpoint(*this->primaryId) : nullptr;
+    if (endpoint == nullptr)
+        return this->primaryId ? PrimaryDoubt::Refused : PrimaryDoubt::None;
+    if (this->primaryDenied)
+        return PrimaryDoubt::NotPrimary;
+    if (endpoint->openFailures >= refusalsForDoubt && endpoint->connections.empty())
+        return PrimaryDoubt::Refused;
+    (void)now;
+    return endpoint->silent ? PrimaryDoubt::Silent : PrimaryDoubt::None;
+}
+
+Time GroupScheduler::lastAnswerFrom(const EndpointId& id) const
+{
+    const auto* endpoint = this->findEndpoint(id);
+    return endpoint == nullptr ? Time() : endpoint->lastAnswerAt;
+}
+
+SchedulerFigures GroupScheduler::figures() const
+{
+    auto figures = this->counts;
+    figures.waiting = this->queue.size();
+    for (const auto& [id, endpoint] : this->endpoints)
+        figures.connections += endpoint.connections.size();
+    return figures;
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/group_scheduler_answers.cc
@@ -0,0 +1,459 @@
+// What happens to a statement after it has been given to a connection.
+#include "process/group_scheduler.h"
+
+#include "base/log.h"
+
+#include <utility>
+
+namespace endivetrestle {
+
+namespace {
+
+// Sends of one statement, the first included.
+constexpr int maxAttempts = 4;
+// Pause before a statement is offered again to endpoints that were busy.
+constexpr Duration busyPause = std::chrono::milliseconds(8);
+// Pause before it is offered again after the primary denied being one; a new primary must become known first.
+constexpr Duration deniedPause = std::chrono::milliseconds(50);
+
+EndpointAnswer ownError(ReplyCode code, const std::string& text, SessionPhase phase)
+{
+    EndpointAnswer answer;
+    answer.code = code;
+    answer.errorText = text;
+    answer.phase = phase;
+    return answer;
+}
+
+} // namespace
+
+void GroupScheduler::finish(const ExecutionPtr& execution, const StatementResult& result)
+{
+    if (std::exchange(execution->finished, true))
+        return;
+    if (execution->timer != 0) {
+        this->timers.cancel(execution->timer);
+        execution->timer = 0;
+    }
+    const auto callback = std::move(execution->callback);
+    callback(result);
+}
+
+void GroupScheduler::refuse(
+    const ExecutionPtr& execution, ReplyCode code, const std::string& text, const std::string& reason)
+{
+    StatementResult result;
+    result.answer = ownError(code, text, SessionPhase::Idle);
+    result.reason = reason;
+    result.endpoint = execution->lastEndpoint;
+    this->finish(execution, result);
+}
+
+void GroupScheduler::start(
+    EndpointConnection& connection, const Target& target, const ExecutionPtr& execution, Time now)
+{
+    const auto& work = execution->work;
+    connection.phase = EndpointConnection::Phase::Running;
+    connection.execution = execution;
+    ++target.endpoint->running;
+    ++execution->attempts;
+    execution->lastEndpoint = connection.endpoint.value;
+    if (!execution->firstSentAt)
+        execution->firstSentAt = now;
+    connection.steps.clear();
+    for (auto& command : connection.held.commandsFor(*work.session, work.prepared))
+        connection.steps.push_back(std::move(command));
+    EndpointCommand forward;
+    forward.id = work.statement.id;
+    forward.text = work.statement.text;
+    if (work.prepared) {
+        forward.kind = CommandKind::Execute;
+        forward.text = work.prepared->sharedName();
+        forward.argument = work.statement.argument;
+    }
+    if (work.start != TransactionStart::None) {
+        EndpointCommand begin;
+        begin.kind = work.start == TransactionStart::Plain ? CommandKind::Begin : CommandKind::BeginRead;
+        begin.minimum = target.minimum;
+        connection.steps.push_back(begin);
+    } else if (!connection.inTransaction)
+        forward.minimum = target.minimum;
+    connection.steps.push_back(forward);
+    if (work.changesData() && connection.inTransaction)
+        connection.transactionWrote = true;
+    if (!work.needsPrimary)
+        ++(target.asPrimary ? this->counts.primaryReads : this->counts.replicaReads);
+    this->sendNext(connection, now);
+}
+
+void GroupScheduler::sendNext(EndpointConnection& connection, Time now)
+{
+    connection.sentAt = now;
+    this->hooks.send(connection.id, connection.steps.front());
+}
+
+void GroupScheduler::onOpened(ConnectionId id, Time now)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& endpoint = this->endpoints.at(connection->endpoint);
+    --endpoint.opening;
+    endpoint.openFailures = 0;
+    endpoint.openNotBefore = Time();
+    endpoint.lastAnswerAt = now;
+    endpoint.silent = false;
+    connection->phase = EndpointConnection::Phase::Idle;
+    connection->idleSince = now;
+    if (!this->startControl(endpoint, *connection, now))
+        this->dispatch(now);
+}
+
+bool GroupScheduler::startControl(EndpointState& endpoint, EndpointConnection& connection, Time now)
+{
+    while (!endpoint.controls.empty()) {
+        const auto task = endpoint.controls.front();
+        endpoint.controls.pop_front();
+        if (task->finished)
+            continue;
+        connection.phase = EndpointConnection::Phase::Running;
+        connection.control = task;
+        connection.steps = { task->command };
+        ++endpoint.running;
+        this->sendNext(connection, now);
+        return true;
+    }
+    return false;
+}
+
+void GroupScheduler::learnPosition(
+    EndpointState& endpoint, const EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    if (!answer.position)
+        return;
+    if (!endpoint.position || *answer.position > *endpoint.position)
+        endpoint.position = *answer.position;
+    // Only a primary that this daemon may use reports positions that cover all acknowledged commits.
+    if (this->primaryUsable(now) && connection.endpoint == *this->primaryId
+        && answer.position->term >= this->primaryTerm)
+        this->history.add(connection.sentAt, *answer.position);
+}
+
+void GroupScheduler::onAnswer(ConnectionId id, const EndpointAnswer& answer, Time now)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& endpoint = this->endpoints.at(connection->endpoint);
+    endpoint.lastAnswerAt = now;
+    endpoint.silent = false;
+    this->learnPosition(endpoint, *connection, answer, now);
+    if (connection->steps.empty()) {
+        logEvent(LogLevel::Warning, "unexpected_answer", { { "endpoint", connection->endpoint.value } });
+        this->closeConnection(*connection);
+        return;
+    }
+    if (connection->control) {
+        const auto task = std::exchange(connection->control, nullptr);
+        connection->steps.clear();
+        --endpoint.running;
+        this->release(*connection, now);
+        if (!std::exchange(task->finished, true)) {
+            this->timers.cancel(task->timer);
+            task->callback(&answer);
+        }
+        return;
+    }
+    if (connection->phase == EndpointConnection::Phase::Ending) {
+        connection->steps.clear();
+        if (answer.phase == SessionPhase::Idle)
+            this->release(*connection, now);
+        else
+            this->closeConnection(*connection);
+        return;
+    }
+    if (connection->steps.size() > 1)
+        this->onCommandAnswer(*connection, answer, now);
+    else
+        this->onStatementAnswer(*connection, answer, now);
+}
+
+void GroupScheduler::onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    const auto command = connection.steps.front();
+    const auto execution = connection.execution;
+    if (answer.succeeded) {
+        connection.steps.pop_front();
+        connection.held.confirm(command);
+        if (command.kind == CommandKind::Begin || command.kind == CommandKind::BeginRead) {
+            connection.inTransaction = true;
+            connection.plainTransaction = command.kind == CommandKind::Begin;
+            connection.transactionWrote = execution->work.changesData();
+        }
+        // A statement whose client left while its transaction was being opened is not sent.
+        if (execution->finished && connection.inTransaction) {
+            connection.execution.reset();
+            --this->endpoints.at(connection.endpoint).running;
+            connection.phase = EndpointConnection::Phase::Pinned;
+            this->endTransaction(connection.id, now);
+            return;
+        }
+        this->sendNext(connection, now);
+        return;
+    }
+    const bool wasInTransaction = connection.inTransaction;
+    connection.execution.reset();
+    --this->endpoints.at(connection.endpoint).running;
+    connection.steps.clear();
+    if (wasInTransaction || answer.phase != SessionPhase::Idle)
+        this->closeConnection(connection);
+    else
+        this->release(connection, now);
+    if (wasInTransaction)
+        this->refuse(execution, ReplyCode::Aborted, "the transaction was rolled back", "preparation_failed");
+    else
+        this->afterRefusal(execution, answer, now);
+}
+
+bool GroupScheduler::prepareAgain(EndpointConnection& connection, Time now)
+{
+    const auto& work = connection.execution->work;
+    if (!work.prepared || connection.execution->attempts >= maxAttempts)
+        return false;
+    ++connection.execution->attempts;
+    connection.held.forgetPrepared(work.prepared->sharedName());
+    for (auto& command : connection.held.commandsFor(*work.session, work.prepared))
+        connection.steps.push_front(std::move(command));
+    this->sendNext(connection, now);
+    return true;
+}
+
+bool GroupScheduler::mayAcknowledge(const EndpointConnection& connection, Time now) const
+{
+    return this->primaryId && connection.endpoint == *this->primaryId && !this->suspensionConfirmed
+        && this->hooks.leaseValid(now);
+}
+
+void GroupScheduler::onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    const auto execution = connection.execution;
+    const auto& work = execution->work;
+    auto& endpoint = this->endpoints.at(connection.endpoint);
+    const bool commit = work.statement.kind == StatementKind::Commit;
+    if (answer.code == ReplyCode::NoStatement && !answer.succeeded && this->prepareAgain(connection, now))
+        return;
+    const auto minimum = connection.steps.front().minimum;
+    const bool inTransaction = connection.inTransaction;
+    const bool plain = connection.plainTransaction;
+    const bool mustBePrimary = work.changesData() || (commit && plain && connection.transactionWrote);
+    const bool allowed = !mustBePrimary || this->mayAcknowledge(connection, now);
+    // A read at the primary whose lease ended before the answer may miss commits of a newer primary.
+    const bool readTooLate = !mustBePrimary && work.needsPrimary && !this->hooks.leaseValid(now);
+    connection.steps.clear();
+    connection.execution.reset();
+    --endpoint.running;
+    if (answer.succeeded) {
+        endpoint.addLatency(now - connection.sentAt);
+        endpoint.limit.onSuccess();
+        if (minimum)
+            endpoint.onCaughtUp(this->positionAge(*minimum, connection.sentAt));
+    } else if (answer.code == ReplyCode::Busy) {
+        ++this->counts.busyAnswers;
+        endpoint.limit.onBusy(now);
+    } else if (answer.code == ReplyCode::Lagging && minimum) {
+        ++this->counts.laggingAnswers;
+        endpoint.onLagging(this->positionAge(*minimum, now), now);
+    } else if (answer.code == ReplyCode::ReadOnly && this->primaryId == connection.endpoint)
+        this->primaryDenied = true;
+
+    StatementResult result;
+    result.answer = answer;
+    result.endpoint = connection.endpoint.value;
+    result.fromEndpoint = true;
+    const auto connectionId = connection.id;
+    if (answer.phase == SessionPhase::Idle) {
+        this->release(connection, now);
+    } else if (!inTransaction || (this->suspended && plain)) {
+        this->closeConnection(connection);
+        if (inTransaction)
+            result.answer = ownError(ReplyCode::Aborted, "the primary is being replaced", SessionPhase::Idle);
+    } else {
+        connection.phase = EndpointConnection::Phase::Pinned;
+        connection.idleSince = now;
+        result.connection = connectionId;
+        // The client left while the statement ran.
+        if (execution->finished)
+            this->endTransaction(connectionId, now);
+    }
+    if (execution->finished) {
+        this->checkDrained(false);
+        this->dispatch(now);
+        return;
+    }
+    if (answer.succeeded && !allowed) {
+        result.answer = ownError(ReplyCode::InDoubt, "the primary was replaced meanwhile", SessionPhase::Idle);
+        result.reason = "primary_replaced";
+        result.connection.reset();
+        if (auto* pinned = this->findConnection(connectionId); pinned != nullptr && inTransaction)
+            this->closeConnection(*pinned);
+    } else if (answer.succeeded && readTooLate && !inTransaction) {
+        this->refuse(execution, ReplyCode::Busy, "the lease ended before the answer", "lease_expired");
+        this->dispatch(now);
+        return;
+    }
+    if (!answer.succeeded && provesNotRun(answer.code) && !inTransaction)
+        this->afterRefusal(execution, answer, now);
+    else
+        this->finish(execution, result);
+    this->checkDrained(false);
+    this->dispatch(now);
+}
+
+void GroupScheduler::afterRefusal(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now)
+{
+    if (execution->finished)
+        return;
+    if (execution->attempts >= maxAttempts || !provesNotRun(answer.code)) {
+        StatementResult result;
+        result.answer = answer;
+        result.answer.phase = SessionPhase::Idle;
+        result.endpoint = execution->lastEndpoint;
+        result.fromEndpoint = true;
+        this->finish(execution, result);
+        return;
+    }
+    if (answer.code == ReplyCode::ReadOnly && execution->work.needsPrimary) {
+        this->primaryDenied = true;
+        execution->notBefore = now + deniedPause;
+    } else if (answer.code == ReplyCode::Busy)
+        execution->notBefore = now + busyPause;
+    this->queue.push(execution);
+    if (execution->notBefore > now) {
+        this->timers.subscribeAt(execution->notBefore, [this, alive = this->alive](Time at) {
+            if (*alive)
+                this->dispatch(at);
+        });
+    }
+    this->dispatch(now);
+}
+
+void GroupScheduler::release(EndpointConnection& connection, Time now)
+{
+    connection.phase = EndpointConnection::Phase::Idle;
+    connection.inTransaction = false;
+    connection.plainTransaction = false;
+    connection.transactionWrote = false;
+    connection.idleSince = now;
+    auto& endpoint = this->endpoints.at(connection.endpoint);
+    if (!this->startControl(endpoint, connection, now))
+        this->dispatch(now);
+}
+
+void GroupScheduler::closeConnection(EndpointConnection& connection)
+{
+    const auto id = connection.id;
+    this->hooks.close(id);
+    this->eraseConnection(id);
+}
+
+void GroupScheduler::eraseConnection(ConnectionId id)
+{
+    const auto owner = this->connectionOwners.find(id);
+    if (owner == this->connectionOwners.end())
+        return;
+    auto& endpoint = this->endpoints.at(owner->second);
+    if (endpoint.connections.at(id).phase == EndpointConnection::Phase::Opening)
+        --endpoint.opening;
+    endpoint.connections.erase(id);
+    this->connectionOwners.erase(owner);
+}
+
+void GroupScheduler::onClosed(ConnectionId id, Time now)
+{
+    constexpr Duration firstOpenPause = std::chrono::milliseconds(100);
+    constexpr int maxOpenPauseFactor = 8;
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& endpoint = this->endpoints.at(connection->endpoint);
+    if (connection->phase == EndpointConnection::Phase::Opening) {
+        ++endpoint.openFailures;
+        endpoint.openNotBefore = now + firstOpenPause * std::min(endpoint.openFailures, maxOpenPauseFactor);
+    }
+    this->failExecution(*connection, false, "connection lost", now);
+    this->eraseConnection(id);
+    this->checkDrained(false);
+    this->dispatch(now);
+}
+
+// Ends the statement of a connection that is lost or given up. The caller removes the connection.
+void GroupScheduler::failExecution(
+    EndpointConnection& connection, bool timedOut, const std::string& reason, Time now)
+{
+    if (connection.control) {
+        --this->endpoints.at(connection.endpoint).running;
+        const auto task = std::exchange(connection.control, nullptr);
+        if (!std::exchange(task->finished, true)) {
+            this->timers.cancel(task->timer);
+            task->callback(nullptr);
+        }
+        return;
+    }
+    const auto execution = std::exchange(connection.execution, nullptr);
+    if (!execution)
+        return;
+    --this->endpoints.at(connection.endpoint).running;
+    if (execution->finished)
+        return;
+    const auto& work = execution->work;
+    const bool statementSent = connection.steps.size() <= 1;
+    const bool commit = work.statement.kind == StatementKind::Commit;
+    const bool wrote = work.changesData() || connection.transactionWrote;
+    if (connection.inTransaction && !(commit && statementSent && wrote)) {
+        // Without a commit, losing the connection rolls the transaction back.
+        this->refuse(execution, ReplyCode::Aborted, reason + "; the transaction is rolled back", "connection_lost");
+        return;
+    }
+    if (statementSent && (wrote || commit)) {
+        this->refuse(execution, ReplyCode::InDoubt, reason + " before the answer", "answer_lost");
+        return;
+    }
+    if (timedOut) {
+        const auto code = statementSent ? ReplyCode::Timeout : ReplyCode::Busy;
+        this->refuse(execution, code, "no answer within the time of the route", "statement_timeout");
+        return;
+    }
+    if (execution->attempts >= maxAttempts) {
+        this->refuse(execution, ReplyCode::Aborted, reason + "; the read has no effect", "attempts_spent");
+        return;
+    }
+    this->queue.push(execution);
+    (void)now;
+}
+
+void GroupScheduler::onExpired(const ExecutionPtr& execution, Time now)
+{
+    std::vector<ConnectionId> holders;
+    for (auto& [id, endpoint] : this->endpoints) {
+        for (auto& [connectionId, connection] : endpoint.connections) {
+            if (connection.execution == execution)
+                holders.push_back(connectionId);
+        }
+    }
+    this->queue.remove(execution);
+    if (holders.empty()) {
+        this->refuse(execution, ReplyCode::Busy, "no endpoint was free in time", "queue_timeout");
+        return;
+    }
+    for (const auto id : holders) {
+        auto* connection = this->findConnection(id);
+        if (connection == nullptr)
+            continue;
+        this->failExecution(*connection, true, "no answer in time", now);
+        this->closeConnection(*connection);
+    }
+    this->checkDrained(false);
+    this->dispatch(now);
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/group_scheduler_choice.cc
@@ -0,0 +1,184 @@
+// Which endpoint runs a statement, and which statements cannot be served in time.
+#include "process/group_scheduler.h"
+
+#include <algorithm>
+
+namespace endivetrestle {
+
+namespace {
+
+// Extra cost of an endpoint in another data centre, whose bytes and latency are dearer.
+constexpr Duration remotePenalty = std::chrono::milliseconds(3);
+// Extra cost of a read at the primary, which alone can run writes.
+constexpr Duration primaryReadPenalty = std::chrono::milliseconds(6);
+// Extra cost of an endpoint to which a connection would have to be opened first.
+constexpr Duration openPenalty = std::chrono::milliseconds(15);
+// Connections opened to one endpoint at the same time; opening occupies a slot of the endpoint.
+constexpr int maxOpening = 2;
+// Time kept for the statement itself when the wait in the queue is judged.
+constexpr int latencyReserve = 1;
+
+} // namespace
+
+bool GroupScheduler::primaryUsable(Time now) const
+{
+    return this->primaryId && !this->suspended && this->endpoints.count(*this->primaryId) != 0
+        && this->hooks.leaseValid(now);
+}
+
+GroupScheduler::Requirement GroupScheduler::requirementOf(const ScheduledStatement& work) const
+{
+    Requirement requirement;
+    if (work.needsPrimary) {
+        requirement.needsPrimary = true;
+        return requirement;
+    }
+    requirement.minimum = this->history.minimumFor(work.arrivedAt - work.maxStaleness);
+    if (!requirement.minimum) {
+        requirement.needsPrimary = true;
+        return requirement;
+    }
+    if (!work.lastWrite)
+        return requirement;
+    auto own = work.lastWrite;
+    // Positions of an earlier term may have been rolled back; the first position of the present term covers what is
+    // left of them.
+    if (own->term < this->history.term())
+        own = this->history.firstOfTerm();
+    if (!own || own->term > this->history.term())
+        requirement.needsPrimary = true;
+    else
+        requirement.minimum = std::max(*requirement.minimum, *own);
+    return requirement;
+}
+
+Duration GroupScheduler::positionAge(const Position& position, Time now) const
+{
+    const auto reached = this->history.reachedAt(position);
+    return reached ? now - *reached : Duration::zero();
+}
+
+bool GroupScheduler::mayHold(const EndpointState& endpoint, const Position& minimum, Time now) const
+{
+    if (endpoint.position && *endpoint.position >= minimum)
+        return true;
+    return endpoint.laggingUntil <= now && this->positionAge(minimum, now) >= endpoint.lagEstimate;
+}
+
+bool GroupScheduler::canOpen(const EndpointState& endpoint, Time now) const
+{
+    return endpoint.opening < maxOpening && static_cast<int>(endpoint.connections.size()) < this->connectionShare
+        && endpoint.openNotBefore <= now;
+}
+
+std::optional<GroupScheduler::Target> GroupScheduler::choosePrimary(Time now)
+{
+    if (!this->primaryUsable(now))
+        return std::nullopt;
+    auto& endpoint = this->endpoints.at(*this->primaryId);
+    if (!endpoint.limit.allows(endpoint.running) || (!endpoint.hasIdle() && !this->canOpen(endpoint, now)))
+        return std::nullopt;
+    return Target { &endpoint, true, std::nullopt };
+}
+
+std::optional<GroupScheduler::Target> GroupScheduler::choose(const Execution& execution, Time now)
+{
+    const auto requirement = this->requirementOf(execution.work);
+    if (requirement.needsPrimary)
+        return this->choosePrimary(now);
+    const bool primaryOpen = this->primaryUsable(now);
+    std::optional<Target> best;
+    Duration bestCost {};
+    for (auto& [id, endpoint] : this->endpoints) {
+        const bool asPrimary = primaryOpen && id == *this->primaryId;
+        const bool excluded = endpoint.record.draining || endpoint.silent
+            || (execution.attempts > 0 && id.value == execution.lastEndpoint && this->endpoints.size() > 1);
+        if (excluded || (!asPrimary && !this->mayHold(endpoint, *requirement.minimum, now)))
+            continue;
+        const bool idle = endpoint.hasIdle();
+        if (!endpoint.limit.allows(endpoint.running) || (!idle && !this->canOpen(endpoint, now)))
+            continue;
+        auto cost = endpoint.latency * (endpoint.running + 1);
+        if (endpoint.record.dataCentre != this->local)
+            cost += remotePenalty;
+        if (asPrimary)
+            cost += primaryReadPenalty;
+        if (!idle)
+            cost += openPenalty;
+        if (best && cost >= bestCost)
+            continue;
+        best = Target { &endpoint, asPrimary, asPrimary ? std::nullopt : requirement.minimum };
+        bestCost = cost;
+    }
+    // With no replica left a draining or silent primary is still better than none.
+    return best ? best : this->choosePrimary(now);
+}
+
+bool GroupScheduler::cannotBeServed(const Execution& execution, Time now) const
+{
+    const bool needsPrimary = this->requirementOf(execution.work).needsPrimary;
+    const auto left = execution.work.expiresAt - now;
+    if (needsPrimary && !this->primaryUsable(now))
+        return this->primaryExpectedAt > execution.work.expiresAt || !this->primaryId;
+    // Statements that are served before this one, spread over the places that may serve them.
+    double places = 0;
+    Duration latency {};
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (needsPrimary && (!this->primaryId || id != *this->primaryId))
+            continue;
+        places += std::min<double>(endpoint.limit.value(), this->connectionShare);
+        latency = std::max(latency, endpoint.latency);
+    }
+    if (places <= 0)
+        return true;
+    const auto ahead = static_cast<double>(this->queue.countAhead(execution.work, needsPrimary));
+    const auto wait = Duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * ahead / places));
+    return wait + latency * latencyReserve > left;
+}
+
+void GroupScheduler::openConnection(EndpointState& endpoint, Time now)
+{
+    const auto id = this->hooks.nextConnectionId();
+    auto& connection = endpoint.connections[id];
+    connection.id = id;
+    connection.endpoint = endpoint.record.id;
+    connection.sentAt = now;
+    ++endpoint.opening;
+    ++this->counts.connectionsOpened;
+    this->connectionOwners[id] = endpoint.record.id;
+    this->hooks.open(id, endpoint.record);
+}
+
+bool GroupScheduler::tryStart(const ExecutionPtr& execution, Time now)
+{
+    if (execution->notBefore > now)
+        return false;
+    const auto target = this->choose(*execution, now);
+    if (!target)
+        return false;
+    auto* connection = target->endpoint->findIdle(*execution->work.session);
+    if (connection == nullptr) {
+        // The statement stays in the queue and starts on whichever connection is free first.
+        if (target->endpoint->opening == 0 || target->endpoint->opening < static_cast<int>(this->queue.size()))
+            this->openConnection(*target->endpoint, now);
+        return false;
+    }
+    this->start(*connection, *target, execution, now);
+    return true;
+}
+
+void GroupScheduler::dispatch(Time now)
+{
+    if (this->dispatching) {
+        this->dispatchAgain = true;
+        return;
+    }
+    this->dispatching = true;
+    do {
+        this->dispatchAgain = false;
+        this->queue.take([&](const ExecutionPtr& execution) { return this->tryStart(execution, now); });
+    } while (this->dispatchAgain);
+    this->dispatching = false;
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/table_store.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace endivetrestle {
+
+// One row of the table service.
+struct StoreRow {
+    std::string table;
+    std::string key;
+    std::string value;
+    // Version of the row's last change; 0 means that the row does not exist.
+    std::uint64_t version = 0;
+    // Whether a feed reports that the row was removed.
+    bool removed = false;
+
+    bool operator==(const StoreRow&) const = default;
+};
+
+// Names a row in a condition or removal.
+struct StoreCondition {
+    std::string table;
+    std::string key;
+    std::uint64_t version = 0;
+
+    bool operator==(const StoreCondition&) const = default;
+};
+
+// Atomic change of rows that takes effect only if all conditions hold.
+struct StoreChange {
+    std::vector<StoreCondition> conditions;
+    std::vector<StoreRow> writes;
+    std::vector<StoreCondition> removals;
+
+    bool operator==(const StoreChange&) const = default;
+};
+
+// How a call to the store ended.
+enum class StoreStatus {
+    Done,
+    // A condition of a change did not hold.
+    Conflict,
+    // The history needed by a feed is no longer available.
+    HistoryLost,
+    // The store refused the call; nothing was done.
+    Refused,
+    // No answer: a change may have taken effect, or may still do so.
+    Unknown,
+};
+
+// Answer of the store.
+struct StoreResult {
+    StoreStatus status = StoreStatus::Unknown;
+    // Rows that were read or changed, or the current rows of the conditions after a conflict.
+    std::vector<StoreRow> rows;
+    // Newest version of the store.
+    std::uint64_t version = 0;
+    // Steady clock of the store.
+    std::int64_t storeMs = 0;
+    // Times at which the call was sent and answered here.
+    Time sentAt;
+    Time answeredAt;
+};
+
+// Table service of the platform, as the session proxy uses it. Every call is answered exactly once.
+class TableStore {
+public:
+    using Callback = std::function<void(const StoreResult&)>;
+
+    virtual ~TableStore() = default;
+
+    // Reads all rows of a table.
+    virtual void readAll(const std::string& table, Callback callback) = 0;
+    virtual void change(const StoreChange& change, Callback callback) = 0;
+    // Waits until a row of the table has changed after the version, at most for the given time.
+    virtual void watch(const std::string& table, std::uint64_t after, Duration wait, Callback callback) = 0;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/request/statement.cc
@@ -0,0 +1,55 @@
+#include "request/statement.h"
+
+namespace endivetrestle {
+
+std::string_view replyCodeName(ReplyCode code)
+{
+    switch (code) {
+    case ReplyCode::Busy:
+        return "busy";
+    case ReplyCode::Aborted:
+        return "aborted";
+    case ReplyCode::Lagging:
+        return "lagging";
+    case ReplyCode::ReadOnly:
+        return "read_only";
+    case ReplyCode::Misrouted:
+        return "misrouted";
+    case ReplyCode::TooManyConnections:
+        return "too_many_connections";
+    case ReplyCode::NoStatement:
+        return "no_statement";
+    case ReplyCode::Failed:
+        return "failed";
+    case ReplyCode::Timeout:
+        return "timeout";
+    case ReplyCode::InDoubt:
+        return "in_doubt";
+    case ReplyCode::UnknownDatabase:
+        return "unknown_database";
+    case ReplyCode::Malformed:
+        return "malformed";
+    case ReplyCode::TooLarge:
+        return "too_large";
+    case ReplyCode::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+bool provesNotRun(ReplyCode code)
+{
+    switch (code) {
+    case ReplyCode::Busy:
+    case ReplyCode::Lagging:
+    case ReplyCode::ReadOnly:
+    case ReplyCode::Misrouted:
+    case ReplyCode::TooManyConnections:
+    case ReplyCode::NoStatement:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/request/statement_queue.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "request/scheduled_statement.h"
+
+#include <functional>
+#include <map>
+#include <tuple>
+
+namespace endivetrestle {
+
+// Statements that wait for an endpoint, ordered by priority and then by arrival.
+//
+// Example:
+//     queue.push(execution);
+//     queue.take([&](Execution& waiting) { return tryToStart(waiting); });
+class StatementQueue {
+public:
+    // Statements looked at in one pass. A long queue whose head cannot start is not searched as a whole.
+    static constexpr std::size_t scanLimit = 64;
+
+    void push(ExecutionPtr execution);
+
+    // Offers waiting statements in order until the scan limit is reached. A statement for which the function returns
+    // true leaves the queue. Finished statements are dropped.
+    void take(const std::function<bool(const ExecutionPtr&)>& start);
+
+    // Removes a statement; does nothing if it does not wait.
+    void remove(const ExecutionPtr& execution);
+
+    // Removes and returns all statements for which the function returns true.
+    std::vector<ExecutionPtr> removeIf(const std::function<bool(const Execution&)>& matches);
+
+    // Number of waiting statements that are served before or together with the given one.
+    [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary) const;
+
+    [[nodiscard]] std::size_t size() const { return this->waiting.size(); }
+    [[nodiscard]] bool empty() const { return this->waiting.empty(); }
+
+private:
+    using Key = std::tuple<int, Time, const Execution*>;
+    static Key keyOf(const ExecutionPtr& execution);
+
+    std::map<Key, ExecutionPtr> waiting;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/version/route_table.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifier.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endivetrestle {
+
+// Consistency that a route promises to its readers.
+enum class RouteConsistency { Primary, BoundedStaleness, ReadYourWrites };
+
+// Lower-case name of a consistency for logs and metric labels.
+std::string_view consistencyName(RouteConsistency consistency);
+
+// One database name that clients may open, and how its statements are served.
+struct Route {
+    // Name that clients ask for.
+    std::string databaseName;
+    // Database group that serves it.
+    DatabaseId group;
+    RouteConsistency consistency = RouteConsistency::Primary;
+    // Longest time for a single statement.
+    Duration statementTimeout = std::chrono::seconds(1);
+    // Latency objective of a whole operation.
+    Duration objective = std::chrono::milliseconds(200);
+    // 0 is served first.
+    int priority = 0;
+    // Largest age of data that a read may return; unused for Primary.
+    Duration maxStaleness {};
+
+    bool operator==(const Route&) const = default;
+};
+
+// One database group as the operators declare it.
+struct GroupDeclaration {
+    DatabaseId group;
+    // Connections that an endpoint of the group accepts from all daemons together.
+    int connectionLimit = 16;
+
+    bool operator==(const GroupDeclaration&) const = default;
+};
+
+// One accepted version of the operators' configuration. Immutable; a new version replaces the whole value.
+struct RouteTable {
+    std::uint64_t version = 0;
+    std::map<std::string, Route> routes;
+    std::map<DatabaseId, GroupDeclaration> groups;
+    // Time after which a transaction without a statement is rolled back.
+    Duration transactionIdleLimit = std::chrono::seconds(3);
+
+    bool operator==(const RouteTable&) const = default;
+
+    // Route of a database name, or nullptr.
+    [[nodiscard]] const Route* find(const std::string& databaseName) const;
+};
+
+} // namespace endivetrestle
