Let the lag estimate of an endpoint shrink with time

Ruled out: a leak of connections or running counts; the reads that failed had never been offered to any endpoint.

Change: the estimate shrinks by an eighth every 100 ms. Connections to the store and to peers are given up after 600 ms, since the kernel repeats a lost opening packet only after seconds.

--- a/src/connection/endpoint_state.cc
+++ b/src/connection/endpoint_state.cc
@@ -11,7 +11,7 @@
 // Time for which an endpoint that lacked a position is not asked for positions it may lack.
 constexpr Duration laggingPause = std::chrono::milliseconds(100);
 constexpr Duration minLagEstimate = std::chrono::milliseconds(10);
-constexpr Duration maxLagEstimate = std::chrono::seconds(10);
+constexpr Duration maxLagEstimate = std::chrono::seconds(5);
 
 } // namespace
 
@@ -91,4 +91,9 @@
         this->lagEstimate = std::max(minLagEstimate, this->lagEstimate - this->lagEstimate / 16);
 }
 
+void EndpointState::decayLagEstimate()
+{
+    this->lagEstimate = std::max(minLagEstimate, this->lagEstimate - this->lagEstimate / 8);
+}
+
 } // namespace endivetrestle
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -75,6 +75,8 @@
     void onLagging(Duration positionAge, Time now);
     // Learns that the endpoint held a position of the given age that it was not known to hold.
     void onCaughtUp(Duration positionAge);
+    // Lets the estimate shrink with time, so that an endpoint that has caught up is tried again.
+    void decayLagEstimate();
 };
 
 } // namespace endivetrestle
--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
+// Longest wait for a connection. The kernel repeats a lost opening packet only after seconds.
+constexpr Duration connectTimeout = std::chrono::milliseconds(600);
 
 std::string encodeRequest(const HttpCall& call, const SocketAddress& server)
 {
@@ -86,15 +88,23 @@
         auto& pending = this->queue.front();
         const auto left = pending.queuedAt + pending.timeout - bootNow();
         const auto sequence = ++this->callSequence;
-        this->timer.expires_after(std::max(left, Duration(1000)));
+        if (this->socket.is_open()) {
+            this->failAfter(left, sequence);
+            this->write(sequence);
+            return;
+        }
+        this->failAfter(std::min(left, connectTimeout), sequence);
+        this->connect(sequence);
+    }
+
+    void failAfter(Duration delay, std::uint64_t sequence)
+    {
+        constexpr Duration shortest = std::chrono::milliseconds(1);
+        this->timer.expires_after(std::max(delay, shortest));
         this->timer.async_wait([self = this->shared_from_this(), sequence](const asio::error_code& error) {
             if (!error && sequence == self->callSequence && self->active)
                 self->fail(false);
         });
-        if (this->socket.is_open())
-            this->write(sequence);
-        else
-            this->connect(sequence);
     }
 
     void connect(std::uint64_t sequence)
@@ -112,6 +122,8 @@
                 }
                 asio::error_code ignored;
                 self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                const auto& pending = self->queue.front();
+                self->failAfter(pending.queuedAt + pending.timeout - bootNow(), sequence);
                 self->write(sequence);
             });
     }
--- a/src/process/group_scheduler_upkeep.cc
+++ b/src/process/group_scheduler_upkeep.cc
@@ -28,6 +28,7 @@
 void GroupScheduler::tick(Time now)
 {
     for (auto& [id, endpoint] : this->endpoints) {
+        endpoint.decayLagEstimate();
         this->keepWarm(endpoint, now);
         this->checkSilence(endpoint, now);
         this->hedgeReads(endpoint, now);
