Hold only the endpoint connections that recent use justifies

Cause: on a power loss of all hosts the endpoints count the lost connections for another 3 s. Reads also took slots of the primary that order payments need.

Change: connections beyond the recent peak of use are closed after 500 ms; a read at the primary costs twice its predicted time.

--- a/src/connection/endpoint_state.cc
+++ b/src/connection/endpoint_state.cc
@@ -1,6 +1,7 @@
 #include "connection/endpoint_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace endivetrestle {
 
@@ -75,6 +76,23 @@
     return oldest;
 }
 
+int EndpointState::connectionsInUse() const
+{
+    return static_cast<int>(std::count_if(this->connections.begin(), this->connections.end(), [](const auto& entry) {
+        const auto phase = entry.second.phase;
+        return phase != EndpointConnection::Phase::Idle && phase != EndpointConnection::Phase::Opening;
+    }));
+}
+
+void EndpointState::decayBusyPeak()
+{
+    // Half a connection is forgotten in each second of ten ticks.
+    constexpr double decayPerTick = 0.05;
+    this->busyPeak = std::max(static_cast<double>(this->connectionsInUse()), this->busyPeak - decayPerTick);
+}
+
+int EndpointState::connectionsWanted() const { return static_cast<int>(std::ceil(this->busyPeak)); }
+
 void EndpointState::addLatency(Duration sample) { this->latency += (sample - this->latency) / latencyWeight; }
 
 void EndpointState::onLagging(Duration positionAge, Time now)
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -3,6 +3,7 @@
 #include "connection/endpoint_connection.h"
 #include "process/endpoint_directory.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -45,6 +46,8 @@
     std::map<ConnectionId, EndpointConnection> connections;
     // Control commands that wait for a connection.
     std::deque<ControlTaskPtr> controls;
+    // Most connections in use at once, decaying with time.
+    double busyPeak = 0;
     // Statements that run.
     int running = 0;
     int opening = 0;
@@ -69,6 +72,14 @@
     // Time at which the oldest outstanding statement was sent; no value if none is outstanding.
     [[nodiscard]] std::optional<Time> oldestOutstanding() const;
 
+    // Connections that run a statement, hold a transaction or end one.
+    [[nodiscard]] int connectionsInUse() const;
+    // Counts the connections in use towards the peak.
+    void noteUse() { this->busyPeak = std::max(this->busyPeak, static_cast<double>(this->connectionsInUse())); }
+    // Called at every tick.
+    void decayBusyPeak();
+    // Connections that recent use justifies.
+    [[nodiscard]] int connectionsWanted() const;
     // Smooths a measured latency.
     void addLatency(Duration sample);
     // Learns that the endpoint did not hold a position of the given age.
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -56,6 +56,7 @@
     connection.phase = EndpointConnection::Phase::Running;
     connection.execution = execution;
     ++target.endpoint->running;
+    target.endpoint->noteUse();
     ++execution->attempts;
     execution->lastEndpoint = connection.endpoint.value;
     if (!execution->firstSentAt)
@@ -371,7 +372,7 @@
 void GroupScheduler::onClosed(ConnectionId id, Time now)
 {
     constexpr Duration firstOpenPause = std::chrono::milliseconds(100);
-    constexpr int maxOpenPauseFactor = 8;
+    constexpr int maxOpenPauseFactor = 3;
     auto* connection = this->findConnection(id);
     if (connection == nullptr)
         return;
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -9,8 +9,9 @@
 
 // Extra cost of an endpoint in another data centre, whose bytes and latency are dearer.
 constexpr Duration remotePenalty = std::chrono::milliseconds(3);
-// Extra cost of a read at the primary, which alone can run writes.
-constexpr Duration primaryReadPenalty = std::chrono::milliseconds(6);
+// Extra cost of a read at the primary, which alone can run writes: a fixed part, and a multiple of its latency.
+constexpr Duration primaryReadPenalty = std::chrono::milliseconds(10);
+constexpr int primaryReadFactor = 2;
 // Extra cost of an endpoint to which a connection would have to be opened first.
 constexpr Duration openPenalty = std::chrono::milliseconds(15);
 // Connections opened to one endpoint at the same time; opening occupies a slot of the endpoint.
@@ -102,7 +103,7 @@
         if (endpoint.record.dataCentre != this->local)
             cost += remotePenalty;
         if (asPrimary)
-            cost += primaryReadPenalty;
+            cost = cost * primaryReadFactor + primaryReadPenalty;
         if (!idle)
             cost += openPenalty;
         if (best && cost >= bestCost)
--- a/src/process/group_scheduler_upkeep.cc
+++ b/src/process/group_scheduler_upkeep.cc
@@ -11,6 +11,8 @@
 
 // Connections to each endpoint that are opened before they are needed.
 constexpr int warmConnections = 1;
+// Time for which a connection beyond the recent need is kept.
+constexpr Duration idleLimit = std::chrono::milliseconds(500);
 // Time without any answer after which an endpoint with outstanding statements counts as silent, if that is more than
 // silenceMultiple of its usual latency.
 constexpr Duration silenceLimit = std::chrono::milliseconds(500);
@@ -52,14 +54,19 @@
         this->hooks.close(id);
         this->onClosed(id, now);
     }
-    const int target = std::min(warmConnections, this->connectionShare);
+    endpoint.decayBusyPeak();
     const int present = static_cast<int>(endpoint.connections.size());
-    if (!endpoint.record.draining && present < target && this->canOpen(endpoint, now))
+    if (!endpoint.record.draining && present < warmConnections && this->canOpen(endpoint, now))
         this->openConnection(endpoint, now);
-    if (present <= this->connectionShare)
+    // Connections that are not needed are given up, so that other daemons, and daemons that start after a crash whose
+    // connections the endpoint still counts, find room under the endpoint's limit.
+    const int wanted = std::min(this->connectionShare, std::max(warmConnections, endpoint.connectionsWanted()));
+    if (present <= wanted)
         return;
     for (auto& [id, connection] : endpoint.connections) {
-        if (connection.phase == EndpointConnection::Phase::Idle) {
+        const bool unused = connection.phase == EndpointConnection::Phase::Idle
+            && (present > this->connectionShare || now - connection.idleSince > idleLimit);
+        if (unused) {
             this->closeConnection(connection);
             return;
         }
