Bound the wait in the queue and the statements at an endpoint

Ruled out: hedging as a cure (the second copy adds load where all places are taken).

Change: request/wait_policy bounds the wait by half of the objective and refuses at once what would wait longer; a missing primary is still waited for. The concurrency limit of an endpoint follows its latency against the unloaded one, never below half of its slots. A read that two replicas refused as lagging goes to the primary.

--- a/src/connection/endpoint_state.cc
+++ b/src/connection/endpoint_state.cc
@@ -7,6 +7,21 @@
 
 namespace {
 
+// Statements beyond the slots that keep an endpoint busy while answers travel.
+constexpr double maxSlotMultiple = 2.0;
+// A window of answers is judged when it has this many and is this long.
+constexpr int minWindowSamples = 24;
+constexpr Duration minWindow = std::chrono::milliseconds(150);
+// Share of the difference by which the baseline follows a slower window.
+constexpr int baselineDrift = 64;
+// Answers this many times slower than the baseline mean that statements wait at the endpoint.
+constexpr double crowdedFactor = 2.5;
+constexpr double crowdedDecrease = 0.85;
+constexpr double busyDecrease = 0.7;
+// Share of the slots below which the limit does not fall, so that one daemon of several still gets its part.
+constexpr double lowestSlotShare = 0.5;
+// A burst of refusals counts once.
+constexpr Duration decreaseInterval = std::chrono::milliseconds(50);
 // Weight of a new latency sample.
 constexpr int latencyWeight = 8;
 // Time for which an endpoint that lacked a position is not asked for positions it may lack.
@@ -18,20 +33,44 @@
 
 ConcurrencyLimit::ConcurrencyLimit(int slots)
     : limit(std::max(1, slots))
-    , ceiling(slotMultiple * std::max(1, slots))
+    , slots(std::max(1, slots))
 {
 }
 
-void ConcurrencyLimit::setSlots(int slots)
+void ConcurrencyLimit::setSlots(int newSlots)
 {
-    this->ceiling = slotMultiple * std::max(1, slots);
-    this->limit = std::min(this->limit, this->ceiling);
+    this->slots = std::max(1, newSlots);
+    this->limit = std::min(this->limit, this->slots * maxSlotMultiple);
 }
 
-void ConcurrencyLimit::onSuccess()
+void ConcurrencyLimit::onAnswer(Duration latency, int running, Time now)
 {
-    constexpr double increase = 0.25;
-    this->limit = std::min(this->ceiling, this->limit + increase / this->limit);
+    if (this->windowSamples == 0)
+        this->windowStart = now;
+    this->windowSum += latency;
+    ++this->windowSamples;
+    this->limitReached = this->limitReached || running >= static_cast<int>(this->limit);
+    if (this->windowSamples >= minWindowSamples && now - this->windowStart >= minWindow)
+        this->judgeWindow(now);
+}
+
+double ConcurrencyLimit::lowest() const { return std::max(1.0, this->slots * lowestSlotShare); }
+
+void ConcurrencyLimit::judgeWindow(Time now)
+{
+    const auto average = this->windowSum / this->windowSamples;
+    if (this->baseline == Duration::zero() || average < this->baseline)
+        this->baseline = average;
+    else
+        this->baseline += (average - this->baseline) / baselineDrift;
+    if (toSeconds(average) > toSeconds(this->baseline) * crowdedFactor) {
+        this->limit = std::max(this->lowest(), this->limit * crowdedDecrease);
+        this->decreasedAt = now;
+    } else if (this->limitReached)
+        this->limit = std::min(this->slots * maxSlotMultiple, this->limit + 1);
+    this->windowSum = {};
+    this->windowSamples = 0;
+    this->limitReached = false;
 }
 
 void ConcurrencyLimit::onBusy(Time now)
@@ -39,7 +78,7 @@
     if (now - this->decreasedAt < decreaseInterval)
         return;
     this->decreasedAt = now;
-    this->limit = std::max(1.0, this->limit * decrease);
+    this->limit = std::max(this->lowest(), this->limit * busyDecrease);
 }
 
 EndpointConnection* EndpointState::findIdle(const SessionState& session)
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -9,27 +9,35 @@
 
 namespace endivetrestle {
 
-// Limits how many statements run at one endpoint at once. The limit grows slowly while statements succeed and shrinks
-// when the endpoint refuses one as busy, so that the statements wait here, by priority, and not at the endpoint.
+// Limits how many statements run at one endpoint at once, so that the rest waits here, by priority, and not at the
+// endpoint. The limit grows while it is used up and answers take little longer than on an unloaded endpoint, and shrinks
+// when they take much longer or the endpoint refuses one as busy. Several daemons that share an endpoint thus settle on
+// a short queue there without knowing of each other.
 class ConcurrencyLimit {
 public:
     explicit ConcurrencyLimit(int slots);
 
-    void onSuccess();
+    // A statement was answered after the given time; `running` counts those under way, this one included.
+    void onAnswer(Duration latency, int running, Time now);
     void onBusy(Time now);
     void setSlots(int slots);
     [[nodiscard]] bool allows(int running) const { return running < static_cast<int>(this->limit); }
     [[nodiscard]] double value() const { return this->limit; }
+    // Usual time of a statement on an unloaded endpoint.
+    [[nodiscard]] Duration unloadedLatency() const { return this->baseline; }
 
 private:
-    // Statements beyond the slots that keep an endpoint busy between two answers.
-    static constexpr double slotMultiple = 2.0;
-    static constexpr double decrease = 0.7;
-    // A burst of refusals counts once.
-    static constexpr Duration decreaseInterval = std::chrono::milliseconds(50);
+    void judgeWindow(Time now);
+    [[nodiscard]] double lowest() const;
 
     double limit;
-    double ceiling;
+    double slots;
+    // Lowest average of a window, drifting upwards so that it follows a change of the load's mix.
+    Duration baseline {};
+    Duration windowSum {};
+    int windowSamples = 0;
+    bool limitReached = false;
+    Time windowStart;
     Time decreasedAt;
 };
 
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -1,6 +1,7 @@
 #include "process/group_scheduler.h"
 
 #include "base/log.h"
+#include "request/wait_policy.h"
 
 #include <utility>
 
@@ -149,10 +150,7 @@
 
 void GroupScheduler::submit(const ExecutionPtr& execution, Time now)
 {
-    execution->timer = this->timers.subscribeAt(execution->work.expiresAt, [this, execution](Time at) {
-        execution->timer = 0;
-        this->onExpired(execution, at);
-    });
+    this->armTimer(execution, std::min(execution->work.expiresAt, now + longestWait(execution->work.objective)));
     if (this->queue.empty() && this->tryStart(execution, now))
         return;
     if (this->cannotBeServed(*execution, now)) {
@@ -177,10 +175,7 @@
         this->refuse(execution, ReplyCode::Aborted, "the primary was replaced", "primary_replaced");
         return;
     }
-    execution->timer = this->timers.subscribeAt(execution->work.expiresAt, [this, execution](Time at) {
-        execution->timer = 0;
-        this->onExpired(execution, at);
-    });
+    this->armTimer(execution, execution->work.expiresAt);
     auto* endpoint = this->findEndpoint(connection->endpoint);
     this->start(*connection, Target { endpoint, usable, std::nullopt }, execution, now);
 }
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -143,7 +143,8 @@
     void closeConnection(EndpointConnection& connection);
     void eraseConnection(ConnectionId connection);
     void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason, Time now);
-    void onExpired(const ExecutionPtr& execution, Time now);
+    void onTimer(const ExecutionPtr& execution, Time now);
+    void armTimer(const ExecutionPtr& execution, Time at);
     bool startControl(EndpointState& endpoint, EndpointConnection& connection, Time now);
     void checkDrained(bool force);
 
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -255,7 +255,8 @@
     --endpoint.running;
     if (answer.succeeded) {
         endpoint.addLatency(now - connection.sentAt);
-        endpoint.limit.onSuccess();
+        if (!inTransaction)
+            endpoint.limit.onAnswer(now - connection.sentAt, endpoint.running + 1, now);
         if (minimum)
             endpoint.onCaughtUp(this->positionAge(*minimum, connection.sentAt));
     } else if (answer.code == ReplyCode::Busy) {
@@ -328,6 +329,8 @@
         execution->notBefore = now + deniedPause;
     } else if (answer.code == ReplyCode::Busy)
         execution->notBefore = now + busyPause;
+    else if (answer.code == ReplyCode::Lagging)
+        ++execution->lagging;
     this->queue.push(execution);
     if (execution->notBefore > now) {
         this->timers.subscribeAt(execution->notBefore, [this, alive = this->alive](Time at) {
@@ -432,7 +435,8 @@
     (void)now;
 }
 
-void GroupScheduler::onExpired(const ExecutionPtr& execution, Time now)
+// Ends a statement whose time is over: the time for which it may wait in the queue, or the time of its route.
+void GroupScheduler::onTimer(const ExecutionPtr& execution, Time now)
 {
     std::vector<ConnectionId> holders;
     for (auto& [id, endpoint] : this->endpoints) {
@@ -441,6 +445,11 @@
                 holders.push_back(connectionId);
         }
     }
+    const bool primaryMissing = this->requirementOf(execution->work).needsPrimary && !this->primaryUsable(now);
+    if (now < execution->work.expiresAt && (!holders.empty() || primaryMissing)) {
+        this->armTimer(execution, execution->work.expiresAt);
+        return;
+    }
     this->queue.remove(execution);
     if (holders.empty()) {
         this->refuse(execution, ReplyCode::Busy, "no endpoint was free in time", "queue_timeout");
@@ -457,4 +466,12 @@
     this->dispatch(now);
 }
 
+void GroupScheduler::armTimer(const ExecutionPtr& execution, Time at)
+{
+    execution->timer = this->timers.subscribeAt(at, [this, execution](Time now) {
+        execution->timer = 0;
+        this->onTimer(execution, now);
+    });
+}
+
 } // namespace endivetrestle
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -1,6 +1,8 @@
 // Which endpoint runs a statement, and which statements cannot be served in time.
 #include "process/group_scheduler.h"
 
+#include "request/wait_policy.h"
+
 #include <algorithm>
 
 namespace endivetrestle {
@@ -14,10 +16,12 @@
 constexpr int primaryReadFactor = 2;
 // Extra cost of an endpoint to which a connection would have to be opened first.
 constexpr Duration openPenalty = std::chrono::milliseconds(15);
+// Replicas that may refuse a read for its position before it goes to the primary.
+constexpr int maxLagging = 2;
 // Connections opened to one endpoint at the same time; opening occupies a slot of the endpoint.
 constexpr int maxOpening = 2;
-// Time kept for the statement itself when the wait in the queue is judged.
-constexpr int latencyReserve = 1;
+// Lower bound of a latency in the estimate of completions.
+constexpr double shortestLatencySeconds = 0.0005;
 
 } // namespace
 
@@ -85,7 +89,7 @@
 std::optional<GroupScheduler::Target> GroupScheduler::choose(const Execution& execution, Time now)
 {
     const auto requirement = this->requirementOf(execution.work);
-    if (requirement.needsPrimary)
+    if (requirement.needsPrimary || execution.lagging >= maxLagging)
         return this->choosePrimary(now);
     const bool primaryOpen = this->primaryUsable(now);
     std::optional<Target> best;
@@ -121,20 +125,16 @@
     const auto left = execution.work.expiresAt - now;
     if (needsPrimary && !this->primaryUsable(now))
         return this->primaryExpectedAt > execution.work.expiresAt || !this->primaryId;
-    // Statements that are served before this one, spread over the places that may serve them.
-    double places = 0;
-    Duration latency {};
+    WaitOutlook outlook;
+    outlook.ahead = this->queue.countAhead(execution.work, needsPrimary);
     for (const auto& [id, endpoint] : this->endpoints) {
-        if (needsPrimary && (!this->primaryId || id != *this->primaryId))
+        if (needsPrimary && id != *this->primaryId)
             continue;
-        places += std::min<double>(endpoint.limit.value(), this->connectionShare);
-        latency = std::max(latency, endpoint.latency);
+        const double places = std::min<double>(endpoint.limit.value(), this->connectionShare);
+        outlook.completionsPerSecond += places / std::max(toSeconds(endpoint.latency), shortestLatencySeconds);
+        outlook.latency = std::max(outlook.latency, endpoint.latency);
     }
-    if (places <= 0)
-        return true;
-    const auto ahead = static_cast<double>(this->queue.countAhead(execution.work, needsPrimary));
-    const auto wait = Duration(static_cast<std::int64_t>(static_cast<double>(latency.count()) * ahead / places));
-    return wait + latency * latencyReserve > left;
+    return shouldRefuse(outlook, execution.work.objective, left);
 }
 
 void GroupScheduler::openConnection(EndpointState& endpoint, Time now)
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -77,6 +77,8 @@
     bool finished = false;
     // Sends so far.
     int attempts = 0;
+    // Sends to endpoints that lacked the position.
+    int lagging = 0;
     // Whether a second endpoint has been asked because the first one was silent.
     bool hedged = false;
     // Endpoint that was tried last.
