--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -172,8 +172,8 @@
     work.session = this->state;
     if (this->transaction == TransactionPhase::Begun)
         work.start = this->transactionStart;
-    work.needsPrimary = route.consistency == RouteConsistency::Primary || work.changesData()
-        || work.start == TransactionStart::Plain;
+    work.needsPrimary
+        = route.consistency == RouteConsistency::Primary || work.changesData() || work.start == TransactionStart::Plain;
     work.maxStaleness = route.maxStaleness;
     if (route.consistency == RouteConsistency::ReadYourWrites && this->lastWriteGroup == route.group)
         work.lastWrite = this->lastWrite;
@@ -242,8 +242,8 @@
     this->execution.reset();
     const auto& work = finished->work;
     const bool commit = work.statement.kind == StatementKind::Commit;
-    const bool wrote = commit ? this->transactionWrote
-                              : work.changesData() && this->transaction == TransactionPhase::None;
+    const bool wrote
+        = commit ? this->transactionWrote : work.changesData() && this->transaction == TransactionPhase::None;
     if (result.answer.succeeded && wrote && result.answer.position) {
         this->lastWrite = result.answer.position;
         this->lastWriteGroup = this->currentRoute->group;
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -96,7 +96,8 @@
     void updateTransaction(const ScheduledStatement& work, const StatementResult& result);
     void replySuccess();
     void replyError(ReplyCode code, const std::string& text, const std::string& reason);
-    void finishStatement(const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts);
+    void finishStatement(
+        const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts);
     void nextStatement();
     void armIdleTimer(Time now);
     void cancelIdleTimer();
--- /dev/null
+++ b/src/connection/client_session_test.cc
@@ -0,0 +1,219 @@
+#include "connection/client_session.h"
+#include "process/scheduler_fixture_test.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A session on the scheduler fixture, with one route for each consistency.
+class SessionFixture {
+public:
+    explicit SessionFixture(const std::string& database)
+    {
+        auto table = std::make_shared<RouteTable>();
+        table->version = 1;
+        for (const auto& [name, consistency] :
+            std::map<std::string, RouteConsistency> { { "orders", RouteConsistency::Primary },
+                { "menu", RouteConsistency::BoundedStaleness }, { "stock", RouteConsistency::ReadYourWrites } }) {
+            Route route;
+            route.databaseName = name;
+            route.group = DatabaseId("shop");
+            route.consistency = consistency;
+            route.maxStaleness = 1500ms;
+            route.statementTimeout = 800ms;
+            table->routes[name] = route;
+        }
+        this->routes = table;
+        SessionHooks hooks;
+        hooks.now = [this] { return this->world.now; };
+        hooks.reply = [this](const SessionReply& reply) { this->replies.push_back(reply); };
+        hooks.close = [this] { this->closed = true; };
+        hooks.routes = [this] { return this->routes; };
+        hooks.scheduler = [this](const DatabaseId&) { return this->world.scheduler.get(); };
+        hooks.record = [](const StatementRecord&) {};
+        this->session = std::make_unique<ClientSession>(database, this->world.timers, std::move(hooks));
+    }
+
+    void send(StatementKind kind, const std::string& text = "", const std::string& name = "",
+        const std::string& argument = "")
+    {
+        this->session->onStatement({ kind, "id", text, name, argument }, this->world.now);
+    }
+
+    const SessionReply& lastReply()
+    {
+        REQUIRE_FALSE(this->replies.empty());
+        return this->replies.back();
+    }
+
+    SchedulerFixture world;
+    std::shared_ptr<const RouteTable> routes;
+    std::vector<SessionReply> replies;
+    bool closed = false;
+    std::unique_ptr<ClientSession> session;
+};
+
+} // namespace
+
+TEST_CASE("ClientSession, answers session values and prepared statements itself")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::SetValue, "SET zone a", "zone", "a");
+    fixture.send(StatementKind::Prepare, "PREPARE s READ q", "s", "q");
+    fixture.send(StatementKind::Deallocate, "DEALLOC s", "s");
+    CHECK(fixture.replies.size() == 3);
+    for (const auto& reply : fixture.replies)
+        CHECK(reply.succeeded);
+    CHECK(fixture.world.sent.empty());
+}
+
+TEST_CASE("ClientSession, brings the connection to the session's values before a statement")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::SetValue, "SET zone a", "zone", "a");
+    fixture.send(StatementKind::Read, "READ 1");
+    const auto set = fixture.world.take();
+    CHECK(set.command == EndpointCommand { CommandKind::SetValue, "", "zone", "a" });
+    fixture.world.succeed(set);
+    CHECK(fixture.world.take().command.text == "READ 1");
+}
+
+TEST_CASE("ClientSession, opens a transaction with its first statement")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    CHECK(fixture.lastReply().phase == SessionPhase::Transaction);
+    CHECK(fixture.world.sent.empty());
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.world.take().command.kind == CommandKind::Begin);
+}
+
+TEST_CASE("ClientSession, sends the commit of an empty transaction to an endpoint")
+{
+    // A commit succeeds only with the endpoint's signature.
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.send(StatementKind::Commit, "COMMIT");
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    const auto commit = fixture.world.take();
+    CHECK(commit.command.text == "COMMIT");
+    fixture.world.succeed(commit);
+    CHECK(fixture.lastReply().succeeded);
+    CHECK(fixture.session->isIdle());
+}
+
+TEST_CASE("ClientSession, answers a rollback at once and rolls the endpoint back")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.send(StatementKind::Write, "WRITE 1 x");
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    fixture.send(StatementKind::Rollback, "ROLLBACK");
+    CHECK(fixture.lastReply().succeeded);
+    CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+    CHECK(fixture.world.take().command.kind == CommandKind::Rollback);
+}
+
+TEST_CASE("ClientSession, reads its own write at the primary until a replica must hold it")
+{
+    SessionFixture fixture("stock");
+    fixture.send(StatementKind::Write, "WRITE 1 x");
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Idle, { 1, 11 });
+    fixture.send(StatementKind::Read, "READ 1");
+    const auto first = fixture.world.take();
+    CHECK(fixture.world.endpointName(first.connection) == "e1");
+    fixture.world.succeed(first, SessionPhase::Idle, { 1, 11 });
+    // Two seconds later a replica is expected to hold the write; the position makes sure that it does.
+    fixture.world.advance(1s);
+    for (int i = 0; i < 20; ++i)
+        fixture.world.scheduler->tick(fixture.world.now);
+    fixture.send(StatementKind::Read, "READ 1");
+    const auto second = fixture.world.take();
+    CHECK(fixture.world.endpointName(second.connection) != "e1");
+    REQUIRE(second.command.minimum);
+    CHECK(*second.command.minimum >= Position { 1, 11 });
+}
+
+TEST_CASE("ClientSession, fails a transaction whose connection was lost and accepts its rollback")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.send(StatementKind::Write, "WRITE 1 x");
+    const auto begin = fixture.world.take();
+    fixture.world.succeed(begin, SessionPhase::Transaction);
+    fixture.world.scheduler->onClosed(begin.connection, fixture.world.now);
+    CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+    CHECK(fixture.lastReply().phase == SessionPhase::FailedTransaction);
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.lastReply().code == ReplyCode::Malformed);
+    fixture.send(StatementKind::Rollback, "ROLLBACK");
+    CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+}
+
+TEST_CASE("ClientSession, rolls back a transaction that stays idle")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.send(StatementKind::Read, "READ 1");
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    const auto replies = fixture.replies.size();
+    fixture.world.advance(4s);
+    CHECK(fixture.world.take().command.kind == CommandKind::Rollback);
+    // The client is told with its next statement, never in between.
+    CHECK(fixture.replies.size() == replies);
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+}
+
+TEST_CASE("ClientSession, takes a changed route from the next transaction on")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    auto next = std::make_shared<RouteTable>(*fixture.routes);
+    next->routes.erase("orders");
+    fixture.routes = next;
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.world.sent.size() == 1);
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+    fixture.send(StatementKind::Rollback, "ROLLBACK");
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.lastReply().code == ReplyCode::UnknownDatabase);
+}
+
+TEST_CASE("ClientSession, answers pipelined statements in order")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Read, "READ 1");
+    fixture.send(StatementKind::SetValue, "SET zone a", "zone", "a");
+    CHECK(fixture.replies.empty());
+    fixture.world.succeed(fixture.world.take());
+    REQUIRE(fixture.replies.size() == 2);
+    CHECK(fixture.replies[0].payload == "rows");
+    CHECK(fixture.replies[1].payload.empty());
+}
+
+TEST_CASE("ClientSession, closes for shutdown only between transactions")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.session->closeWhenIdle();
+    CHECK_FALSE(fixture.closed);
+    fixture.send(StatementKind::Rollback, "ROLLBACK");
+    CHECK(fixture.closed);
+}
+
+TEST_CASE("ClientSession, answers unknown statements and names without an endpoint")
+{
+    SessionFixture fixture("orders");
+    fixture.send(StatementKind::Unknown, "DROP");
+    CHECK(fixture.lastReply().code == ReplyCode::Malformed);
+    fixture.send(StatementKind::Execute, "EXECUTE s 1", "s", "1");
+    CHECK(fixture.lastReply().code == ReplyCode::NoStatement);
+    CHECK(fixture.world.sent.empty());
+}
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -10,9 +10,9 @@
 namespace endivetrestle {
 
 // Limits how many statements run at one endpoint at once, so that the rest waits here, by priority, and not at the
-// endpoint. The limit grows while it is used up and answers take little longer than on an unloaded endpoint, and shrinks
-// when they take much longer or the endpoint refuses one as busy. Several daemons that share an endpoint thus settle on
-// a short queue there without knowing of each other.
+// endpoint. The limit grows while it is used up and answers take little longer than on an unloaded endpoint, and
+// shrinks when they take much longer or the endpoint refuses one as busy. Several daemons that share an endpoint thus
+// settle on a short queue there without knowing of each other.
 class ConcurrencyLimit {
 public:
     explicit ConcurrencyLimit(int slots);
--- /dev/null
+++ b/src/connection/session_state_test.cc
@@ -0,0 +1,156 @@
+#include "connection/endpoint_state.h"
+#include "connection/session_state.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Brings the connection to the state that the commands ask for.
+void confirmAll(HeldState& held, const std::vector<EndpointCommand>& commands)
+{
+    for (const auto& command : commands)
+        held.confirm(command);
+}
+
+std::vector<CommandKind> kindsOf(const std::vector<EndpointCommand>& commands)
+{
+    std::vector<CommandKind> kinds;
+    for (const auto& command : commands)
+        kinds.push_back(command.kind);
+    return kinds;
+}
+
+} // namespace
+
+TEST_CASE("HeldState, needs no command when the connection holds the session's state")
+{
+    HeldState held;
+    SessionState session;
+    session.values = { { "zone", "a" } };
+    confirmAll(held, held.commandsFor(session, std::nullopt));
+    CHECK(held.commandsFor(session, std::nullopt).empty());
+    CHECK(held.matches(session));
+}
+
+TEST_CASE("HeldState, is reset when it holds a value that the session has not set")
+{
+    // Guards against a statement that runs with another client's session values.
+    HeldState held;
+    SessionState first;
+    first.values = { { "zone", "a" }, { "lang", "th" } };
+    confirmAll(held, held.commandsFor(first, std::nullopt));
+    SessionState second;
+    second.values = { { "zone", "a" } };
+    CHECK_FALSE(held.isCompatible(second));
+    const auto commands = held.commandsFor(second, std::nullopt);
+    CHECK(kindsOf(commands) == std::vector<CommandKind> { CommandKind::Reset, CommandKind::SetValue });
+    confirmAll(held, commands);
+    CHECK(held.matches(second));
+}
+
+TEST_CASE("HeldState, shares prepared statements of the same shape between sessions")
+{
+    HeldState held;
+    const SessionState session;
+    const PreparedStatement write { true, "q2c" };
+    confirmAll(held, held.commandsFor(session, write));
+    CHECK(held.commandsFor(session, write).empty());
+    // The same shape as a read is another statement.
+    CHECK(kindsOf(held.commandsFor(session, PreparedStatement { false, "q2c" }))
+        == std::vector<CommandKind> { CommandKind::Prepare });
+}
+
+TEST_CASE("HeldState, prepares again after a reset and after the endpoint forgot the statement")
+{
+    HeldState held;
+    const PreparedStatement read { false, "q2c" };
+    SessionState session;
+    confirmAll(held, held.commandsFor(session, read));
+    held.forgetPrepared(read.sharedName());
+    CHECK(kindsOf(held.commandsFor(session, read)) == std::vector<CommandKind> { CommandKind::Prepare });
+    session.values = { { "zone", "a" } };
+    confirmAll(held, held.commandsFor(session, read));
+    CHECK(kindsOf(held.commandsFor(SessionState {}, read))
+        == std::vector<CommandKind> { CommandKind::Reset, CommandKind::Prepare });
+}
+
+TEST_CASE("HeldState, bounds the number of prepared statements")
+{
+    HeldState held;
+    const SessionState session;
+    for (std::size_t i = 0; i < HeldState::maxPrepared; ++i)
+        confirmAll(held, held.commandsFor(session, PreparedStatement { false, std::to_string(i) }));
+    CHECK(kindsOf(held.commandsFor(session, PreparedStatement { false, "one more" }))
+        == std::vector<CommandKind> { CommandKind::Reset, CommandKind::Prepare });
+}
+
+namespace {
+
+// Feeds windows of answers with the given latency.
+void answer(ConcurrencyLimit& limit, Duration latency, int windows, Time& now)
+{
+    constexpr int answersPerWindow = 30;
+    for (int i = 0; i < windows * answersPerWindow; ++i) {
+        now += 10ms;
+        limit.onAnswer(latency, 100, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("ConcurrencyLimit, grows while answers are fast and the limit is used up")
+{
+    Time now { 10s };
+    ConcurrencyLimit limit(4);
+    answer(limit, 10ms, 20, now);
+    CHECK(limit.value() == Approx(8));
+}
+
+TEST_CASE("ConcurrencyLimit, shrinks when statements wait at the endpoint, but not below half of its slots")
+{
+    // Answers the load of several daemons that fill the queue of one endpoint.
+    Time now { 10s };
+    ConcurrencyLimit limit(4);
+    answer(limit, 10ms, 5, now);
+    answer(limit, 60ms, 10, now);
+    CHECK(limit.value() < 4);
+    CHECK(limit.value() >= 2);
+}
+
+TEST_CASE("ConcurrencyLimit, counts a burst of refusals once")
+{
+    ConcurrencyLimit limit(10);
+    for (int i = 0; i < 20; ++i)
+        limit.onBusy(Time(10s) + i * 1ms);
+    CHECK(limit.value() == Approx(7));
+}
+
+TEST_CASE("EndpointState, expects an endpoint that lagged to be behind for a while")
+{
+    EndpointState endpoint { EndpointRecord {} };
+    endpoint.onLagging(2s, Time(10s));
+    CHECK(endpoint.lagEstimate >= 2s);
+    CHECK(endpoint.laggingUntil > Time(10s));
+    // Guards against an endpoint that is never offered a read again after it has caught up.
+    for (int tick = 0; tick < 50; ++tick)
+        endpoint.decayLagEstimate();
+    CHECK(endpoint.lagEstimate < 100ms);
+}
+
+TEST_CASE("EndpointState, gives up connections that are not needed any more")
+{
+    // Guards against daemons that hold all connections of an endpoint while idle.
+    EndpointState endpoint { EndpointRecord {} };
+    for (ConnectionId id = 1; id <= 5; ++id)
+        endpoint.connections[id].phase = EndpointConnection::Phase::Running;
+    endpoint.noteUse();
+    CHECK(endpoint.connectionsWanted() == 5);
+    for (auto& [id, connection] : endpoint.connections)
+        connection.phase = EndpointConnection::Phase::Idle;
+    for (int tick = 0; tick < 90; ++tick)
+        endpoint.decayBusyPeak();
+    CHECK(endpoint.connectionsWanted() <= 1);
+}
--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -19,8 +19,7 @@
 void EndpointTransport::open(ConnectionId id, const EndpointRecord& record)
 {
     auto& link = this->links[id];
-    link.socket
-        = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
+    link.socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
     asio::error_code error;
     const auto address = asio::ip::make_address(record.address.ip, error);
     link.socket->connect(
--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -82,8 +82,8 @@
 
     void open(const HttpServerSettings& settings)
     {
-        this->server = std::make_unique<Server>(
-            restinio::external_io_context(this->context), this->makeSettings(settings));
+        this->server
+            = std::make_unique<Server>(restinio::external_io_context(this->context), this->makeSettings(settings));
         std::exception_ptr failure;
         this->server->open_async([] {}, [&](std::exception_ptr error) { failure = error; });
         this->context.run_for(std::chrono::milliseconds(1));
--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -162,8 +162,7 @@
             this->fail(false);
             return;
         }
-        const auto parsed
-            = http_parser_execute(&this->parser, &this->parserSettings, this->incoming.data(), length);
+        const auto parsed = http_parser_execute(&this->parser, &this->parserSettings, this->incoming.data(), length);
         if (this->complete) {
             this->answer.status = static_cast<int>(this->parser.status_code);
             this->finish(this->keepAlive && parsed == length);
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -47,9 +47,10 @@
 
 std::string encodeMessage(const PrimaryRow& row)
 {
-    return json { { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
-        { "version", row.version }, { "writer", row.writer.value } }
-        .dump();
+    return json {
+        { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
+        { "version", row.version }, { "writer", row.writer.value }
+    }.dump();
 }
 
 std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body)
@@ -122,8 +123,8 @@
         makeCall(peerPrimaryPath, encodeMessage(row)), suspendTimeout, [](const HttpAnswer&) {});
 }
 
-void PeerCalls::askReachable(const SocketAddress& address, const ReachableQuestion& question,
-    std::function<void(std::optional<bool>)> callback)
+void PeerCalls::askReachable(
+    const SocketAddress& address, const ReachableQuestion& question, std::function<void(std::optional<bool>)> callback)
 {
     this->clientFor(address).send(makeCall(peerReachablePath, encodeMessage(question)), reachableTimeout,
         [callback = std::move(callback)](const HttpAnswer& answer) {
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -44,8 +44,7 @@
 public:
     explicit PeerCalls(asio::io_context& context);
 
-    void suspend(
-        const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
+    void suspend(const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
     void announce(const SocketAddress& address, const PrimaryRow& row);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -93,8 +93,10 @@
     peer.address = this->settings.peerAddress.ip;
     peer.port = this->settings.peerAddress.port;
     peer.bodyLimit = httpBodyLimit;
-    this->peerServer = std::make_unique<HttpServer>(this->context, peer,
-        [this](const HttpRequest& request, HttpServer::Answer answer) { this->handlePeer(request, std::move(answer)); });
+    this->peerServer = std::make_unique<HttpServer>(
+        this->context, peer, [this](const HttpRequest& request, HttpServer::Answer answer) {
+            this->handlePeer(request, std::move(answer));
+        });
     SessionServerHooks hooks;
     hooks.now = [] { return bootNow(); };
     hooks.routes = [this] { return this->routes; };
@@ -202,8 +204,7 @@
                      ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
     hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
     hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
-    group.scheduler
-        = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks));
+    group.scheduler = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks));
     return group;
 }
 
@@ -232,8 +233,7 @@
     for (auto& [id, group] : this->groups) {
         const auto declared = this->routes->groups.find(id);
         if (declared != this->routes->groups.end()) {
-            group.scheduler->setConnectionShare(
-                declared->second.connectionLimit / static_cast<int>(this->liveDaemons));
+            group.scheduler->setConnectionShare(declared->second.connectionLimit / static_cast<int>(this->liveDaemons));
         }
     }
 }
@@ -255,9 +255,8 @@
         return;
     logEvent(LogLevel::Info, "statement_failed",
         { { "request", statement.statement.id }, { "code", replyCodeName(statement.reply.code) },
-            { "reason", statement.reason }, { "endpoint", statement.endpoint },
-            { "attempts", statement.attempts }, { "elapsed_ms", toMilliseconds(statement.elapsed) },
-            { "detail", statement.reply.errorText } });
+            { "reason", statement.reason }, { "endpoint", statement.endpoint }, { "attempts", statement.attempts },
+            { "elapsed_ms", toMilliseconds(statement.elapsed) }, { "detail", statement.reply.errorText } });
 }
 
 void SessionProxy::waitForSignal()
@@ -281,8 +280,7 @@
     this->stopping = true;
     this->stopAt = now + this->settings.stopGrace - stopReserve;
     logEvent(LogLevel::Info, "stop_requested",
-        { { "sessions", this->sessions->sessions() },
-            { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
+        { { "sessions", this->sessions->sessions() }, { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
     const auto firstEnd = std::min<Duration>(sessionEndDelay, this->settings.stopGrace / 3);
     this->timers.subscribeAt(now + firstEnd, [this](Time) { this->sessions->closeIdleSessions(); });
     this->timers.subscribeAt(now + this->settings.stopGrace / 2,
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -30,8 +30,8 @@
 
 } // namespace
 
-void SessionProxy::queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
-    std::function<void(std::optional<EndpointReport>)> callback)
+void SessionProxy::queryEndpoint(
+    const DatabaseId& group, const EndpointId& endpoint, std::function<void(std::optional<EndpointReport>)> callback)
 {
     auto* scheduler = this->schedulerOf(group);
     if (scheduler == nullptr) {
@@ -40,8 +40,8 @@
     }
     EndpointCommand command;
     command.kind = CommandKind::Status;
-    scheduler->control(endpoint, command, reportTimeout, bootNow(),
-        [callback = std::move(callback)](const EndpointAnswer* answer) {
+    scheduler->control(
+        endpoint, command, reportTimeout, bootNow(), [callback = std::move(callback)](const EndpointAnswer* answer) {
             const auto status
                 = answer != nullptr && answer->succeeded ? platform::parseStatusRow(answer->firstRow) : std::nullopt;
             if (status)
@@ -123,8 +123,9 @@
     constexpr int notFound = 404;
     if (request.path == peerSuspendPath) {
         if (const auto message = decodeSuspendMessage(request.body)) {
-            this->fleet->onSuspendRequest(message->group, message->claimVersion,
-                [answer = std::move(answer)] { answer(HttpResponse { 200, "application/json", "{}" }); });
+            this->fleet->onSuspendRequest(message->group, message->claimVersion, [answer = std::move(answer)] {
+                answer(HttpResponse { 200, "application/json", "{}" });
+            });
             return;
         }
     } else if (request.path == peerPrimaryPath) {
@@ -147,8 +148,8 @@
         answer(HttpResponse { notFound, "application/json", "{}" });
         return;
     }
-    logEvent(LogLevel::Warning, "peer_request_unreadable",
-        { { "path", request.path }, { "bytes", request.body.size() } });
+    logEvent(
+        LogLevel::Warning, "peer_request_unreadable", { { "path", request.path }, { "bytes", request.body.size() } });
     answer(HttpResponse { badRequest, "application/json", "{}" });
 }
 
--- /dev/null
+++ b/src/process/endpoint_directory_test.cc
@@ -0,0 +1,74 @@
+#include "process/endpoint_directory.h"
+#include "process/store_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time start { 100s };
+
+EndpointRecord record(const std::string& id)
+{
+    EndpointRecord result;
+    result.id = EndpointId(id);
+    result.group = DatabaseId("shop");
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("EndpointDirectory, keeps an entry that vanished until its grace period ends")
+{
+    EndpointDirectory directory;
+    directory.apply(EndpointId("a"), record("a"), start);
+    CHECK_FALSE(directory.apply(EndpointId("a"), std::nullopt, start));
+    CHECK(directory.records().size() == 1);
+    CHECK_FALSE(directory.expire(start + 1s));
+    CHECK(directory.expire(start + EndpointDirectory::removalGrace));
+    CHECK(directory.records().empty());
+}
+
+TEST_CASE("EndpointDirectory, keeps an entry that came back")
+{
+    // Guards against dropping members whose entries lapsed while the store was away.
+    EndpointDirectory directory;
+    directory.apply(EndpointId("a"), record("a"), start);
+    directory.apply(EndpointId("a"), std::nullopt, start);
+    directory.apply(EndpointId("a"), record("a"), start + 2s);
+    CHECK_FALSE(directory.expire(start + 10s));
+    CHECK(directory.records().size() == 1);
+}
+
+TEST_CASE("EndpointDirectory, gives vanished entries a new grace period when the store is back")
+{
+    EndpointDirectory directory;
+    directory.apply(EndpointId("a"), record("a"), start);
+    directory.replaceAll({}, start);
+    directory.restartGrace(start + 2s);
+    CHECK_FALSE(directory.expire(start + 3s));
+    CHECK(directory.isVanished(EndpointId("a")));
+    CHECK(directory.expire(start + 2s + EndpointDirectory::removalGrace));
+}
+
+TEST_CASE("EndpointDirectory, reports only real changes")
+{
+    EndpointDirectory directory;
+    CHECK(directory.apply(EndpointId("a"), record("a"), start));
+    CHECK_FALSE(directory.apply(EndpointId("a"), record("a"), start));
+    auto draining = record("a");
+    draining.draining = true;
+    CHECK(directory.apply(EndpointId("a"), draining, start));
+}
+
+TEST_CASE("StoreClock, bounds the store's clock from both sides")
+{
+    StoreClock clock;
+    CHECK_FALSE(clock.isKnown());
+    // The answer that showed 5,000 ms was on the way between these times.
+    clock.onAnswer(start, start + 100ms, 5000);
+    CHECK(clock.earliestMs(start + 1100ms) == 6000);
+    CHECK(clock.latestMs(start + 1100ms) >= 6100);
+}
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -24,8 +24,8 @@
 
 } // namespace
 
-FleetController::FleetController(FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks,
-    std::function<Time()> now)
+FleetController::FleetController(
+    FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks, std::function<Time()> now)
     : identity(std::move(identity))
     , store(store)
     , timers(timers)
@@ -42,8 +42,8 @@
 void FleetController::tick()
 {
     const auto at = this->now();
-    const bool replacing = std::any_of(
-        this->rows.begin(), this->rows.end(), [](const auto& entry) { return entry.second.replacing; });
+    const bool replacing
+        = std::any_of(this->rows.begin(), this->rows.end(), [](const auto& entry) { return entry.second.replacing; });
     if ((!this->fleetKnown || replacing) && at >= this->nextFleetRead)
         this->readFleet();
     if (at >= this->nextRenewal)
@@ -88,12 +88,8 @@
 void FleetController::applyRow(const PrimaryRow& row)
 {
     const auto known = this->rows.find(row.group);
-    if (known != this->rows.end()) {
-        const bool announced
-            = row.version == known->second.version && known->second.replacing && !row.replacing;
-        if (row.version < known->second.version || (row.version == known->second.version && !announced))
-            return;
-    }
+    if (known != this->rows.end() && row.version <= known->second.version)
+        return;
     this->rows[row.group] = row;
     if (row.replacing) {
         this->replacingSince.try_emplace(row.group, this->now());
@@ -119,8 +115,8 @@
     }
     if (done)
         entry->second.waiting.push_back(std::move(done));
-    logEvent(LogLevel::Info, "primary_suspended",
-        { { "group", group.value }, { "version", this->rows.at(group).version } });
+    logEvent(
+        LogLevel::Info, "primary_suspended", { { "group", group.value }, { "version", this->rows.at(group).version } });
     this->hooks.suspendHere(group, [this, group, weak = std::weak_ptr<int>(this->lifetime)] {
         if (weak.expired())
             return;
@@ -135,8 +131,7 @@
     });
 }
 
-void FleetController::onSuspendRequest(
-    const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done)
+void FleetController::onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done)
 {
     const auto known = this->rows.find(group);
     // A newer row has replaced the claim already.
@@ -158,8 +153,8 @@
 
 void FleetController::renew()
 {
-    const bool draining = std::any_of(this->suspensions.begin(), this->suspensions.end(),
-        [](const auto& entry) { return !entry.second.drained; });
+    const bool draining = std::any_of(
+        this->suspensions.begin(), this->suspensions.end(), [](const auto& entry) { return !entry.second.drained; });
     if (this->renewing || this->stopping || !this->fleetKnown || draining)
         return;
     this->renewing = true;
@@ -169,6 +164,9 @@
         this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion };
     StoreChange change;
     change.conditions.push_back({ fleetTable, epochKey, this->epochVersion });
+    // Without this condition a renewal whose answer never came could take effect after a later one and show others an
+    // earlier end of the lease.
+    change.conditions.push_back({ leaseTable, this->identity.daemon.value, this->leaseRowVersion });
     change.writes.push_back(encodeRow(row));
     this->store.change(
         change, [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
@@ -185,17 +183,29 @@
                 this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
             if (result.status == StoreStatus::Done) {
                 this->lease.onRenewed(preparedAt);
+                this->leaseRowVersion = result.version;
                 this->everLeased = true;
                 return;
             }
             this->nextRenewal = this->now();
             if (result.status == StoreStatus::Conflict)
-                this->readFleet();
+                this->onRenewalConflict(result);
             else
                 this->nextRenewal += storeRetry;
         });
 }
 
+void FleetController::onRenewalConflict(const StoreResult& result)
+{
+    // The row is absent from the answer if it does not exist any more.
+    this->leaseRowVersion = 0;
+    for (const auto& row : result.rows) {
+        if (row.table == leaseTable && row.key == this->identity.daemon.value && !row.removed)
+            this->leaseRowVersion = row.version;
+    }
+    this->readFleet();
+}
+
 void FleetController::listLeases()
 {
     this->nextListing = this->now() + listingInterval;
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -28,8 +28,8 @@
 // primaries that are being replaced.
 class FleetController {
 public:
-    FleetController(FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks,
-        std::function<Time()> now);
+    FleetController(
+        FleetIdentity identity, TableStore& store, TimerService& timers, FleetHooks hooks, std::function<Time()> now);
     ~FleetController();
     FleetController(const FleetController&) = delete;
     FleetController& operator=(const FleetController&) = delete;
@@ -69,6 +69,7 @@
     };
 
     void renew();
+    void onRenewalConflict(const StoreResult& result);
     void readFleet();
     void listLeases();
     void applyRow(const PrimaryRow& row);
@@ -93,6 +94,8 @@
     StoreClock clock;
     PromotionDuty duty;
     std::uint64_t epochVersion = 0;
+    // Version of this daemon's lease row.
+    std::uint64_t leaseRowVersion = 0;
     bool fleetKnown = false;
     bool fleetReading = false;
     bool renewing = false;
--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -54,8 +54,8 @@
     const auto records = this->hooks.endpointsOf(row.group);
     if (records.empty())
         return {};
-    const auto found = std::find_if(records.begin(), records.end(),
-        [&](const EndpointRecord& record) { return record.id == row.endpoint; });
+    const auto found = std::find_if(
+        records.begin(), records.end(), [&](const EndpointRecord& record) { return record.id == row.endpoint; });
     if (found == records.end())
         return "gone";
     return found->draining ? "draining" : "";
@@ -228,7 +228,6 @@
             this->epochVersion = std::max(this->epochVersion, epoch);
             this->applyRow(row);
         },
-        [this](const PrimaryRow& row) { this->applyRow(row); },
         [this](const DatabaseId& group) {
             const auto found = this->suspensions.find(group);
             return found != this->suspensions.end() && found->second.drained;
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -38,14 +38,14 @@
 struct FleetHooks {
     // Asks another daemon to stop using the primary of a group, because of the claim with the given row version. Done
     // means that the daemon has stopped.
-    std::function<void(const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion,
-        std::function<void(PeerStatus)>)>
+    std::function<void(
+        const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion, std::function<void(PeerStatus)>)>
         suspendAt;
     // Tells another daemon the state of a group's primary. Lost messages are made up for by the store.
     std::function<void(const SocketAddress&, const PrimaryRow&)> announce;
     // Asks another daemon whether it reaches an endpoint; no value if the daemon does not answer.
-    std::function<void(const SocketAddress&, const DatabaseId&, const EndpointId&,
-        std::function<void(std::optional<bool>)>)>
+    std::function<void(
+        const SocketAddress&, const DatabaseId&, const EndpointId&, std::function<void(std::optional<bool>)>)>
         askReachable;
     // Asks an endpoint for its report; no value if it does not answer in time.
     std::function<void(const DatabaseId&, const EndpointId&, std::function<void(std::optional<EndpointReport>)>)>
@@ -53,7 +53,8 @@
     // Tells an endpoint to give up the lead of terms below the given one.
     std::function<void(const DatabaseId&, const EndpointId&, std::uint64_t term, std::function<void()>)> demote;
     // Orders the platform to promote an endpoint.
-    std::function<void(const DatabaseId&, const EndpointId&, std::uint64_t token, std::function<void(PromotionOutcome)>)>
+    std::function<void(
+        const DatabaseId&, const EndpointId&, std::uint64_t token, std::function<void(PromotionOutcome)>)>
         promote;
     // Uses the primary of a steady row.
     std::function<void(const PrimaryRow&)> usePrimary;
--- /dev/null
+++ b/src/process/fleet_simulation_test.h
@@ -0,0 +1,505 @@
+#pragma once
+
+#include "process/fleet_controller.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endivetrestle {
+
+// Deterministic world for tests of the fleet controller: several daemons, the store, the promotion service and one
+// database group, all on virtual time. Faults are set through public members. The world checks the two safety rules
+// after every event and collects violations instead of asserting, so that a test can show the seed and the step.
+class FleetSimulation {
+public:
+    explicit FleetSimulation(std::size_t daemonCount, std::uint64_t seed = 1)
+        : random(seed)
+    {
+        for (std::size_t i = 0; i < daemonCount; ++i)
+            this->daemons.push_back(std::make_unique<Daemon>());
+        for (const char* name : { "e1", "e2", "e3" })
+            this->endpoints[EndpointId(name)] = Endpoint {};
+        this->endpoints[EndpointId("e1")].primary = true;
+        for (std::size_t i = 0; i < daemonCount; ++i)
+            this->startDaemon(i);
+    }
+
+    struct Endpoint {
+        bool primary = false;
+        std::uint64_t term = 1;
+        std::uint64_t received = 100;
+        bool up = true;
+        bool draining = false;
+    };
+
+    struct Daemon {
+        std::unique_ptr<TableStore> store;
+        std::unique_ptr<TimerService> timers;
+        std::unique_ptr<FleetController> controller;
+        bool running = false;
+        // Processes no events, as a suspended host; they wait for it.
+        bool frozen = false;
+        // Reaches neither the store nor other daemons.
+        bool cutFromStore = false;
+        bool cutFromPeers = false;
+        // What the daemon's scheduler would do.
+        std::optional<EndpointId> usedPrimary;
+        bool suspended = false;
+        int incarnation = 0;
+        // Events that arrived while the daemon was frozen.
+        std::vector<std::function<void()>> held;
+    };
+
+    std::vector<std::unique_ptr<Daemon>> daemons;
+    std::map<EndpointId, Endpoint> endpoints;
+    bool storeDown = false;
+    // Probability that a store call's answer is lost after its effect.
+    double loseAnswers = 0;
+    // Probability that a call's effect comes up to three seconds late, and its answer never.
+    double delayEffects = 0;
+    Duration storeLatency = std::chrono::milliseconds(5);
+    Duration promoteDelay = std::chrono::milliseconds(600);
+    // Called before each call of a daemon to the outside; kills, freezes or cuts at a given step are set here.
+    std::function<void(std::size_t daemon, const std::string& call)> onCall;
+    std::vector<std::string> violations;
+    int promotions = 0;
+    std::uint64_t highestToken = 0;
+
+    [[nodiscard]] Time now() const { return this->clock; }
+
+    void runFor(Duration duration)
+    {
+        const auto end = this->clock + duration;
+        while (true) {
+            const auto due = this->nextEvent();
+            if (due > end)
+                break;
+            this->clock = std::max(this->clock, due);
+            this->step();
+            this->checkUse();
+        }
+        this->clock = end;
+    }
+
+    void kill(std::size_t index)
+    {
+        auto& daemon = *this->daemons[index];
+        daemon.running = false;
+        daemon.controller.reset();
+        daemon.usedPrimary.reset();
+        daemon.held.clear();
+    }
+
+    void startDaemon(std::size_t index)
+    {
+        auto& daemon = *this->daemons[index];
+        daemon.running = true;
+        daemon.frozen = false;
+        ++daemon.incarnation;
+        daemon.usedPrimary.reset();
+        daemon.suspended = false;
+        daemon.held.clear();
+        daemon.timers = std::make_unique<TimerService>();
+        daemon.store = std::make_unique<Store>(*this, index);
+        daemon.controller = std::make_unique<FleetController>(
+            FleetIdentity { DaemonId("d" + std::to_string(index)), std::to_string(daemon.incarnation), address(index) },
+            *daemon.store, *daemon.timers, this->makeHooks(index), [this] { return this->clock; });
+        daemon.controller->start();
+        daemon.timers->subscribeEvery(this->clock, std::chrono::milliseconds(100), [this, index](Time) {
+            if (this->daemons[index]->controller)
+                this->daemons[index]->controller->tick();
+        });
+    }
+
+    void thaw(std::size_t index)
+    {
+        auto& daemon = *this->daemons[index];
+        daemon.frozen = false;
+        for (auto& action : std::exchange(daemon.held, {}))
+            this->after(index, Duration::zero(), std::move(action));
+    }
+
+    // Whether the daemon would send a write to the endpoint now.
+    [[nodiscard]] bool uses(std::size_t index, const EndpointId& endpoint) const
+    {
+        const auto& daemon = *this->daemons[index];
+        return daemon.running && !daemon.suspended && daemon.usedPrimary == endpoint
+            && daemon.controller->leaseValid(this->clock);
+    }
+
+    [[nodiscard]] EndpointId leader() const
+    {
+        EndpointId best;
+        std::uint64_t term = 0;
+        for (const auto& [id, endpoint] : this->endpoints) {
+            if (endpoint.primary && endpoint.term > term) {
+                best = id;
+                term = endpoint.term;
+            }
+        }
+        return best;
+    }
+
+    // Running daemons that use the present leader.
+    [[nodiscard]] std::size_t usersOfLeader() const
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < this->daemons.size(); ++i)
+            count += this->uses(i, this->leader()) ? 1 : 0;
+        return count;
+    }
+
+    static const DatabaseId& group()
+    {
+        static const DatabaseId id("shop");
+        return id;
+    }
+
+private:
+    // The store's rows are shared; each daemon reaches them through a client of its own.
+    class Store : public TableStore {
+    public:
+        Store(FleetSimulation& world, std::size_t index)
+            : world(world)
+            , index(index)
+        {
+        }
+        void readAll(const std::string& table, Callback callback) override
+        {
+            this->world.storeCall(
+                this->index, "read", [&shared = this->world, table] { return shared.read(table); },
+                std::move(callback));
+        }
+        void change(const StoreChange& change, Callback callback) override
+        {
+            this->world.storeCall(
+                this->index, "change", [&shared = this->world, change] { return shared.apply(change); },
+                std::move(callback));
+        }
+        void watch(const std::string&, std::uint64_t, Duration, Callback) override { }
+
+    private:
+        FleetSimulation& world;
+        std::size_t index;
+    };
+
+    struct Event {
+        std::size_t daemon;
+        int incarnation;
+        std::function<void()> action;
+    };
+
+    static SocketAddress address(std::size_t index) { return { "10.0.0." + std::to_string(index + 1), 7000 }; }
+    static std::size_t indexOf(const SocketAddress& address)
+    {
+        return static_cast<std::size_t>(std::stoi(address.ip.substr(7))) - 1;
+    }
+
+    [[nodiscard]] bool chance(double probability)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
+    }
+
+    // Runs an action of a daemon later, unless the daemon has ended or restarted by then.
+    void after(std::size_t index, Duration delay, std::function<void()> action)
+    {
+        this->events.emplace(
+            this->clock + delay, Event { index, this->daemons[index]->incarnation, std::move(action) });
+    }
+
+    [[nodiscard]] Time nextEvent() const
+    {
+        Time due = this->events.empty() ? Time::max() : this->events.begin()->first;
+        for (const auto& daemon : this->daemons) {
+            if (daemon->running && !daemon->frozen)
+                due = std::min(due, daemon->timers->nextDue());
+        }
+        return due;
+    }
+
+    void step()
+    {
+        if (!this->events.empty() && this->events.begin()->first <= this->clock) {
+            auto event = std::move(this->events.begin()->second);
+            this->events.erase(this->events.begin());
+            if (event.daemon == noDaemon) {
+                event.action();
+                return;
+            }
+            auto& daemon = *this->daemons[event.daemon];
+            if (!daemon.running || daemon.incarnation != event.incarnation)
+                return;
+            if (daemon.frozen)
+                daemon.held.push_back(std::move(event.action));
+            else
+                event.action();
+            return;
+        }
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            auto& daemon = *this->daemons[i];
+            if (daemon.running && !daemon.frozen && daemon.timers->nextDue() <= this->clock) {
+                // The service is kept alive in case the daemon is killed by its own callback.
+                daemon.timers->advance(this->clock);
+                return;
+            }
+        }
+    }
+
+    void announce(std::size_t index, const std::string& call)
+    {
+        if (this->onCall)
+            this->onCall(index, call);
+    }
+
+    void storeCall(
+        std::size_t index, const std::string& name, std::function<StoreResult()> effect, TableStore::Callback callback)
+    {
+        constexpr Duration timeout = std::chrono::milliseconds(1500);
+        this->announce(index, name);
+        const auto sentAt = this->clock;
+        const auto answer = [this, index, sentAt, callback](StoreResult result, Duration delay) {
+            this->after(index, delay, [this, sentAt, callback, result]() mutable {
+                result.sentAt = sentAt;
+                result.answeredAt = this->clock;
+                callback(result);
+            });
+        };
+        if (this->storeDown || this->daemons[index]->cutFromStore) {
+            answer({ StoreStatus::Unknown }, timeout);
+            return;
+        }
+        if (this->chance(this->delayEffects)) {
+            const Duration late = std::chrono::milliseconds(this->random() % 3000);
+            this->events.emplace(this->clock + late, Event { noDaemon, 0, [effect] { effect(); } });
+            answer({ StoreStatus::Unknown }, timeout);
+            return;
+        }
+        const bool lost = this->chance(this->loseAnswers);
+        this->events.emplace(
+            this->clock + this->storeLatency / 2, Event { noDaemon, 0, [this, effect, answer, lost, timeout] {
+                                                             const auto result = effect();
+                                                             if (lost)
+                                                                 answer({ StoreStatus::Unknown }, timeout);
+                                                             else
+                                                                 answer(result, this->storeLatency / 2);
+                                                         } });
+    }
+
+    [[nodiscard]] std::int64_t storeMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.time_since_epoch()).count();
+    }
+
+    StoreResult read(const std::string& table)
+    {
+        StoreResult result;
+        result.status = StoreStatus::Done;
+        result.version = this->version;
+        result.storeMs = this->storeMs();
+        for (const auto& [key, row] : this->rows) {
+            if (key.first == table)
+                result.rows.push_back(row);
+        }
+        return result;
+    }
+
+    StoreResult apply(const StoreChange& change)
+    {
+        StoreResult result;
+        result.storeMs = this->storeMs();
+        bool holds = true;
+        for (const auto& condition : change.conditions) {
+            const auto found = this->rows.find({ condition.table, condition.key });
+            const auto present = found == this->rows.end() ? 0 : found->second.version;
+            holds = holds && present == condition.version;
+            if (found != this->rows.end())
+                result.rows.push_back(found->second);
+        }
+        result.version = this->version;
+        if (!holds) {
+            result.status = StoreStatus::Conflict;
+            return result;
+        }
+        result.rows.clear();
+        ++this->version;
+        for (auto row : change.writes) {
+            row.version = this->version;
+            this->rows[{ row.table, row.key }] = row;
+        }
+        for (const auto& removal : change.removals)
+            this->rows.erase({ removal.table, removal.key });
+        result.status = StoreStatus::Done;
+        result.version = this->version;
+        return result;
+    }
+
+    [[nodiscard]] bool peerReachable(std::size_t from, std::size_t to) const
+    {
+        return to < this->daemons.size() && !this->daemons[from]->cutFromPeers && !this->daemons[to]->cutFromPeers;
+    }
+
+    FleetHooks makeHooks(std::size_t index)
+    {
+        constexpr Duration peerTimeout = std::chrono::milliseconds(450);
+        constexpr Duration hop = std::chrono::milliseconds(1);
+        FleetHooks hooks;
+        hooks.suspendAt = [this, index](const SocketAddress& address, const DatabaseId& id, std::uint64_t claim,
+                              const std::function<void(PeerStatus)>& callback) {
+            this->announce(index, "suspend");
+            const auto peer = indexOf(address);
+            if (!this->peerReachable(index, peer)) {
+                this->after(index, peerTimeout, [callback] { callback(PeerStatus::Silent); });
+                return;
+            }
+            if (!this->daemons[peer]->running) {
+                this->after(index, hop, [callback] { callback(PeerStatus::Refused); });
+                return;
+            }
+            const auto answered = std::make_shared<bool>(false);
+            this->after(index, peerTimeout, [callback, answered] {
+                if (!std::exchange(*answered, true))
+                    callback(PeerStatus::Silent);
+            });
+            this->after(peer, hop, [this, index, peer, id, claim, callback, answered] {
+                this->daemons[peer]->controller->onSuspendRequest(id, claim, [this, index, callback, answered] {
+                    this->after(index, hop, [callback, answered] {
+                        if (!std::exchange(*answered, true))
+                            callback(PeerStatus::Done);
+                    });
+                });
+            });
+        };
+        hooks.announce = [this, index](const SocketAddress& address, const PrimaryRow& row) {
+            this->announce(index, "announce");
+            const auto peer = indexOf(address);
+            if (this->peerReachable(index, peer) && this->daemons[peer]->running)
+                this->after(peer, hop, [this, peer, row] { this->daemons[peer]->controller->onAnnouncement(row); });
+        };
+        hooks.askReachable = [this, index](const SocketAddress& address, const DatabaseId&, const EndpointId& id,
+                                 const std::function<void(std::optional<bool>)>& callback) {
+            const auto peer = indexOf(address);
+            const bool reachable
+                = this->peerReachable(index, peer) && this->daemons[peer]->running && !this->daemons[peer]->frozen;
+            const auto& endpoint = this->endpoints.at(id);
+            const auto vote = reachable ? std::optional<bool>(endpoint.up && endpoint.primary) : std::nullopt;
+            this->after(index, reachable ? hop : peerTimeout, [callback, vote] { callback(vote); });
+        };
+        hooks.queryEndpoint = [this, index](const DatabaseId&, const EndpointId& id,
+                                  const std::function<void(std::optional<EndpointReport>)>& callback) {
+            this->announce(index, "query");
+            this->after(index, hop, [this, id, callback] {
+                const auto& endpoint = this->endpoints.at(id);
+                if (!endpoint.up) {
+                    callback(std::nullopt);
+                    return;
+                }
+                callback(EndpointReport { endpoint.primary, endpoint.term, { endpoint.term, endpoint.received } });
+            });
+        };
+        hooks.demote = [this, index](const DatabaseId&, const EndpointId& id, std::uint64_t term,
+                           const std::function<void()>& callback) {
+            this->announce(index, "demote");
+            auto& endpoint = this->endpoints.at(id);
+            if (endpoint.up && endpoint.term < term)
+                endpoint.primary = false;
+            this->after(index, hop, callback);
+        };
+        hooks.promote = [this, index](const DatabaseId&, const EndpointId& id, std::uint64_t token,
+                            const std::function<void(PromotionOutcome)>& callback) {
+            this->announce(index, "promote");
+            if (!this->daemons[index]->running)
+                return;
+            if (token < this->highestToken)
+                this->violations.push_back(
+                    "token " + std::to_string(token) + " after " + std::to_string(this->highestToken));
+            this->highestToken = std::max(this->highestToken, token);
+            if (!this->endpoints.at(id).up) {
+                this->after(index, hop, [callback] { callback(PromotionOutcome::Rejected); });
+                return;
+            }
+            this->events.emplace(
+                this->clock + this->promoteDelay, Event { noDaemon, 0, [this, id] { this->lead(id); } });
+            this->after(index, hop, [callback] { callback(PromotionOutcome::Accepted); });
+        };
+        hooks.usePrimary = [this, index](const PrimaryRow& row) {
+            this->daemons[index]->usedPrimary = row.endpoint;
+            this->daemons[index]->suspended = false;
+        };
+        hooks.suspendHere = [this, index](const DatabaseId&, const std::function<void()>& drained) {
+            this->daemons[index]->suspended = true;
+            this->after(index, hop, drained);
+        };
+        hooks.endpointsOf = [this](const DatabaseId&) {
+            std::vector<EndpointRecord> records;
+            for (const auto& [id, endpoint] : this->endpoints) {
+                EndpointRecord record;
+                record.id = id;
+                record.group = group();
+                record.draining = endpoint.draining;
+                record.claimsPrimary = endpoint.primary;
+                records.push_back(record);
+            }
+            return records;
+        };
+        hooks.groups = [] { return std::vector<DatabaseId> { group() }; };
+        hooks.doubtsPrimary = [this, index](const DatabaseId&) {
+            const auto& daemon = *this->daemons[index];
+            if (!daemon.usedPrimary || daemon.suspended)
+                return false;
+            const auto& endpoint = this->endpoints.at(*daemon.usedPrimary);
+            return !endpoint.up || !endpoint.primary;
+        };
+        hooks.onLiveDaemons = [](std::size_t) {};
+        return hooks;
+    }
+
+    // The promotion of an endpoint takes effect.
+    void lead(const EndpointId& id)
+    {
+        std::uint64_t term = 0;
+        for (const auto& [other, endpoint] : this->endpoints)
+            term = std::max(term, endpoint.term);
+        auto& endpoint = this->endpoints.at(id);
+        if (endpoint.primary && endpoint.term == term)
+            return;
+        endpoint.primary = true;
+        endpoint.term = term + 1;
+        ++this->promotions;
+    }
+
+    // Nobody may use an endpoint other than the leader of the highest term. While no endpoint leads, as between a
+    // demotion and the promotion that follows it, nothing can be committed, so a use of the demoted endpoint breaks no
+    // rule.
+    void checkUse()
+    {
+        const auto present = this->leader();
+        if (present.empty())
+            return;
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            for (const auto& [id, endpoint] : this->endpoints) {
+                if (this->violations.size() < maxViolations && id != present && endpoint.up && this->uses(i, id)
+                    && !this->daemons[i]->frozen)
+                    this->violations.push_back("daemon " + std::to_string(i) + " uses " + id.value + " while "
+                        + present.value + " leads, at " + std::to_string(toSeconds(this->clock.time_since_epoch()))
+                        + " s");
+            }
+        }
+    }
+
+    static constexpr std::size_t noDaemon = SIZE_MAX;
+    // Violations that are kept; one fault causes many.
+    static constexpr std::size_t maxViolations = 5;
+
+    std::mt19937_64 random;
+    Time clock { std::chrono::seconds(1000) };
+    std::multimap<Time, Event> events;
+    std::map<std::pair<std::string, std::string>, StoreRow> rows;
+    std::uint64_t version = 0;
+};
+
+} // namespace endivetrestle
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -134,8 +134,8 @@
     const auto* endpoint = this->primaryId ? std::as_const(*this).findEndpoint(*this->primaryId) : nullptr;
     if (!force && endpoint != nullptr) {
         for (const auto& [id, connection] : endpoint->connections) {
-            const bool changes = connection.execution
-                && (connection.execution->work.changesData() || connection.plainTransaction);
+            const bool changes
+                = connection.execution && (connection.execution->work.changesData() || connection.plainTransaction);
             if (connection.phase == EndpointConnection::Phase::Running && changes)
                 return;
         }
@@ -206,8 +206,8 @@
     }
 }
 
-void GroupScheduler::control(const EndpointId& id, const EndpointCommand& command, Duration timeout, Time now,
-    ControlCallback callback)
+void GroupScheduler::control(
+    const EndpointId& id, const EndpointCommand& command, Duration timeout, Time now, ControlCallback callback)
 {
     auto* endpoint = this->findEndpoint(id);
     if (endpoint == nullptr) {
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -46,9 +46,11 @@
 // output: connections are reached through hooks, time comes in with every call.
 //
 // Rules it keeps:
-// - A write, and a read that must see everything, goes to the primary, and only while the lease is valid and the primary
+// - A write, and a read that must see everything, goes to the primary, and only while the lease is valid and the
+// primary
 //   is not suspended. The acknowledgement of a write is checked against the same conditions once more.
-// - A read that may be old names the position that the endpoint's log must contain, so an endpoint that lags refuses it.
+// - A read that may be old names the position that the endpoint's log must contain, so an endpoint that lags refuses
+// it.
 // - A statement is sent a second time only if the first send is known not to have run, or if it only reads.
 // - A connection whose state is unknown is closed.
 class GroupScheduler {
@@ -133,8 +135,8 @@
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     bool prepareAgain(EndpointConnection& connection, Time now);
-    void learnPosition(EndpointState& endpoint, const EndpointConnection& connection, const EndpointAnswer& answer,
-        Time now);
+    void learnPosition(
+        EndpointState& endpoint, const EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
     void afterRefusal(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -391,8 +391,7 @@
 }
 
 // Ends the statement of a connection that is lost or given up. The caller removes the connection.
-void GroupScheduler::failExecution(
-    EndpointConnection& connection, bool timedOut, const std::string& reason, Time now)
+void GroupScheduler::failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason, Time now)
 {
     if (connection.control) {
         --this->endpoints.at(connection.endpoint).running;
--- /dev/null
+++ b/src/process/group_scheduler_test.cc
@@ -0,0 +1,374 @@
+#include "process/scheduler_fixture_test.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+TEST_CASE("GroupScheduler, sends writes to the primary")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    const auto sent = fixture.take();
+    CHECK(fixture.endpointName(sent.connection) == "e1");
+    fixture.succeed(sent);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.succeeded);
+}
+
+TEST_CASE("GroupScheduler, serves a bounded read at a replica of its data centre with a position to wait for")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.submit(SchedulerFixture::read(false));
+    const auto sent = fixture.take();
+    CHECK(fixture.endpointName(sent.connection) == "e2");
+    CHECK(sent.command.minimum == Position { 1, 10 });
+}
+
+TEST_CASE("GroupScheduler, serves a bounded read at the primary while no position is known")
+{
+    // Guards against a read at a replica whose age nothing proves.
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::read(false));
+    CHECK(fixture.endpointName(fixture.take().connection) == "e1");
+}
+
+TEST_CASE("GroupScheduler, names the session's own write when a read must see it")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    auto work = SchedulerFixture::read(false);
+    work.lastWrite = Position { 1, 12 };
+    fixture.submit(work);
+    const auto sent = fixture.take();
+    // The write is newer than every known position, so the primary serves the read.
+    CHECK(fixture.endpointName(sent.connection) == "e1");
+}
+
+TEST_CASE("GroupScheduler, sends a read elsewhere when the replica lags behind")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.submit(SchedulerFixture::read(false));
+    const auto first = fixture.take();
+    fixture.fail(first, ReplyCode::Lagging);
+    const auto second = fixture.take();
+    CHECK(fixture.endpointName(second.connection) != fixture.endpointName(first.connection));
+    CHECK(fixture.results.empty());
+}
+
+TEST_CASE("GroupScheduler, tries the primary after two lagging replicas")
+{
+    // Guards against a client that is told "lagging" although the primary could serve it.
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.submit(SchedulerFixture::read(false));
+    fixture.fail(fixture.take(), ReplyCode::Lagging);
+    fixture.fail(fixture.take(), ReplyCode::Lagging);
+    CHECK(fixture.endpointName(fixture.take().connection) == "e1");
+}
+
+TEST_CASE("GroupScheduler, does not use the primary without a lease")
+{
+    SchedulerFixture fixture;
+    fixture.lease = false;
+    fixture.submit(SchedulerFixture::write());
+    CHECK(fixture.sent.empty());
+    fixture.advance(1s);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::Busy);
+}
+
+TEST_CASE("GroupScheduler, does not acknowledge a write whose lease ended before the answer")
+{
+    // Guards against acknowledging a write at a primary that was replaced while this daemon was suspended.
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.lease = false;
+    fixture.succeed(fixture.take());
+    REQUIRE(fixture.results.size() == 1);
+    CHECK_FALSE(fixture.results[0].answer.succeeded);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+}
+
+TEST_CASE("GroupScheduler, does not return a read of the primary whose lease ended before the answer")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::read(true));
+    fixture.lease = false;
+    fixture.succeed(fixture.take());
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::Busy);
+}
+
+TEST_CASE("GroupScheduler, reports a write in doubt when its connection is lost")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.scheduler->onClosed(fixture.take().connection, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+    CHECK(fixture.sent.empty());
+}
+
+TEST_CASE("GroupScheduler, repeats a read when its connection is lost")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.submit(SchedulerFixture::read(false));
+    fixture.scheduler->onClosed(fixture.take().connection, fixture.now);
+    CHECK(fixture.results.empty());
+    CHECK(fixture.sent.size() == 1);
+}
+
+TEST_CASE("GroupScheduler, offers a write again only after the endpoint said that it did not run")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.fail(fixture.take(), ReplyCode::Busy);
+    CHECK(fixture.sent.empty());
+    fixture.advance(20ms);
+    REQUIRE(fixture.sent.size() == 1);
+    fixture.fail(fixture.take(), ReplyCode::Failed);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::Failed);
+    fixture.advance(20ms);
+    CHECK(fixture.sent.empty());
+}
+
+TEST_CASE("GroupScheduler, reports an unanswered write in doubt and an unanswered read as timed out")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.submit(SchedulerFixture::read(true));
+    fixture.openAll();
+    const auto connection = fixture.take().connection;
+    fixture.advance(1s);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+    CHECK(fixture.results[1].answer.code == ReplyCode::Timeout);
+    // The state of the connections is unknown.
+    CHECK(std::count(fixture.closed.begin(), fixture.closed.end(), connection) == 1);
+}
+
+TEST_CASE("GroupScheduler, keeps a transaction on its connection and shares the connection afterwards")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::read(true);
+    work.start = TransactionStart::Plain;
+    fixture.submit(work);
+    const auto begin = fixture.take();
+    CHECK(begin.command.kind == CommandKind::Begin);
+    fixture.succeed(begin, SessionPhase::Transaction);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    REQUIRE(fixture.results.size() == 1);
+    REQUIRE(fixture.results[0].connection);
+    // Another statement does not get the connection.
+    fixture.submit(SchedulerFixture::write());
+    CHECK(fixture.sent.empty());
+    fixture.scheduler->continueTransaction(
+        *fixture.results[0].connection, fixture.makeExecution(SchedulerFixture::commit()), fixture.now);
+    const auto commit = fixture.take();
+    CHECK(commit.connection == begin.connection);
+    CHECK(commit.command.text == "COMMIT");
+    fixture.succeed(commit, SessionPhase::Idle);
+    CHECK(fixture.results.size() == 2);
+    CHECK(fixture.take().connection == begin.connection);
+}
+
+TEST_CASE("GroupScheduler, aborts a transaction whose connection is lost before the commit")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::write();
+    work.start = TransactionStart::Plain;
+    fixture.submit(work);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    const auto write = fixture.take();
+    fixture.succeed(write, SessionPhase::Transaction);
+    const auto connection = *fixture.results[0].connection;
+    fixture.scheduler->onClosed(connection, fixture.now);
+    fixture.scheduler->continueTransaction(
+        connection, fixture.makeExecution(SchedulerFixture::read(true)), fixture.now);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[1].answer.code == ReplyCode::Aborted);
+}
+
+TEST_CASE("GroupScheduler, reports a commit in doubt when its answer is lost")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::write();
+    work.start = TransactionStart::Plain;
+    fixture.submit(work);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    const auto connection = *fixture.results[0].connection;
+    fixture.scheduler->continueTransaction(connection, fixture.makeExecution(SchedulerFixture::commit()), fixture.now);
+    fixture.scheduler->onClosed(connection, fixture.now);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[1].answer.code == ReplyCode::InDoubt);
+}
+
+TEST_CASE("GroupScheduler, rolls an abandoned transaction back")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::write();
+    work.start = TransactionStart::Plain;
+    const auto execution = fixture.submit(work);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    fixture.scheduler->abandon(execution, fixture.now);
+    const auto write = fixture.take();
+    fixture.succeed(write, SessionPhase::Transaction);
+    const auto rollback = fixture.take();
+    CHECK(rollback.command.kind == CommandKind::Rollback);
+    CHECK(rollback.connection == write.connection);
+    CHECK(fixture.results.empty());
+}
+
+TEST_CASE("GroupScheduler, ends plain transactions and waits for writes when the primary is suspended")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::read(true);
+    work.start = TransactionStart::Plain;
+    fixture.submit(work);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    const auto pinned = *fixture.results[0].connection;
+    fixture.submit(SchedulerFixture::write());
+    fixture.openAll();
+    const auto write = fixture.take();
+    bool drained = false;
+    fixture.scheduler->suspendPrimary(fixture.now, [&] { drained = true; });
+    CHECK(std::count(fixture.closed.begin(), fixture.closed.end(), pinned) == 1);
+    CHECK_FALSE(drained);
+    fixture.succeed(write);
+    CHECK(drained);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[1].answer.succeeded);
+    // Nothing more is sent there.
+    fixture.submit(SchedulerFixture::write());
+    CHECK(fixture.sent.empty());
+}
+
+TEST_CASE("GroupScheduler, does not acknowledge a write after the suspension was confirmed")
+{
+    // Guards against an acknowledgement by a primary that has been replaced in the meantime.
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    const auto write = fixture.take();
+    bool drained = false;
+    fixture.scheduler->suspendPrimary(fixture.now, [&] { drained = true; });
+    fixture.advance(GroupScheduler::drainLimit + 1ms);
+    CHECK(drained);
+    fixture.succeed(write);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+}
+
+TEST_CASE("GroupScheduler, serves waiting writes at the new primary")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->suspendPrimary(fixture.now, [] {});
+    fixture.submit(SchedulerFixture::write());
+    fixture.advance(600ms);
+    CHECK(fixture.results.empty());
+    fixture.scheduler->setPrimary(EndpointId("e2"), 2, fixture.now);
+    CHECK(fixture.endpointName(fixture.take().connection) == "e2");
+}
+
+TEST_CASE("GroupScheduler, refuses at once what would wait longer than half of its objective")
+{
+    // Plays more reads of one primary than its slots carry, which happens while all replicas lag, and checks that
+    // callers are refused at once instead of being held until their time is over.
+    SchedulerFixture fixture;
+    constexpr int statements = 400;
+    for (int i = 0; i < statements; ++i)
+        fixture.submit(SchedulerFixture::read(true));
+    REQUIRE_FALSE(fixture.results.empty());
+    for (const auto& result : fixture.results) {
+        CHECK(result.answer.code == ReplyCode::Busy);
+        CHECK(result.reason == "not_in_time");
+    }
+    CHECK(fixture.results.size() > statements / 2);
+}
+
+TEST_CASE("GroupScheduler, gives urgent statements the next free place")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->setConnectionShare(1);
+    fixture.submit(SchedulerFixture::write());
+    const auto running = fixture.take();
+    auto late = SchedulerFixture::write();
+    late.priority = 2;
+    late.statement.id = "late";
+    fixture.submit(late);
+    auto urgent = SchedulerFixture::write();
+    urgent.priority = 1;
+    urgent.statement.id = "urgent";
+    fixture.submit(urgent);
+    fixture.succeed(running);
+    CHECK(fixture.take().command.id == "urgent");
+}
+
+TEST_CASE("GroupScheduler, gives a draining replica no new reads")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.setEndpoints({ "e2" });
+    fixture.submit(SchedulerFixture::read(false));
+    CHECK(fixture.endpointName(fixture.take().connection) == "e3");
+}
+
+TEST_CASE("GroupScheduler, asks a second endpoint when a read stays unanswered")
+{
+    SchedulerFixture fixture;
+    fixture.learnPosition();
+    fixture.advance(100ms);
+    fixture.submit(SchedulerFixture::read(false));
+    const auto first = fixture.take();
+    for (int i = 0; i < 3; ++i) {
+        fixture.advance(100ms);
+        fixture.scheduler->tick(fixture.now);
+    }
+    REQUIRE(fixture.sent.size() == 1);
+    const auto second = fixture.take();
+    CHECK(fixture.endpointName(second.connection) != fixture.endpointName(first.connection));
+    fixture.succeed(second);
+    REQUIRE(fixture.results.size() == 1);
+    // The late first answer is not reported again.
+    fixture.succeed(first);
+    CHECK(fixture.results.size() == 1);
+}
+
+TEST_CASE("GroupScheduler, doubts a primary that refuses connections or answers nothing")
+{
+    SchedulerFixture fixture;
+    CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::None);
+    fixture.submit(SchedulerFixture::write());
+    fixture.advance(700ms);
+    fixture.scheduler->tick(fixture.now);
+    CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::Silent);
+}
+
+TEST_CASE("GroupScheduler, prepares a statement again that the endpoint has forgotten")
+{
+    SchedulerFixture fixture;
+    auto work = SchedulerFixture::read(true);
+    work.statement = { StatementKind::Execute, "id", "EXECUTE s1 1a", "s1", "1a" };
+    work.prepared = PreparedStatement { false, "q2c" };
+    fixture.submit(work);
+    const auto prepare = fixture.take();
+    CHECK(prepare.command.kind == CommandKind::Prepare);
+    fixture.succeed(prepare);
+    const auto execute = fixture.take();
+    CHECK(execute.command.kind == CommandKind::Execute);
+    CHECK(execute.command.text == "r_q2c");
+    fixture.fail(execute, ReplyCode::NoStatement);
+    CHECK(fixture.take().command.kind == CommandKind::Prepare);
+}
--- a/src/process/primary_lease.h
+++ b/src/process/primary_lease.h
@@ -15,8 +15,8 @@
 //     if (lease.isValid(bootNow())) ...
 class PrimaryLease {
 public:
-    // Validity of a renewal. It outlasts usual outages of the store; a daemon that cannot be reached delays a replacement
-    // by at most this time.
+    // Validity of a renewal. It outlasts usual outages of the store; a daemon that cannot be reached delays a
+    // replacement by at most this time.
     static constexpr Duration validity = std::chrono::seconds(13);
     // Time between renewals.
     static constexpr Duration renewalInterval = std::chrono::milliseconds(1500);
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace endivetrestle {
 
@@ -22,6 +23,8 @@
 // Interval at which the new primary is asked whether it leads, and the time after which the order is repeated.
 constexpr Duration leadInterval = std::chrono::milliseconds(60);
 constexpr Duration leadLimit = std::chrono::seconds(3);
+// Time after which an order that changes nothing is known to have changed nothing.
+constexpr Duration settleTime = std::chrono::milliseconds(2500);
 constexpr Duration recordRetry = std::chrono::milliseconds(250);
 
 } // namespace
@@ -36,6 +39,15 @@
 
 Promotion::~Promotion() = default;
 
+// An endpoint that was promoted by an order of an earlier attempt comes first, then the one that has received most.
+bool Promotion::isAhead(const EndpointReport& left, const EndpointReport& right)
+{
+    const auto rank = [](const EndpointReport& report) {
+        return std::make_tuple(report.isPrimary ? report.term : 0, report.received);
+    };
+    return rank(left) > rank(right);
+}
+
 void Promotion::enter(const char* step)
 {
     ++this->generation;
@@ -224,33 +236,30 @@
         this->end(false);
         return;
     }
+    this->highestTerm = this->base.term;
     const EndpointReport* best = nullptr;
     for (const auto& [id, report] : this->reports) {
-        // An endpoint that already leads a higher term was promoted by an order of an earlier attempt.
-        if (report.isPrimary && report.term > this->base.term && id != this->base.endpoint) {
-            this->candidate = id;
-            this->record(report.term);
-            return;
-        }
+        this->highestTerm = std::max(this->highestTerm, report.term);
         const bool usable = id != this->base.endpoint && !this->isDraining(id) && this->rejected.count(id) == 0;
-        if (usable && (best == nullptr || report.received > best->received)) {
+        if (usable && (best == nullptr || isAhead(report, *best))) {
             best = &report;
             this->candidate = id;
         }
     }
     const auto old = this->reports.find(this->base.endpoint);
+    const bool oldAnswers = old != this->reports.end();
     if (best == nullptr) {
         // No replica can take over. A primary that still answers is confirmed in its place.
         this->rejected.clear();
-        if (old != this->reports.end() && old->second.isPrimary && !this->isDraining(old->first)) {
-            this->candidate = old->first;
-            this->record(old->second.term);
+        if (!oldAnswers || !old->second.isPrimary || this->isDraining(old->first)) {
+            this->later(queryRetry, [this] { this->queryEndpoints(); });
             return;
         }
-        this->later(queryRetry, [this] { this->queryEndpoints(); });
-        return;
+        best = &old->second;
+        this->candidate = old->first;
     }
-    if (old != this->reports.end())
+    this->alreadyLeads = best->isPrimary && best->term == this->highestTerm;
+    if (oldAnswers && old->first != this->candidate && !this->alreadyLeads)
         this->catchUp(old->first);
     else
         this->order();
@@ -282,24 +291,25 @@
 void Promotion::demoteOld()
 {
     this->enter("demote");
-    this->context.hooks.demote(this->base.group, this->base.endpoint, this->base.term + 1,
-        this->guarded([this] { this->order(); }));
+    this->context.hooks.demote(
+        this->base.group, this->base.endpoint, this->base.term + 1, this->guarded([this] { this->order(); }));
 }
 
 void Promotion::order()
 {
     this->enter("order");
-    if (!this->context.duty.mayOrder(this->context.now())) {
-        this->context.duty.extend(this->context.clock, this->context.now(), this->guarded([this](bool held) {
-            if (held)
-                this->order();
-            else
-                this->end(false);
-        }));
+    const auto now = this->context.now();
+    if (!this->context.duty.mayOrder(now)) {
+        if (!this->context.duty.isHeld(now)) {
+            this->end(false);
+            return;
+        }
+        this->context.duty.extend(this->context.clock, now, [](bool) {});
+        this->later(orderRetry, [this] { this->order(); });
         return;
     }
-    this->context.hooks.promote(this->base.group, this->candidate, this->context.duty.token(),
-        this->guarded([this](PromotionOutcome outcome) {
+    this->context.hooks.promote(
+        this->base.group, this->candidate, this->context.duty.token(), this->guarded([this](PromotionOutcome outcome) {
             switch (outcome) {
             case PromotionOutcome::Accepted:
             case PromotionOutcome::Unknown:
@@ -320,13 +330,18 @@
 {
     if (this->stepName != "await")
         this->enter("await");
-    this->context.hooks.queryEndpoint(this->base.group, this->candidate,
-        this->guarded([this](const std::optional<EndpointReport>& report) {
-            if (report && report->isPrimary && report->term > this->base.term) {
+    this->context.hooks.queryEndpoint(
+        this->base.group, this->candidate, this->guarded([this](const std::optional<EndpointReport>& report) {
+            const auto waited = this->context.now() - this->stepStartedAt;
+            const bool leadsAnew = report && report->isPrimary && report->term > this->highestTerm;
+            // An order for the endpoint that leads already changes nothing, unless an unreachable endpoint leads a
+            // higher term; then the effect comes after a while.
+            const bool leadsStill = report && report->isPrimary && this->alreadyLeads && waited > settleTime;
+            if (leadsAnew || leadsStill) {
                 this->record(report->term);
                 return;
             }
-            if (this->context.now() - this->stepStartedAt > leadLimit)
+            if (waited > leadLimit)
                 this->queryEndpoints();
             else
                 this->later(leadInterval, [this] { this->awaitLead(); });
@@ -340,13 +355,8 @@
     row.endpoint = this->candidate;
     row.term = term;
     row.writer = this->context.self;
-    row.version = this->claimVersion;
-    if (this->stepName != "record") {
+    if (this->stepName != "record")
         this->enter("record");
-        this->context.applyAnnounced(row);
-        for (const auto& peer : this->peers)
-            this->context.hooks.announce(peer, row);
-    }
     StoreChange change;
     const auto encoded = encodeRow(row);
     change.conditions.push_back({ fleetTable, encoded.key, this->claimVersion });
@@ -354,8 +364,12 @@
     change.writes.push_back({ fleetTable, epochKey, "{}" });
     this->context.store.change(change, this->guarded([this, row, term](const StoreResult& result) mutable {
         if (result.status == StoreStatus::Done) {
+            // Nobody uses the new primary before it is recorded, so that a daemon which takes an unfinished replacement
+            // over knows the primary that was used last.
             row.version = result.version;
             this->context.applyOwnRow(row, result.version);
+            for (const auto& peer : this->peers)
+                this->context.hooks.announce(peer, row);
             this->end(true);
         } else if (result.status == StoreStatus::Conflict) {
             // An earlier attempt whose answer was lost took effect, or another daemon has claimed the row.
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -26,8 +26,6 @@
     std::function<std::uint64_t()> epochVersion;
     // Applies a row that this promotion wrote, with the version of the change.
     std::function<void(const PrimaryRow&, std::uint64_t epochVersion)> applyOwnRow;
-    // Applies a row whose change is not stored yet.
-    std::function<void(const PrimaryRow&)> applyAnnounced;
     // Whether nothing is outstanding at the primary any more on this daemon.
     std::function<bool(const DatabaseId&)> drainedHere;
     // Reads the fleet table again, after a conflict or a lost answer.
@@ -39,7 +37,7 @@
 // Steps: claim the group's row, under the condition that the duty is held; make every daemon stop using the primary, by
 // its confirmation or the end of its lease; ask the endpoints for their positions; wait until the best replica holds
 // what the old primary holds, if that one can still be asked; demote the old primary; order the promotion; wait until
-// the new primary leads a higher term; announce and record it. A step that fails is repeated, or the promotion ends and
+// the new primary leads a higher term; record and announce it. A step that fails is repeated, or the promotion ends and
 // the controller starts a new one, which claims the row again. Each step is safe if another daemon has taken over,
 // because the claim, the order and the record are bound to the duty, its token and the row's version.
 class Promotion {
@@ -76,6 +74,7 @@
     void end(bool succeeded);
     void enter(const char* step);
     void later(Duration delay, std::function<void()> action);
+    static bool isAhead(const EndpointReport& left, const EndpointReport& right);
     [[nodiscard]] bool isDraining(const EndpointId& endpoint) const;
 
     // Wraps a callback so that it does nothing once the promotion has ended or another step has begun.
@@ -109,6 +108,9 @@
     std::map<EndpointId, EndpointReport> reports;
     std::set<EndpointId> rejected;
     EndpointId candidate;
+    // Highest term that an endpoint reported, and whether the candidate leads it already.
+    std::uint64_t highestTerm = 0;
+    bool alreadyLeads = false;
 };
 
 } // namespace endivetrestle
--- /dev/null
+++ b/src/process/scheduler_fixture_test.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "process/group_scheduler.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endivetrestle {
+
+// A scheduler with three endpoints, e1 the primary, and a transport that records what is sent.
+class SchedulerFixture {
+public:
+    struct Sent {
+        ConnectionId connection;
+        EndpointCommand command;
+    };
+
+    SchedulerFixture()
+    {
+        SchedulerHooks hooks;
+        hooks.nextConnectionId = [this] { return ++this->lastConnection; };
+        hooks.open
+            = [this](ConnectionId id, const EndpointRecord& record) { this->opening.emplace_back(id, record.id); };
+        hooks.send = [this](ConnectionId id, const EndpointCommand& command) { this->sent.push_back({ id, command }); };
+        hooks.close = [this](ConnectionId id) { this->closed.push_back(id); };
+        hooks.leaseValid = [this](Time) { return this->lease; };
+        this->scheduler
+            = std::make_unique<GroupScheduler>(DatabaseId("shop"), DataCentre("a"), this->timers, std::move(hooks));
+        this->scheduler->setConnectionShare(this->share);
+        this->setEndpoints({});
+        this->scheduler->setPrimary(EndpointId("e1"), 1, this->now);
+        this->scheduler->tick(this->now);
+        this->openAll();
+    }
+
+    void setEndpoints(const std::vector<std::string>& draining)
+    {
+        std::vector<EndpointRecord> records;
+        for (const char* name : { "e1", "e2", "e3" }) {
+            EndpointRecord record;
+            record.id = EndpointId(name);
+            record.group = DatabaseId("shop");
+            record.dataCentre = DataCentre(name == std::string("e2") ? "a" : "b");
+            record.slots = 2;
+            for (const auto& other : draining)
+                record.draining = record.draining || other == name;
+            records.push_back(record);
+        }
+        this->scheduler->setEndpoints(records, this->now);
+    }
+
+    // Completes all connections that are being opened.
+    void openAll()
+    {
+        for (const auto& [id, endpoint] : std::exchange(this->opening, {})) {
+            this->endpointOf[id] = endpoint;
+            this->scheduler->onOpened(id, this->now);
+        }
+    }
+
+    void advance(Duration duration)
+    {
+        const auto end = this->now + duration;
+        while (this->timers.nextDue() <= end) {
+            this->now = std::max(this->now, this->timers.nextDue());
+            this->timers.advance(this->now);
+        }
+        this->now = end;
+    }
+
+    ExecutionPtr submit(ScheduledStatement work)
+    {
+        auto execution = this->makeExecution(std::move(work));
+        this->scheduler->submit(execution, this->now);
+        return execution;
+    }
+
+    ExecutionPtr makeExecution(ScheduledStatement work)
+    {
+        auto execution = std::make_shared<Execution>();
+        work.arrivedAt = this->now;
+        if (work.expiresAt == Time())
+            work.expiresAt = this->now + std::chrono::milliseconds(800);
+        if (!work.session)
+            work.session = std::make_shared<SessionState>();
+        execution->work = std::move(work);
+        execution->callback = [this](const StatementResult& result) { this->results.push_back(result); };
+        return execution;
+    }
+
+    static ScheduledStatement read(bool needsPrimary)
+    {
+        ScheduledStatement work;
+        work.statement = { StatementKind::Read, "id", "READ 1" };
+        work.needsPrimary = needsPrimary;
+        work.maxStaleness = std::chrono::milliseconds(1500);
+        work.objective = std::chrono::milliseconds(200);
+        return work;
+    }
+
+    static ScheduledStatement write()
+    {
+        auto work = read(true);
+        work.statement = { StatementKind::Write, "id", "WRITE 1 x" };
+        return work;
+    }
+
+    static ScheduledStatement commit()
+    {
+        auto work = read(true);
+        work.statement = { StatementKind::Commit, "id", "COMMIT" };
+        return work;
+    }
+
+    // Takes the oldest command that was sent and not answered yet.
+    Sent take()
+    {
+        if (this->sent.empty())
+            return {};
+        const auto first = this->sent.front();
+        this->sent.erase(this->sent.begin());
+        return first;
+    }
+
+    [[nodiscard]] std::string endpointName(ConnectionId id) const
+    {
+        const auto found = this->endpointOf.find(id);
+        return found == this->endpointOf.end() ? "" : found->second.value;
+    }
+
+    void succeed(const Sent& command, SessionPhase phase = SessionPhase::Idle, Position position = { 1, 10 })
+    {
+        EndpointAnswer answer;
+        answer.succeeded = true;
+        answer.payload = "rows";
+        answer.phase = phase;
+        answer.position = position;
+        this->scheduler->onAnswer(command.connection, answer, this->now);
+    }
+
+    void fail(const Sent& command, ReplyCode code, SessionPhase phase = SessionPhase::Idle)
+    {
+        EndpointAnswer answer;
+        answer.code = code;
+        answer.phase = phase;
+        answer.position = Position { 1, 5 };
+        this->scheduler->onAnswer(command.connection, answer, this->now);
+    }
+
+    // Makes the primary report a position, so that replicas may serve bounded reads.
+    void learnPosition()
+    {
+        this->submit(read(true));
+        this->succeed(this->take());
+        this->results.clear();
+    }
+
+    Time now { std::chrono::seconds(1000) };
+    TimerService timers;
+    bool lease = true;
+    int share = 4;
+    ConnectionId lastConnection = 0;
+    std::vector<std::pair<ConnectionId, EndpointId>> opening;
+    std::map<ConnectionId, EndpointId> endpointOf;
+    std::vector<Sent> sent;
+    std::vector<ConnectionId> closed;
+    std::vector<StatementResult> results;
+    std::unique_ptr<GroupScheduler> scheduler;
+};
+
+} // namespace endivetrestle
--- a/src/process/store_clock.h
+++ b/src/process/store_clock.h
@@ -20,7 +20,10 @@
 
     [[nodiscard]] bool isKnown() const { return this->known; }
     // The store's clock shows at least this much.
-    [[nodiscard]] std::int64_t earliestMs(Time now) const { return this->storeMs + milliseconds(now - this->answeredAt); }
+    [[nodiscard]] std::int64_t earliestMs(Time now) const
+    {
+        return this->storeMs + milliseconds(now - this->answeredAt);
+    }
     // The store's clock shows at most this much.
     [[nodiscard]] std::int64_t latestMs(Time now) const { return this->storeMs + milliseconds(now - this->sentAt) + 1; }
 
--- /dev/null
+++ b/src/process/table_feed_test.cc
@@ -0,0 +1,120 @@
+#include "process/table_feed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A store whose calls the test answers.
+class ScriptedStore : public TableStore {
+public:
+    void readAll(const std::string&, Callback callback) override { this->reads.push_back(std::move(callback)); }
+    void change(const StoreChange&, Callback) override { }
+    void watch(const std::string&, std::uint64_t after, Duration, Callback callback) override
+    {
+        this->watchedAfter = after;
+        this->watches.push_back(std::move(callback));
+    }
+
+    void answerRead(const StoreResult& result) { this->answer(this->reads, result); }
+    void answerWatch(const StoreResult& result) { this->answer(this->watches, result); }
+
+    std::vector<Callback> reads;
+    std::vector<Callback> watches;
+    std::uint64_t watchedAfter = 0;
+
+private:
+    void answer(std::vector<Callback>& calls, const StoreResult& result)
+    {
+        REQUIRE(calls.size() == 1);
+        const auto callback = calls.front();
+        calls.clear();
+        callback(result);
+    }
+};
+
+class FeedFixture {
+public:
+    FeedFixture()
+    {
+        TableFeedHooks hooks;
+        hooks.now = [this] { return this->now; };
+        hooks.snapshot = [this](const std::vector<StoreRow>& rows) { this->snapshots.push_back(rows.size()); };
+        hooks.changed = [this](const std::vector<StoreRow>& rows) { this->changes += rows.size(); };
+        hooks.reachable = [this](bool value) { this->reachable = value; };
+        this->feed = std::make_unique<TableFeed>("op", this->store, this->timers, std::move(hooks));
+        this->feed->start();
+    }
+
+    static StoreResult result(StoreStatus status, std::uint64_t version, std::size_t rows = 0)
+    {
+        StoreResult value;
+        value.status = status;
+        value.version = version;
+        value.rows.resize(rows);
+        return value;
+    }
+
+    void pause()
+    {
+        this->now += TableFeed::retryPause;
+        this->timers.advance(this->now);
+    }
+
+    Time now { 100s };
+    TimerService timers;
+    ScriptedStore store;
+    std::vector<std::size_t> snapshots;
+    std::size_t changes = 0;
+    bool reachable = true;
+    std::unique_ptr<TableFeed> feed;
+};
+
+} // namespace
+
+TEST_CASE("TableFeed, watches from the version of its snapshot")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    CHECK(fixture.snapshots == std::vector<std::size_t> { 2 });
+    CHECK(fixture.store.watchedAfter == 7);
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9, 1));
+    CHECK(fixture.changes == 1);
+    CHECK(fixture.store.watchedAfter == 9);
+}
+
+TEST_CASE("TableFeed, repeats an unanswered watch from the same version")
+{
+    // Guards against changes that are missed while a connection is silent.
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7));
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Unknown, 0));
+    CHECK_FALSE(fixture.reachable);
+    fixture.pause();
+    CHECK(fixture.store.watchedAfter == 7);
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 8, 1));
+    CHECK(fixture.reachable);
+    CHECK(fixture.changes == 1);
+}
+
+TEST_CASE("TableFeed, reads everything again when the history is lost")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 1));
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::HistoryLost, 0));
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 30, 3));
+    CHECK(fixture.snapshots == std::vector<std::size_t> { 1, 3 });
+    CHECK(fixture.store.watchedAfter == 30);
+}
+
+TEST_CASE("TableFeed, repeats a first read that the store refused")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Refused, 0));
+    CHECK(fixture.snapshots.empty());
+    fixture.pause();
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 1));
+    CHECK(fixture.snapshots.size() == 1);
+}
