--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -73,6 +73,8 @@
     // Failed attempts to open a connection since the last success.
     int openFailures = 0;
     Time openNotBefore;
+    // Time before which no connection beyond the share is opened, because the endpoint had no room.
+    Time overflowNotBefore;
 
     // An idle connection, preferably one that already holds the state of the session.
     EndpointConnection* findIdle(const SessionState& session);
--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -43,9 +43,13 @@
         return true;
     case platform::AnswerParser::Result::StartupRefused: {
         const auto answer = link.parser.take();
-        logEvent(LogLevel::Info, "endpoint_refused_session",
+        logEvent(LogLevel::Debug, "endpoint_refused_session",
             { { "connection", id }, { "code", replyCodeName(answer.code) } });
-        this->onLost(id);
+        this->close(id);
+        if (answer.code == ReplyCode::TooManyConnections)
+            this->input.full(id);
+        else
+            this->input.closed(id);
         return false;
     }
     case platform::AnswerParser::Result::Broken:
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -17,6 +17,8 @@
     std::function<void(ConnectionId)> opened;
     std::function<void(ConnectionId, const EndpointAnswer&)> answered;
     std::function<void(ConnectionId)> closed;
+    // The endpoint refused the session because it has too many.
+    std::function<void(ConnectionId)> full;
 };
 
 // Connections to the endpoints of one group: sockets, session start and the decoding of answers.
--- a/src/edge/line_socket.cc
+++ b/src/edge/line_socket.cc
@@ -1,8 +1,8 @@
 #include "edge/line_socket.h"
 
+#include "edge/keep_alive.h"
+
 #include <array>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace endivetrestle {
 
@@ -10,11 +10,6 @@
 
 constexpr std::size_t readBufferBytes = 65536;
 
-// Keep-alive probing, in seconds and probes. Connections may go silent without a reset; only a probe shows it.
-constexpr int keepAliveIdleSeconds = 2;
-constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 2;
-
 std::array<char, readBufferBytes>& sharedBuffer()
 {
     static std::array<char, readBufferBytes> buffer;
@@ -36,12 +31,7 @@
     asio::error_code ignored;
     this->socket.non_blocking(true, ignored);
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    this->socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    const int handle = this->socket.native_handle();
-    // A failing option leaves the kernel's default, with which only the detection of silent peers is slower.
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds, sizeof(int));
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof(int));
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(int));
+    enableKeepAlive(this->socket.native_handle());
 }
 
 void LineSocket::start(LineCallback lineCallback, ClosedCallback closedCallback)
--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -1,6 +1,7 @@
 #include "edge/loop_http_client.h"
 
 #include "base/boot_clock.h"
+#include "edge/keep_alive.h"
 
 #include <array>
 #include <deque>
@@ -122,6 +123,7 @@
                 }
                 asio::error_code ignored;
                 self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                enableKeepAlive(self->socket.native_handle());
                 const auto& pending = self->queue.front();
                 self->failAfter(pending.queuedAt + pending.timeout - bootNow(), sequence);
                 self->write(sequence);
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -195,6 +195,10 @@
         if (auto* scheduler = this->schedulerOf(id))
             scheduler->onClosed(connection, bootNow());
     };
+    input.full = [this, id](ConnectionId connection) {
+        if (auto* scheduler = this->schedulerOf(id))
+            scheduler->onFull(connection, bootNow());
+    };
     group.transport = std::make_unique<EndpointTransport>(this->context, std::move(input));
     SchedulerHooks hooks;
     hooks.nextConnectionId = [this] { return ++this->lastConnectionId; };
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -12,10 +12,12 @@
 constexpr Duration storeRetry = std::chrono::milliseconds(300);
 // Interval at which the fleet table is read while a primary is being replaced.
 constexpr Duration replacingPoll = std::chrono::milliseconds(300);
-// Interval at which the leases of all daemons are listed.
+// Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does not
+// load the store with listings.
 constexpr Duration listingInterval = std::chrono::seconds(4);
+constexpr Duration listingIntervalPerDaemon = std::chrono::milliseconds(250);
 // A daemon whose lease was renewed this recently counts as alive.
-constexpr Duration aliveWindow = std::chrono::seconds(4);
+constexpr Duration aliveWindow = std::chrono::milliseconds(5500);
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -208,7 +210,7 @@
 
 void FleetController::listLeases()
 {
-    this->nextListing = this->now() + listingInterval;
+    this->nextListing = this->now() + listingInterval + listingIntervalPerDaemon * this->liveCount;
     this->store.readAll(leaseTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired() || result.status != StoreStatus::Done)
             return;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -90,6 +90,8 @@
     void onAnswer(ConnectionId connection, const EndpointAnswer& answer, Time now);
     // The connection was refused, reset or closed, or sent something that cannot be understood.
     void onClosed(ConnectionId connection, Time now);
+    // The endpoint refused the connection because it has too many.
+    void onFull(ConnectionId connection, Time now);
 
     // Periodic work: connections kept warm, silent endpoints, second sends of reads.
     void tick(Time now);
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -372,6 +372,14 @@
     this->connectionOwners.erase(owner);
 }
 
+void GroupScheduler::onFull(ConnectionId id, Time now)
+{
+    constexpr Duration overflowPause = std::chrono::seconds(1);
+    if (auto* connection = this->findConnection(id))
+        this->endpoints.at(connection->endpoint).overflowNotBefore = now + overflowPause;
+    this->onClosed(id, now);
+}
+
 void GroupScheduler::onClosed(ConnectionId id, Time now)
 {
     constexpr Duration firstOpenPause = std::chrono::milliseconds(100);
--- a/src/process/primary_lease.h
+++ b/src/process/primary_lease.h
@@ -19,7 +19,7 @@
     // replacement by at most this time.
     static constexpr Duration validity = std::chrono::seconds(13);
     // Time between renewals.
-    static constexpr Duration renewalInterval = std::chrono::milliseconds(1500);
+    static constexpr Duration renewalInterval = std::chrono::milliseconds(2500);
     // Part of the validity that is not used, against clocks of different speed.
     static constexpr Duration margin = std::chrono::milliseconds(100);
 
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -25,8 +25,8 @@
 // stays without an answer is repeated from the same version, so that no change is missed.
 class TableFeed {
 public:
-    // Time that a watch waits for a change. It bounds how long a connection that went silent goes unnoticed.
-    static constexpr Duration watchTime = std::chrono::milliseconds(2500);
+    // Time that a watch waits for a change. A connection that went silent is noticed earlier, by keep-alive probes.
+    static constexpr Duration watchTime = std::chrono::seconds(20);
     // Pause after a call that the store refused or did not answer.
     static constexpr Duration retryPause = std::chrono::milliseconds(250);
 
