Write structured logs to standard output and serve metrics

Cause: on-call engineers have only logs and metrics.

A failed statement's line carries its route, endpoint, attempts, reason, configuration version, primary, term and what is left of the lease.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,7 +1,11 @@
 #include "base/log.h"
 
+#include "base/nonblocking_output.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
@@ -9,6 +13,7 @@
 #include <boost/log/utility/setup/console.hpp>
 
 #include <iostream>
+#include <unistd.h>
 
 namespace endivetrestle {
 
@@ -63,21 +68,51 @@
     line += '"';
 }
 
+logging::formatter lineFormat()
+{
+    return logging::expressions::stream << "time="
+                                        << logging::expressions::format_date_time<boost::posix_time::ptime>(
+                                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                        << " level=" << logging::trivial::severity << " "
+                                        << logging::expressions::smessage;
+}
+
+NonblockingOutput& standardOutput()
+{
+    static NonblockingOutput output(STDOUT_FILENO);
+    return output;
+}
+
+// Sink for programs with one thread: it takes no lock.
+class NonblockingBackend
+    : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::concurrent_feeding> {
+public:
+    void consume(const logging::record_view&, const std::string& line) { standardOutput().writeLine(line); }
+};
+
 } // namespace
 
 void configureLogging(std::string_view lowestLevel)
 {
     logging::core::get()->remove_all_sinks();
     logging::add_common_attributes();
-    logging::add_console_log(std::clog,
-        logging::keywords::format = (logging::expressions::stream
-            << "time="
-            << logging::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-            << " level=" << logging::trivial::severity << " " << logging::expressions::smessage),
-        logging::keywords::auto_flush = true);
+    logging::add_console_log(std::clog, logging::keywords::format = lineFormat(), logging::keywords::auto_flush = true);
     logging::core::get()->set_filter(logging::trivial::severity >= toSeverity(parseLevel(lowestLevel)));
 }
 
+void configureNonblockingLogging(std::string_view lowestLevel)
+{
+    using Sink = logging::sinks::unlocked_sink<NonblockingBackend>;
+    logging::core::get()->remove_all_sinks();
+    logging::add_common_attributes();
+    const auto sink = boost::make_shared<Sink>();
+    sink->set_formatter(lineFormat());
+    logging::core::get()->add_sink(sink);
+    logging::core::get()->set_filter(logging::trivial::severity >= toSeverity(parseLevel(lowestLevel)));
+}
+
+std::uint64_t droppedLogLines() { return standardOutput().dropped(); }
+
 std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "event=";
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -41,6 +42,13 @@
 // Sets the lowest level that is written, "debug", "info", "warning" or "error". Lines go to standard error.
 void configureLogging(std::string_view lowestLevel);
 
+// Like configureLogging(), but writes to standard output and never waits for its reader: lines that do not fit are
+// dropped and counted.
+void configureNonblockingLogging(std::string_view lowestLevel);
+
+// Lines dropped since configureNonblockingLogging().
+std::uint64_t droppedLogLines();
+
 // Writes one line for one event: time, level, event name and the given fields. Callers must not pass secrets.
 //
 // Example:
--- /dev/null
+++ b/src/base/log_limiter.cc
@@ -0,0 +1,25 @@
+#include "base/log_limiter.h"
+
+#include <utility>
+
+namespace endivetrestle {
+
+LogLimiter::Decision LogLimiter::decide(std::string_view name, Time now)
+{
+    auto found = this->kinds.find(name);
+    if (found == this->kinds.end())
+        found = this->kinds.emplace(std::string(name), Kind { now }).first;
+    auto& kind = found->second;
+    if (now - kind.second >= std::chrono::seconds(1)) {
+        kind.second = now;
+        kind.written = 0;
+    }
+    if (kind.written >= linesPerSecond) {
+        ++kind.leftOut;
+        return { false, kind.leftOut };
+    }
+    ++kind.written;
+    return { true, std::exchange(kind.leftOut, 0) };
+}
+
+} // namespace endivetrestle
--- a/src/cli/proxy_command.cc
+++ b/src/cli/proxy_command.cc
@@ -65,7 +65,7 @@
         std::cout << path << ": no problems\n";
         return ExitSuccess;
     }
-    configureLogging(parsed.level.getValue());
+    configureNonblockingLogging(parsed.level.getValue());
     try {
         SessionProxy proxy(*settings);
         return proxy.run();
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -97,6 +97,13 @@
         this->context, peer, [this](const HttpRequest& request, HttpServer::Answer answer) {
             this->handlePeer(request, std::move(answer));
         });
+    HttpServerSettings metricsPort;
+    metricsPort.address = this->settings.peerAddress.ip;
+    metricsPort.port = this->settings.metricsPort;
+    this->metricsServer
+        = std::make_unique<HttpServer>(this->context, metricsPort, [this](const HttpRequest&, const auto& answer) {
+              answer(HttpResponse { 200, "text/plain; version=0.0.4", this->metricsPage() });
+          });
     SessionServerHooks hooks;
     hooks.now = [] { return bootNow(); };
     hooks.routes = [this] { return this->routes; };
@@ -253,14 +260,53 @@
     return !this->stopping && this->routes && this->registryKnown && this->fleet->leaseValid(bootNow());
 }
 
+std::string SessionProxy::metricsPage()
+{
+    const auto now = bootNow();
+    for (const auto& [id, group] : this->groups) {
+        this->metrics.group(
+            id, group.scheduler->figures(), group.scheduler->positions().term(), group.scheduler->primaryUsable(now));
+    }
+    ProxyState state;
+    state.sessions = this->sessions->sessions();
+    state.liveDaemons = this->liveDaemons;
+    state.configurationVersion = this->routes ? this->routes->version : 0;
+    state.ready = this->isReady();
+    state.leaseLeftSeconds = toSeconds(this->fleet->leaseEnd() - now);
+    state.configurationFeedReachable = this->configurationFeed->isReachable();
+    state.registryFeedReachable = this->registryFeed->isReachable();
+    state.droppedLogLines = droppedLogLines();
+    this->metrics.state(state);
+    return this->metrics.serialize();
+}
+
 void SessionProxy::record(const StatementRecord& statement)
 {
-    if (statement.reply.succeeded)
+    this->metrics.statement(statement);
+    // One success in this many is logged, so that the path of ordinary requests can be seen.
+    constexpr std::uint64_t successSampling = 1024;
+    const bool succeeded = statement.reply.succeeded;
+    if (succeeded && (statement.endpoint.empty() || ++this->successes % successSampling != 0))
+        return;
+    const auto code = succeeded ? std::string_view("ok") : replyCodeName(statement.reply.code);
+    const auto decision = this->logLimiter.decide(std::string(code) + "/" + statement.reason, bootNow());
+    if (!decision.write)
         return;
-    logEvent(LogLevel::Info, "statement_failed",
-        { { "request", statement.statement.id }, { "code", replyCodeName(statement.reply.code) },
-            { "reason", statement.reason }, { "endpoint", statement.endpoint }, { "attempts", statement.attempts },
-            { "elapsed_ms", toMilliseconds(statement.elapsed) }, { "detail", statement.reply.errorText } });
+    const auto* route = statement.route;
+    const auto& group = route == nullptr ? DatabaseId() : route->group;
+    const auto primary = this->fleet->primaries().find(group);
+    const bool known = primary != this->fleet->primaries().end();
+    logEvent(LogLevel::Info, succeeded ? "statement_sampled" : "statement_failed",
+        { { "request", statement.statement.id }, { "code", code }, { "reason", statement.reason },
+            { "database", route == nullptr ? "" : route->databaseName }, { "group", group.value },
+            { "consistency", route == nullptr ? "" : consistencyName(route->consistency) },
+            { "endpoint", statement.endpoint }, { "attempts", statement.attempts },
+            { "elapsed_ms", toMilliseconds(statement.elapsed) },
+            { "configuration", this->routes ? this->routes->version : 0 },
+            { "primary", known ? primary->second.endpoint.value : "" }, { "term", known ? primary->second.term : 0 },
+            { "replacing", known && primary->second.replacing ? 1 : 0 },
+            { "lease_left_ms", toMilliseconds(this->fleet->leaseEnd() - bootNow()) }, { "left_out", decision.leftOut },
+            { "detail", statement.reply.errorText } });
 }
 
 void SessionProxy::waitForSignal()
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/log_limiter.h"
 #include "edge/endpoint_transport.h"
 #include "edge/http_server.h"
 #include "edge/peer_calls.h"
@@ -9,6 +10,7 @@
 #include "process/endpoint_directory.h"
 #include "process/fleet_controller.h"
 #include "process/group_scheduler.h"
+#include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
 #include "process/table_feed.h"
 
@@ -60,6 +62,7 @@
     GroupScheduler* schedulerOf(const DatabaseId& group);
     Group makeGroup(const DatabaseId& group);
     void record(const StatementRecord& statement);
+    [[nodiscard]] std::string metricsPage();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::vector<EndpointRecord> endpointsOf(const DatabaseId& group) const;
     void waitForSignal();
@@ -86,6 +89,10 @@
     std::unique_ptr<TableFeed> registryFeed;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> peerServer;
+    std::unique_ptr<HttpServer> metricsServer;
+    ProxyMetrics metrics;
+    LogLimiter logLimiter;
+    std::uint64_t successes = 0;
     ConnectionId lastConnectionId = 0;
     std::size_t liveDaemons = 1;
     bool stopping = false;
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -47,6 +47,7 @@
     void onAnnouncement(const PrimaryRow& row);
 
     [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
+    [[nodiscard]] Time leaseEnd() const { return this->lease.end(); }
     // Whether the fleet table has been read and a lease was held at least once.
     [[nodiscard]] bool isReady() const { return this->everLeased; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -161,7 +161,8 @@
             world.startDaemon(promoter);
         world.runFor(25s);
         INFO("crash at call " << crashAt);
-        CHECK(world.violations == std::vector<std::string> {});
+        INFO(world.describeViolations());
+        CHECK(world.violations.empty());
         CHECK(world.leader() != e1);
         CHECK(world.usersOfLeader() == 4);
     }
@@ -186,7 +187,8 @@
         world.thaw(0);
         world.runFor(20s);
         INFO("suspended at call " << freezeAt);
-        CHECK(world.violations == std::vector<std::string> {});
+        INFO(world.describeViolations());
+        CHECK(world.violations.empty());
         CHECK(world.leader() != e1);
         CHECK(world.usersOfLeader() == 4);
     }
@@ -265,7 +267,8 @@
         }
         world.runFor(40s);
         INFO("seed " << seed);
-        CHECK(world.violations == std::vector<std::string> {});
+        INFO(world.describeViolations());
+        CHECK(world.violations.empty());
         CHECK(world.usersOfLeader() == 4);
     }
 }
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -72,6 +72,15 @@
 
     [[nodiscard]] Time now() const { return this->clock; }
 
+    // All violations in one text, for messages of tests.
+    [[nodiscard]] std::string describeViolations() const
+    {
+        std::string text;
+        for (const auto& violation : this->violations)
+            text += violation + "; ";
+        return text;
+    }
+
     void runFor(Duration duration)
     {
         const auto end = this->clock + duration;
@@ -345,8 +354,6 @@
 
     FleetHooks makeHooks(std::size_t index)
     {
-        constexpr Duration peerTimeout = std::chrono::milliseconds(450);
-        constexpr Duration hop = std::chrono::milliseconds(1);
         FleetHooks hooks;
         hooks.suspendAt = [this, index](const SocketAddress& address, const DatabaseId& id, std::uint64_t claim,
                               const std::function<void(PeerStatus)>& callback) {
@@ -491,6 +498,9 @@
         }
     }
 
+    // Time for a message between two processes, and longest wait for another daemon.
+    static constexpr Duration hop = std::chrono::milliseconds(1);
+    static constexpr Duration peerTimeout = std::chrono::milliseconds(450);
     static constexpr std::size_t noDaemon = SIZE_MAX;
     // Violations that are kept; one fault causes many.
     static constexpr std::size_t maxViolations = 5;
--- /dev/null
+++ b/src/process/proxy_metrics.cc
@@ -0,0 +1,95 @@
+#include "process/proxy_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace endivetrestle {
+
+namespace {
+
+// Upper bounds of the latency buckets in seconds, around the objectives in use (100 ms to 800 ms).
+const prometheus::Histogram::BucketBoundaries latencyBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5,
+    3 };
+
+std::string outcomeOf(const SessionReply& reply)
+{
+    return reply.succeeded ? "ok" : std::string(replyCodeName(reply.code));
+}
+
+} // namespace
+
+ProxyMetrics::ProxyMetrics()
+    : statements(prometheus::BuildCounter()
+                     .Name("endivetrestle_statements_total")
+                     .Help("Statements by consistency of their route, outcome and reason.")
+                     .Register(this->registry))
+    , latencies(prometheus::BuildHistogram()
+                    .Name("endivetrestle_statement_seconds")
+                    .Help("Time from the arrival of a statement to its reply.")
+                    .Register(this->registry))
+{
+}
+
+void ProxyMetrics::statement(const StatementRecord& record)
+{
+    const std::string consistency(record.route == nullptr ? "local" : consistencyName(record.route->consistency));
+    auto& counter = this->outcomes[{ consistency, outcomeOf(record.reply), record.reason }];
+    if (counter == nullptr) {
+        counter = &this->statements.Add(
+            { { "consistency", consistency }, { "outcome", outcomeOf(record.reply) }, { "reason", record.reason } });
+    }
+    counter->Increment();
+    auto& histogram = this->latencyByConsistency[consistency];
+    if (histogram == nullptr)
+        histogram = &this->latencies.Add({ { "consistency", consistency } }, latencyBuckets);
+    histogram->Observe(toSeconds(record.elapsed));
+}
+
+prometheus::Gauge& ProxyMetrics::gauge(const std::string& name, const std::string& help, const DatabaseId& group)
+{
+    auto& handle = this->gauges[{ name, group }];
+    if (handle == nullptr) {
+        auto& family = prometheus::BuildGauge().Name("endivetrestle_" + name).Help(help).Register(this->registry);
+        std::map<std::string, std::string> labels;
+        if (!group.empty())
+            labels["group"] = group.value;
+        handle = &family.Add(labels);
+    }
+    return *handle;
+}
+
+void ProxyMetrics::group(
+    const DatabaseId& group, const SchedulerFigures& figures, std::uint64_t term, bool primaryUsable)
+{
+    const auto set
+        = [&](const char* name, const char* help, double value) { this->gauge(name, help, group).Set(value); };
+    set("waiting_statements", "Statements that wait for an endpoint.", static_cast<double>(figures.waiting));
+    set("endpoint_connections", "Open connections to the group's endpoints.", static_cast<double>(figures.connections));
+    set("endpoint_connections_opened", "Connections opened so far.", static_cast<double>(figures.connectionsOpened));
+    set("endpoint_busy_answers", "Statements refused by endpoints as busy.", static_cast<double>(figures.busyAnswers));
+    set("endpoint_lagging_answers", "Reads refused by replicas that lag.", static_cast<double>(figures.laggingAnswers));
+    set("hedged_reads", "Reads sent to a second endpoint.", static_cast<double>(figures.hedges));
+    set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(figures.replicaReads));
+    set("primary_reads", "Reads with an age bound served by the primary.", static_cast<double>(figures.primaryReads));
+    set("primary_term", "Term of the primary in use.", static_cast<double>(term));
+    set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
+}
+
+void ProxyMetrics::state(const ProxyState& state)
+{
+    const DatabaseId none;
+    const auto set
+        = [&](const char* name, const char* help, double value) { this->gauge(name, help, none).Set(value); };
+    set("sessions", "Open client sessions.", static_cast<double>(state.sessions));
+    set("live_daemons", "Daemons with a fresh lease, this one included.", static_cast<double>(state.liveDaemons));
+    set("configuration_version", "Version of the configuration in force.",
+        static_cast<double>(state.configurationVersion));
+    set("ready", "1 if the daemon takes new sessions.", state.ready ? 1 : 0);
+    set("lease_left_seconds", "Time until the lease ends.", state.leaseLeftSeconds);
+    set("configuration_feed_up", "1 if the configuration feed is connected.", state.configurationFeedReachable ? 1 : 0);
+    set("registry_feed_up", "1 if the registry feed is connected.", state.registryFeedReachable ? 1 : 0);
+    set("dropped_log_lines", "Log lines dropped because nobody read them.", static_cast<double>(state.droppedLogLines));
+}
+
+std::string ProxyMetrics::serialize() const { return prometheus::TextSerializer().Serialize(this->registry.Collect()); }
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/proxy_metrics.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "connection/client_session.h"
+#include "process/group_scheduler.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace endivetrestle {
+
+// State of the daemon as a whole, exported as gauges.
+struct ProxyState {
+    std::size_t sessions = 0;
+    std::size_t liveDaemons = 0;
+    std::uint64_t configurationVersion = 0;
+    bool ready = false;
+    // Seconds until the lease ends; negative if it has ended.
+    double leaseLeftSeconds = 0;
+    bool configurationFeedReachable = false;
+    bool registryFeedReachable = false;
+    std::uint64_t droppedLogLines = 0;
+};
+
+// Metrics of a session proxy. Handles are looked up by label once and kept. Used from one thread.
+class ProxyMetrics {
+public:
+    ProxyMetrics();
+
+    // Counts an ended statement with its outcome and latency.
+    void statement(const StatementRecord& record);
+    // Sets the gauges of a group.
+    void group(const DatabaseId& group, const SchedulerFigures& figures, std::uint64_t term, bool primaryUsable);
+    void state(const ProxyState& state);
+
+    // Text of the Prometheus exposition format 0.0.4.
+    [[nodiscard]] std::string serialize() const;
+
+private:
+    prometheus::Gauge& gauge(const std::string& name, const std::string& help, const DatabaseId& group);
+
+    // Consistency, outcome and reason.
+    using OutcomeKey = std::tuple<std::string, std::string, std::string>;
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& statements;
+    prometheus::Family<prometheus::Histogram>& latencies;
+    std::map<OutcomeKey, prometheus::Counter*> outcomes;
+    std::map<std::string, prometheus::Histogram*> latencyByConsistency;
+    std::map<std::pair<std::string, DatabaseId>, prometheus::Gauge*> gauges;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/proxy_metrics_test.cc
@@ -0,0 +1,38 @@
+#include "process/proxy_metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+
+TEST_CASE("ProxyMetrics, counts statements by consistency, outcome and reason")
+{
+    ProxyMetrics metrics;
+    Route route;
+    route.consistency = RouteConsistency::ReadYourWrites;
+    SessionReply reply;
+    reply.code = ReplyCode::Busy;
+    const Statement statement;
+    metrics.statement({ statement, &route, reply, "queue_timeout", "", 0, std::chrono::milliseconds(30) });
+    reply.succeeded = true;
+    metrics.statement({ statement, nullptr, reply, "", "", 0, std::chrono::milliseconds(1) });
+    const auto text = metrics.serialize();
+    CHECK(text.find("endivetrestle_statements_total{consistency=\"read_your_writes\",outcome=\"busy\",reason="
+                    "\"queue_timeout\"} 1")
+        != std::string::npos);
+    CHECK(text.find("consistency=\"local\",outcome=\"ok\"") != std::string::npos);
+}
+
+TEST_CASE("ProxyMetrics, exports the state of groups and of the daemon")
+{
+    ProxyMetrics metrics;
+    SchedulerFigures figures;
+    figures.waiting = 3;
+    metrics.group(DatabaseId("shop"), figures, 7, true);
+    ProxyState state;
+    state.sessions = 12;
+    metrics.state(state);
+    const auto text = metrics.serialize();
+    CHECK(text.find("endivetrestle_waiting_statements{group=\"shop\"} 3") != std::string::npos);
+    CHECK(text.find("endivetrestle_primary_term{group=\"shop\"} 7") != std::string::npos);
+    CHECK(text.find("endivetrestle_sessions 12") != std::string::npos);
+}
