Read quick changes of a table together; let one daemon adopt a primary

Ruled out: heartbeats as the reason of the calls; the feed reports only changes beyond the sequence number.

Change: watches are at least 250 ms apart; adoption follows the rank of the daemons and is announced.

--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -13,7 +13,8 @@
 constexpr Duration attemptPause = std::chrono::milliseconds(300);
 // Time after which a replacement that another daemon began counts as unfinished, unless that daemon holds the duty.
 constexpr Duration takeOverAfter = std::chrono::milliseconds(2500);
-// Head start of each daemon over the next one for planned replacements, which all daemons notice at the same time.
+// Head start of each daemon over the next one for adoptions and planned replacements, which all daemons notice at the
+// same time.
 constexpr Duration plannedHeadStart = std::chrono::milliseconds(600);
 
 } // namespace
@@ -27,7 +28,9 @@
             continue;
         const auto found = this->rows.find(group);
         if (found == this->rows.end()) {
-            this->adopt(group);
+            const auto since = this->plannedSince.try_emplace(group, at).first->second;
+            if (at - since >= plannedHeadStart * this->ownRank())
+                this->adopt(group);
             continue;
         }
         const auto& row = found->second;
@@ -97,12 +100,17 @@
             const auto encoded = encodeRow(row);
             change.conditions.push_back({ fleetTable, encoded.key, 0 });
             change.writes.push_back(encoded);
+            // Daemons that miss the announcement learn the row with the renewal of their lease.
+            change.writes.push_back({ fleetTable, epochKey, "{}" });
             this->store.change(change, [this, row, weak](const StoreResult& result) mutable {
                 if (weak.expired())
                     return;
                 if (result.status == StoreStatus::Done) {
                     row.version = result.version;
+                    this->epochVersion = std::max(this->epochVersion, result.version);
                     this->applyRow(row);
+                    for (const auto& [daemon, lease] : this->peers)
+                        this->hooks.announce(lease.address, row);
                 } else
                     this->readFleet();
             });
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -20,8 +20,6 @@
 constexpr int maxLagging = 2;
 // Connections opened to one endpoint at the same time; opening occupies a slot of the endpoint.
 constexpr int maxOpening = 2;
-// Connections beyond the share that a daemon with a small share may open.
-constexpr int minOverflow = 2;
 // Lower bound of a latency in the estimate of completions.
 constexpr double shortestLatencySeconds = 0.0005;
 
@@ -75,7 +73,7 @@
 bool GroupScheduler::canOpen(const EndpointState& endpoint, Time now) const
 {
     // Load is uneven, so a daemon may go beyond its share while the endpoint has room for it.
-    const int overflow = endpoint.overflowNotBefore <= now ? std::max(minOverflow, this->connectionShare / 2) : 0;
+    const int overflow = endpoint.overflowNotBefore <= now ? this->connectionShare / 2 : 0;
     const int limit = this->connectionShare + overflow;
     return endpoint.opening < maxOpening && static_cast<int>(endpoint.connections.size()) < limit
         && endpoint.openNotBefore <= now;
--- a/src/process/group_scheduler_upkeep.cc
+++ b/src/process/group_scheduler_upkeep.cc
@@ -11,8 +11,6 @@
 
 // Connections to each endpoint that are opened before they are needed.
 constexpr int warmConnections = 1;
-// Share of connections below which none is kept warm, because the daemons together would fill the endpoint.
-constexpr int minShareForWarm = 2;
 // Time for which a connection beyond the recent need is kept.
 constexpr Duration idleLimit = std::chrono::milliseconds(500);
 // Time without any answer after which an endpoint with outstanding statements counts as silent, if that is more than
@@ -58,17 +56,16 @@
     }
     endpoint.decayBusyPeak();
     const int present = static_cast<int>(endpoint.connections.size());
-    const int warm = this->connectionShare < minShareForWarm ? 0 : warmConnections;
-    if (!endpoint.record.draining && present < warm && this->canOpen(endpoint, now))
+    if (!endpoint.record.draining && present < warmConnections && this->canOpen(endpoint, now))
         this->openConnection(endpoint, now);
     // Connections that are not needed are given up, so that other daemons, and daemons that start after a crash whose
     // connections the endpoint still counts, find room under the endpoint's limit.
-    const int wanted = std::max(warm, endpoint.connectionsWanted());
+    const int wanted = std::max(warmConnections, endpoint.connectionsWanted());
     if (present <= wanted)
         return;
     for (auto& [id, connection] : endpoint.connections) {
-        const bool unused = connection.phase == EndpointConnection::Phase::Idle
-            && now - connection.idleSince > idleLimit;
+        const bool unused
+            = connection.phase == EndpointConnection::Phase::Idle && now - connection.idleSince > idleLimit;
         if (unused) {
             this->closeConnection(connection);
             return;
--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -45,8 +45,22 @@
     });
 }
 
+void TableFeed::watchSoon()
+{
+    const auto due = this->watchedAt + watchSpacing;
+    if (due <= this->hooks.now()) {
+        this->watch();
+        return;
+    }
+    this->timers.subscribeAt(due, [this, weak = std::weak_ptr<int>(this->lifetime)](Time) {
+        if (!weak.expired())
+            this->watch();
+    });
+}
+
 void TableFeed::watch()
 {
+    this->watchedAt = this->hooks.now();
     this->store.watch(this->table, this->lastVersion, watchTime,
         [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
             if (weak.expired())
@@ -57,7 +71,7 @@
                 if (!result.rows.empty())
                     this->hooks.changed(result.rows);
                 this->lastVersion = std::max(this->lastVersion, result.version);
-                this->watch();
+                this->watchSoon();
                 return;
             case StoreStatus::HistoryLost:
                 logEvent(LogLevel::Info, "feed_history_lost",
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -27,6 +27,8 @@
 public:
     // Time that a watch waits for a change. A connection that went silent is noticed earlier, by keep-alive probes.
     static constexpr Duration watchTime = std::chrono::seconds(20);
+    // Shortest time between two watches. Changes that come in quick succession are read together.
+    static constexpr Duration watchSpacing = std::chrono::milliseconds(250);
     // Pause after a call that the store refused or did not answer.
     static constexpr Duration retryPause = std::chrono::milliseconds(250);
 
@@ -43,6 +45,7 @@
 private:
     void readAll();
     void watch();
+    void watchSoon();
     void retry(bool fromScratch);
     void setReached(bool value);
 
@@ -52,6 +55,7 @@
     TableFeedHooks hooks;
     std::uint64_t lastVersion = 0;
     bool reached = true;
+    Time watchedAt;
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -82,6 +82,9 @@
     CHECK(fixture.store.watchedAfter == 7);
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9, 1));
     CHECK(fixture.changes == 1);
+    // Changes in quick succession are read together.
+    CHECK(fixture.store.watches.empty());
+    fixture.pause();
     CHECK(fixture.store.watchedAfter == 9);
 }
 
