--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -215,7 +215,8 @@
                      ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
     hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
     hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
-    group.scheduler = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks));
+    group.scheduler
+        = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks), bootNow());
     return group;
 }
 
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -7,11 +7,13 @@
 
 namespace endivetrestle {
 
-GroupScheduler::GroupScheduler(DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks)
+GroupScheduler::GroupScheduler(
+    DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks, Time startedAt)
     : group(std::move(group))
     , local(std::move(local))
     , timers(timers)
     , hooks(std::move(hooks))
+    , startedAt(startedAt)
 {
 }
 
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -55,7 +55,7 @@
 // - A connection whose state is unknown is closed.
 class GroupScheduler {
 public:
-    GroupScheduler(DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks);
+    GroupScheduler(DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks, Time startedAt);
     ~GroupScheduler();
     GroupScheduler(const GroupScheduler&) = delete;
     GroupScheduler& operator=(const GroupScheduler&) = delete;
@@ -177,6 +177,7 @@
     bool suspensionConfirmed = false;
     std::function<void()> onDrained;
     std::uint64_t drainTimer = 0;
+    Time startedAt;
     Time primaryExpectedAt;
     bool primaryDenied = false;
     int connectionShare = 4;
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -20,6 +20,9 @@
 constexpr int maxLagging = 2;
 // Connections opened to one endpoint at the same time; opening occupies a slot of the endpoint.
 constexpr int maxOpening = 2;
+// Time after the start in which the primary may still become known. Statements wait for it as for one that is being
+// replaced.
+constexpr Duration startupGrace = std::chrono::seconds(3);
 // Lower bound of a latency in the estimate of completions.
 constexpr double shortestLatencySeconds = 0.0005;
 
@@ -126,8 +129,10 @@
 {
     const bool needsPrimary = this->requirementOf(execution.work).needsPrimary;
     const auto left = execution.work.expiresAt - now;
-    if (needsPrimary && !this->primaryUsable(now))
-        return this->primaryExpectedAt > execution.work.expiresAt || !this->primaryId;
+    if (needsPrimary && !this->primaryUsable(now)) {
+        const bool starting = now - this->startedAt < startupGrace;
+        return this->primaryExpectedAt > execution.work.expiresAt || (!this->primaryId && !starting);
+    }
     WaitOutlook outlook;
     outlook.ahead = this->queue.countAhead(execution.work, needsPrimary);
     for (const auto& [id, endpoint] : this->endpoints) {
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -372,3 +372,29 @@
     fixture.fail(execute, ReplyCode::NoStatement);
     CHECK(fixture.take().command.kind == CommandKind::Prepare);
 }
+
+TEST_CASE(
+    "GroupScheduler, holds statements for a primary that is not known yet after the start, and refuses them later")
+{
+    // Guards against a daemon that restarts while the store is slow and refuses everything until it has read its
+    // tables.
+    TimerService timers;
+    bool refused = false;
+    SchedulerHooks hooks;
+    hooks.leaseValid = [](Time) { return true; };
+    const Time start { 1000s };
+    GroupScheduler scheduler(DatabaseId("shop"), DataCentre("a"), timers, std::move(hooks), start);
+    const auto submit = [&](Time now) {
+        auto execution = std::make_shared<Execution>();
+        execution->work = SchedulerFixture::write();
+        execution->work.session = std::make_shared<SessionState>();
+        execution->work.arrivedAt = now;
+        execution->work.expiresAt = now + 800ms;
+        execution->callback = [&](const StatementResult&) { refused = true; };
+        scheduler.submit(execution, now);
+    };
+    submit(start + 100ms);
+    CHECK_FALSE(refused);
+    submit(start + 10s);
+    CHECK(refused);
+}
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -27,8 +27,8 @@
         hooks.send = [this](ConnectionId id, const EndpointCommand& command) { this->sent.push_back({ id, command }); };
         hooks.close = [this](ConnectionId id) { this->closed.push_back(id); };
         hooks.leaseValid = [this](Time) { return this->lease; };
-        this->scheduler
-            = std::make_unique<GroupScheduler>(DatabaseId("shop"), DataCentre("a"), this->timers, std::move(hooks));
+        this->scheduler = std::make_unique<GroupScheduler>(
+            DatabaseId("shop"), DataCentre("a"), this->timers, std::move(hooks), this->now);
         this->scheduler->setConnectionShare(this->share);
         this->setEndpoints({});
         this->scheduler->setPrimary(EndpointId("e1"), 1, this->now);
