--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -7,6 +7,7 @@
 #include "cli/query_command.h"
 #include "cli/report_command.h"
 #include "cli/serve_command.h"
+#include "cli/trace_command.h"
 
 namespace endivetrestle {
 
@@ -15,6 +16,7 @@
     static const std::vector<Command> commands = {
         { "serve", "runs one daemon from a settings file", runServe },
         { "proxy", "serves client sessions on the users' platform", runProxy },
+        { "trace", "prints the history of a request or group from the proxy's logs", runTrace },
         { "demo", "runs two daemons and all stand-ins in one process", runDemo },
         { "check", "checks a settings file or a configuration", runCheck },
         { "query", "sends one statement as a caller", runQuery },
--- a/src/cli/exit_codes.h
+++ b/src/cli/exit_codes.h
@@ -2,7 +2,7 @@
 
 namespace endivetrestle {
 
-// Exit codes of the binary, also listed in docs/operations.md.
+// Exit codes of the binary, also listed in docs/OPERATIONS.md.
 enum ExitCode : int {
     ExitSuccess = 0,
     // A check failed: wrong settings, a violated invariant, or a missed target.
