Add a fault soak with real daemons as separate processes

Change: 'soak' starts daemons as processes, stand-ins of store, promotion service and groups, loopback links that delay, reset, silence and cut one way, and clients whose view is checked together with that of the endpoints: no write twice, none after a refusal, none acknowledged by a replaced primary, reads as new as promised, session values and answers of the right statement, tokens that never decrease, recovery and a clean stop.

--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -7,6 +7,7 @@
 #include "cli/query_command.h"
 #include "cli/report_command.h"
 #include "cli/serve_command.h"
+#include "cli/soak_command.h"
 #include "cli/trace_command.h"
 
 namespace endivetrestle {
@@ -27,6 +28,7 @@
         { "load", "sends a deployment's mix of requests and checks every answer", runLoad },
         { "experiment", "measures one property of a deployment, with variants of its settings", runExperiment },
         { "targets", "measures the targets of the design page and prints one row each", runTargets },
+        { "soak", "runs daemons as processes under random faults and checks the promises", runSoakCommand },
         { "report", "shows how fast error budgets are spent, and why", runReport },
     };
     return commands;
--- /dev/null
+++ b/src/cli/soak_command.cc
@@ -0,0 +1,78 @@
+#include "cli/soak_command.h"
+
+#include "base/log.h"
+#include "cli/command.h"
+#include "cli/command_input.h"
+#include "cli/exit_codes.h"
+#include "soak/soak.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+namespace endivetrestle {
+
+namespace {
+
+struct SoakArguments {
+    TCLAP::CmdLine line { "Runs daemons as processes of their own under random faults and checks the promises.", ' ',
+        versionText };
+    TCLAP::ValueArg<std::uint64_t> seed { "", "seed", "seed of the first run", false, 1, "N", line };
+    TCLAP::ValueArg<int> runs { "", "runs", "runs with consecutive seeds (1 to 1000)", false, 1, "N", line };
+    TCLAP::ValueArg<int> seconds { "t", "seconds", "time with faults of each run (1 to 3600)", false, 20, "S", line };
+    TCLAP::ValueArg<int> daemons { "", "daemons", "daemons (1 to 100)", false, 4, "N", line };
+    TCLAP::ValueArg<int> clients { "", "clients", "client sessions (1 to 2000)", false, 24, "N", line };
+    TCLAP::SwitchArg json { "j", "json", "prints JSON", line };
+};
+
+bool inRange(const SoakArguments& parsed)
+{
+    const auto within = [](int value, int highest) { return value >= 1 && value <= highest; };
+    return within(parsed.runs.getValue(), 1000) && within(parsed.seconds.getValue(), 3600)
+        && within(parsed.daemons.getValue(), 100) && within(parsed.clients.getValue(), 2000);
+}
+
+std::string makeDirectory()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "endivetrestle-soak-XXXXXX").string();
+    return mkdtemp(pattern.data()) == nullptr ? "" : pattern;
+}
+
+} // namespace
+
+int runSoakCommand(std::vector<std::string>& arguments)
+{
+    SoakArguments parsed;
+    if (const auto code = parseArguments(parsed.line, arguments))
+        return *code;
+    if (!inRange(parsed)) {
+        std::cerr << "a value is out of its range; see --help\n";
+        return ExitUsage;
+    }
+    configureLogging("error");
+    bool passed = true;
+    for (int i = 0; i < parsed.runs.getValue(); ++i) {
+        soak::SoakSettings settings;
+        settings.seed = parsed.seed.getValue() + static_cast<std::uint64_t>(i);
+        settings.seconds = parsed.seconds.getValue();
+        settings.daemons = parsed.daemons.getValue();
+        settings.clients = parsed.clients.getValue();
+        settings.directory = makeDirectory();
+        if (settings.directory.empty()) {
+            std::cerr << "no directory for settings and logs can be made\n";
+            return ExitUsage;
+        }
+        const auto report = soak::runSoak(settings);
+        std::cout << (parsed.json.getValue() ? soak::formatReportJson(report) : soak::formatReport(report))
+                  << std::flush;
+        if (report.violations.empty()) {
+            std::filesystem::remove_all(settings.directory);
+            continue;
+        }
+        passed = false;
+        std::cerr << "logs: " << settings.directory << "\n";
+    }
+    return passed ? ExitSuccess : ExitCheckFailed;
+}
+
+} // namespace endivetrestle
--- a/src/edge/http_server.cc
+++ b/src/edge/http_server.cc
@@ -55,6 +55,8 @@
     request.session = headerValue(handle, "Endivetrestle-Session");
     request.requestId = headerValue(handle, "Endivetrestle-Request-Id");
     request.body = handle->body();
+    handle->header().for_each_field(
+        [&](const auto& field) { request.headers[std::string(field.name())] = std::string(field.value()); });
     return request;
 }
 
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -26,6 +27,8 @@
     // Value of Endivetrestle-Request-Id.
     std::string requestId;
     std::string body;
+    // All headers by name as sent; of several with one name the last one.
+    std::map<std::string, std::string> headers;
 
     bool operator==(const HttpRequest&) const = default;
 };
--- /dev/null
+++ b/src/soak/audit.cc
@@ -0,0 +1,101 @@
+#include "soak/audit.h"
+
+namespace endivetrestle::soak {
+
+void Audit::violate(const std::string& what)
+{
+    // One fault causes many violations; the first ones are enough to trace it.
+    constexpr std::size_t maxViolations = 20;
+    if (this->found.size() < maxViolations)
+        this->found.push_back(what);
+}
+
+bool Audit::isRolledBack(const std::string& group, const Position& position) const
+{
+    const auto events = this->rollBacks.find(group);
+    if (events == this->rollBacks.end())
+        return false;
+    for (const auto& event : events->second) {
+        if (position.term < event.newTerm && position > event.after)
+            return true;
+    }
+    return false;
+}
+
+void Audit::onSent(const std::string& id, const SentStatement& statement, Time now)
+{
+    auto& entry = this->sent[id];
+    entry.statement = statement;
+    if (!statement.reads)
+        return;
+    ++this->readCount;
+    const auto before = statement.maxStaleness ? now - *statement.maxStaleness : now;
+    const auto& known = this->acknowledgements[statement.group];
+    for (auto item = known.rbegin(); item != known.rend(); ++item) {
+        if (item->first < before && !this->isRolledBack(statement.group, item->second)) {
+            entry.required.push_back(item->second);
+            break;
+        }
+    }
+    if (statement.ownWrite)
+        entry.required.push_back(*statement.ownWrite);
+}
+
+void Audit::onCommitted(const std::string& id, const std::string& group, const Position& position, bool superseded)
+{
+    auto& commit = this->commits[id];
+    if (++commit.count > 1 && !this->isRolledBack(group, commit.position))
+        this->violate("write " + id + " took effect twice");
+    commit.position = position;
+    commit.superseded = superseded;
+    if (this->refused.count(id) != 0)
+        this->violate("write " + id + " took effect after a refusal");
+}
+
+void Audit::onRolledBack(const std::string& group, const Position& after, std::uint64_t newTerm)
+{
+    this->rollBacks[group].push_back({ after, newTerm });
+}
+
+void Audit::onAcknowledged(const std::string& group, const std::vector<std::string>& writes, Time now)
+{
+    ++this->acknowledgedCount;
+    for (const auto& id : writes) {
+        const auto commit = this->commits.find(id);
+        if (commit == this->commits.end()) {
+            this->violate("write " + id + " was acknowledged and never took effect");
+            continue;
+        }
+        if (commit->second.superseded)
+            this->violate("write " + id + " was acknowledged by a replaced primary");
+        auto& known = this->acknowledgements[group];
+        // Replies overtake each other; the list keeps rising positions only.
+        if (known.empty() || known.back().second < commit->second.position)
+            known.emplace_back(now, commit->second.position);
+    }
+}
+
+void Audit::onRefused(const std::vector<std::string>& writes)
+{
+    for (const auto& id : writes) {
+        this->refused[id] = true;
+        const auto commit = this->commits.find(id);
+        if (commit != this->commits.end())
+            this->violate("write " + id + " was refused although it had taken effect");
+    }
+}
+
+std::optional<Position> Audit::positionOf(const std::string& write) const
+{
+    const auto commit = this->commits.find(write);
+    return commit == this->commits.end() ? std::nullopt : std::optional<Position>(commit->second.position);
+}
+
+void Audit::onToken(std::uint64_t token)
+{
+    if (token < this->highestToken)
+        this->violate("promotion with token " + std::to_string(token) + " after " + std::to_string(this->highestToken));
+    this->highestToken = std::max(this->highestToken, token);
+}
+
+} // namespace endivetrestle::soak
--- /dev/null
+++ b/src/soak/soak.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "soak/soak_client.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace endivetrestle::soak {
+
+struct SoakSettings {
+    std::uint64_t seed = 1;
+    int seconds = 20;
+    int daemons = 4;
+    int groups = 2;
+    int clients = 24;
+    // Directory for settings files and logs of the daemons. It must exist.
+    std::string directory;
+};
+
+// What a soak found. It passed if there are no violations.
+struct SoakReport {
+    std::uint64_t seed = 0;
+    ClientCounts counts;
+    std::uint64_t acknowledgedWrites = 0;
+    std::uint64_t checkedReads = 0;
+    std::uint64_t promotions = 0;
+    // Faults that were injected, in order, with their second.
+    std::vector<std::string> faults;
+    std::vector<std::string> violations;
+};
+
+// Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
+// from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
+// and continue), harmed connections to the store and to endpoints, endpoints that crash, lag, drain or lose answers,
+// and a store that is down, loses answers or forgets its history. At the end everything is healed, and most statements
+// must succeed again and every daemon must stop within its grace period.
+SoakReport runSoak(const SoakSettings& settings);
+
+std::string formatReport(const SoakReport& report);
+std::string formatReportJson(const SoakReport& report);
+
+} // namespace endivetrestle::soak
--- /dev/null
+++ b/src/soak/soak_client.cc
@@ -0,0 +1,235 @@
+#include "soak/soak_client.h"
+
+#include "base/boot_clock.h"
+
+#include <utility>
+
+namespace endivetrestle::soak {
+
+namespace {
+
+constexpr std::size_t maxLineBytes = 1U << 20U;
+// Longest wait for an answer, longer than any statement time of the routes.
+constexpr std::chrono::seconds answerLimit { 4 };
+
+bool promisesNothingKept(const std::string& code)
+{
+    for (const char* promise : { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" }) {
+        if (code == promise)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+SoakClient::SoakClient(asio::io_context& context, std::mt19937_64& random, Audit& audit, ClientCounts& counts,
+    std::string name, ClientRoute route, std::function<asio::ip::tcp::endpoint()> pickDaemon)
+    : context(context)
+    , random(random)
+    , audit(audit)
+    , counts(counts)
+    , name(std::move(name))
+    , route(std::move(route))
+    , pickDaemon(std::move(pickDaemon))
+    , timer(context)
+    , timeout(context)
+{
+}
+
+SoakClient::~SoakClient() { this->stop(); }
+
+void SoakClient::start() { this->connect(); }
+
+void SoakClient::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->timeout.cancel();
+    if (this->socket)
+        this->socket->close();
+}
+
+void SoakClient::connect()
+{
+    this->inTransaction = false;
+    this->transactionWrites.clear();
+    this->values.clear();
+    this->ownWrite.reset();
+    this->expected = Expect::Startup;
+    this->socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), maxLineBytes);
+    this->socket->connect(
+        this->pickDaemon(),
+        [this] { this->socket->write("STARTUP " + this->route.database + " " + this->name + "\r\n"); },
+        [this](std::string_view line) { return this->onLine(line); }, [this] { this->reconnectLater(); });
+    this->armTimeout();
+}
+
+void SoakClient::armTimeout()
+{
+    this->timeout.expires_after(answerLimit);
+    this->timeout.async_wait([this](const asio::error_code& error) {
+        if (error || this->stopped)
+            return;
+        this->socket->close();
+        this->reconnectLater();
+    });
+}
+
+void SoakClient::reconnectLater()
+{
+    if (this->stopped)
+        return;
+    ++this->counts.lost;
+    this->timeout.cancel();
+    this->timer.expires_after(std::chrono::milliseconds(20 + this->random() % 100));
+    this->timer.async_wait([this](const asio::error_code& error) {
+        if (!error && !this->stopped)
+            this->connect();
+    });
+}
+
+bool SoakClient::onLine(std::string_view line)
+{
+    const std::string text(line);
+    const auto blank = text.find(' ');
+    const auto word = text.substr(0, blank);
+    const auto rest = blank == std::string::npos ? "" : text.substr(blank + 1);
+    if (word == "DATAROW")
+        this->row = rest;
+    else if (word == "COMPLETE")
+        this->signature = rest;
+    else if (word == "ERROR") {
+        this->errorCode = rest.substr(0, rest.find(' '));
+        // The session is closed after a refused start.
+        return this->expected != Expect::Startup;
+    } else if (word == "READY")
+        this->onReady(rest.substr(0, 1));
+    else
+        this->audit.violate("client got the line " + text);
+    return !this->stopped;
+}
+
+void SoakClient::checkAnswer()
+{
+    const bool data = this->expected == Expect::Read || this->expected == Expect::Write;
+    if (data && this->row != "row-" + this->currentId)
+        this->audit.violate("statement " + this->currentId + " got the row " + this->row);
+    if ((data || this->expected == Expect::Commit) && this->signature != "sig-" + this->currentId)
+        this->audit.violate("statement " + this->currentId + " got the signature " + this->signature);
+}
+
+void SoakClient::onReady(const std::string& state)
+{
+    this->timeout.cancel();
+    if (this->expected != Expect::Startup && !this->errorCode.empty()) {
+        this->onFailure(state);
+        return;
+    }
+    this->checkAnswer();
+    if (this->expected != Expect::Startup)
+        ++this->counts.succeeded;
+    switch (this->expected) {
+    case Expect::SetValue:
+        this->values[this->pendingValue.first] = this->pendingValue.second;
+        break;
+    case Expect::Begin:
+        this->inTransaction = true;
+        this->transactionLeft = 1 + static_cast<int>(this->random() % 3);
+        break;
+    case Expect::Write:
+        if (this->inTransaction)
+            break;
+        this->audit.onAcknowledged(this->route.group, { this->currentId }, bootNow());
+        this->ownWrite = this->audit.positionOf(this->currentId);
+        break;
+    case Expect::Commit:
+        this->audit.onAcknowledged(this->route.group, this->transactionWrites, bootNow());
+        if (!this->transactionWrites.empty())
+            this->ownWrite = this->audit.positionOf(this->transactionWrites.back());
+        break;
+    case Expect::Rollback:
+        this->audit.onRefused(this->transactionWrites);
+        break;
+    default:
+        break;
+    }
+    if (this->expected == Expect::Commit || this->expected == Expect::Rollback) {
+        this->inTransaction = false;
+        this->transactionWrites.clear();
+    }
+    this->timer.expires_after(std::chrono::milliseconds(1 + this->random() % 30));
+    this->timer.async_wait([this](const asio::error_code& error) {
+        if (!error && !this->stopped)
+            this->nextOperation();
+    });
+}
+
+void SoakClient::onFailure(const std::string& state)
+{
+    const bool promise = promisesNothingKept(this->errorCode);
+    ++(promise ? this->counts.refused : this->counts.unknown);
+    if (promise && this->inTransaction)
+        this->audit.onRefused(this->transactionWrites);
+    else if (promise && this->expected == Expect::Write)
+        this->audit.onRefused({ this->currentId });
+    this->inTransaction = this->inTransaction && this->expected != Expect::Commit;
+    if (!this->inTransaction)
+        this->transactionWrites.clear();
+    if (state != "I")
+        this->send(Expect::Rollback, "ROLLBACK");
+    else {
+        this->inTransaction = false;
+        this->transactionWrites.clear();
+        this->nextOperation();
+    }
+}
+
+void SoakClient::nextOperation()
+{
+    if (this->inTransaction) {
+        if (this->transactionLeft-- > 0) {
+            this->sendData(this->random() % 2 == 0);
+            return;
+        }
+        const bool commit = this->random() % 5 != 0;
+        this->send(commit ? Expect::Commit : Expect::Rollback, commit ? "COMMIT" : "ROLLBACK");
+        return;
+    }
+    const auto choice = this->random() % 100;
+    if (choice < 10) {
+        this->pendingValue = { "v" + std::to_string(this->random() % 2), std::to_string(this->random() % 3) };
+        this->send(Expect::SetValue, "SET " + this->pendingValue.first + " " + this->pendingValue.second);
+    } else if (choice < 30)
+        this->send(Expect::Begin, "BEGIN");
+    else
+        this->sendData(choice < 55);
+}
+
+void SoakClient::sendData(bool write)
+{
+    this->send(write ? Expect::Write : Expect::Read, write ? "WRITE 1 x" : "READ 1");
+}
+
+void SoakClient::send(Expect kind, const std::string& text)
+{
+    this->expected = kind;
+    this->currentId = this->name + "." + std::to_string(++this->statements);
+    this->row.clear();
+    this->signature.clear();
+    this->errorCode.clear();
+    SentStatement statement;
+    statement.group = this->route.group;
+    statement.reads = kind == Expect::Read && !this->inTransaction;
+    statement.maxStaleness = this->route.maxStaleness;
+    statement.values = this->values;
+    if (this->route.readsOwnWrites)
+        statement.ownWrite = this->ownWrite;
+    this->audit.onSent(this->currentId, statement, bootNow());
+    if (this->inTransaction && kind == Expect::Write)
+        this->transactionWrites.push_back(this->currentId);
+    this->socket->write("QUERY " + this->currentId + " " + text + "\r\n");
+    this->armTimeout();
+}
+
+} // namespace endivetrestle::soak
--- /dev/null
+++ b/src/soak/soak_client.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "edge/line_socket.h"
+#include "soak/audit.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace endivetrestle::soak {
+
+// Database that a client uses, and what its route promises.
+struct ClientRoute {
+    std::string database;
+    std::string group;
+    // Age bound of reads; none on routes whose reads see everything.
+    std::optional<Duration> maxStaleness;
+    bool readsOwnWrites = false;
+};
+
+// Counts of all clients.
+struct ClientCounts {
+    std::uint64_t succeeded = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t lost = 0;
+};
+
+// One client that runs statements and transactions on a session, reconnects when the session ends, and reports what it
+// saw to the audit.
+class SoakClient {
+public:
+    SoakClient(asio::io_context& context, std::mt19937_64& random, Audit& audit, ClientCounts& counts, std::string name,
+        ClientRoute route, std::function<asio::ip::tcp::endpoint()> pickDaemon);
+    ~SoakClient();
+    SoakClient(const SoakClient&) = delete;
+    SoakClient& operator=(const SoakClient&) = delete;
+
+    void start();
+    void stop();
+
+private:
+    enum class Expect { Startup, Begin, Read, Write, Commit, Rollback, SetValue };
+
+    void connect();
+    void reconnectLater();
+    bool onLine(std::string_view line);
+    void onReady(const std::string& state);
+    void nextOperation();
+    void send(Expect expected, const std::string& text);
+    void sendData(bool write);
+    void onFailure(const std::string& state);
+    void checkAnswer();
+    void armTimeout();
+
+    asio::io_context& context;
+    std::mt19937_64& random;
+    Audit& audit;
+    ClientCounts& counts;
+    std::string name;
+    ClientRoute route;
+    std::function<asio::ip::tcp::endpoint()> pickDaemon;
+    std::shared_ptr<LineSocket> socket;
+    asio::steady_timer timer;
+    asio::steady_timer timeout;
+    bool stopped = false;
+    Expect expected = Expect::Startup;
+    std::string currentId;
+    std::uint64_t statements = 0;
+    // Parts of the answer that have arrived.
+    std::string row;
+    std::string signature;
+    std::string errorCode;
+    bool inTransaction = false;
+    int transactionLeft = 0;
+    std::vector<std::string> transactionWrites;
+    std::map<std::string, std::string> values;
+    std::pair<std::string, std::string> pendingValue;
+    std::optional<Position> ownWrite;
+};
+
+} // namespace endivetrestle::soak
--- /dev/null
+++ b/src/soak/standin_store.cc
@@ -0,0 +1,180 @@
+#include "soak/standin_store.h"
+
+#include "base/boot_clock.h"
+#include "platform/store_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace endivetrestle::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int conflict = 412;
+constexpr int gone = 410;
+constexpr int unavailable = 503;
+
+// Value of a query parameter, with percent escapes undone.
+std::string parameter(const std::string& query, const std::string& name)
+{
+    const auto begin = ("&" + query).find("&" + name + "=");
+    if (begin == std::string::npos)
+        return "";
+    const auto from = begin + name.size() + 1;
+    const auto raw = query.substr(from, query.find('&', from) - from);
+    std::string text;
+    for (std::size_t i = 0; i < raw.size(); ++i) {
+        if (raw[i] == '%' && i + 2 < raw.size()) {
+            text += static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else
+            text += raw[i];
+    }
+    return text;
+}
+
+json encodeRow(const std::string& table, const std::string& key, const std::string& value, std::uint64_t version)
+{
+    return { { "Table", table }, { "part", "" }, { "Key", key }, { "Value", platform::encodeBase64(value) },
+        { "SchemaVersion", version } };
+}
+
+HttpResponse respond(int status, const json& body) { return { status, "application/json", body.dump() }; }
+
+} // namespace
+
+StandinStore::StandinStore(asio::io_context& context, std::mt19937_64& random, Promote promote)
+    : random(random)
+    , promote(std::move(promote))
+{
+    this->server = std::make_unique<HttpServer>(context, HttpServerSettings {},
+        [this](const HttpRequest& request, const HttpServer::Answer& answer) { this->handle(request, answer); });
+}
+
+std::int64_t StandinStore::nowMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(bootNow().time_since_epoch()).count();
+}
+
+void StandinStore::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    this->rows[{ table, key }] = { value, ++this->version, false };
+}
+
+void StandinStore::remove(const std::string& table, const std::string& key)
+{
+    this->rows[{ table, key }] = { "", ++this->version, true };
+}
+
+void StandinStore::compact() { this->compactedTo = this->version; }
+
+void StandinStore::handle(const HttpRequest& request, const HttpServer::Answer& answer)
+{
+    if (this->down) {
+        answer({ unavailable, "application/json", "{}" });
+        return;
+    }
+    if (request.path == "/v1/rows-feed") {
+        this->watch(request.query, answer);
+        return;
+    }
+    if (request.path == "/v1/rows-get") {
+        answer(this->read(request.query));
+        return;
+    }
+    const auto response = request.path == "/promote" ? this->promotion(request) : this->change(request.body);
+    // A lost answer keeps the caller waiting until it gives up.
+    if (std::uniform_real_distribution<double>(0, 1)(this->random) >= this->loseAnswers)
+        answer(response);
+}
+
+HttpResponse StandinStore::read(const std::string& query)
+{
+    const auto table = parameter(query, "Table");
+    json list = json::array();
+    for (const auto& [key, row] : this->rows) {
+        if (key.first == table && !row.removed)
+            list.push_back(encodeRow(table, key.second, row.value, row.version));
+    }
+    return respond(
+        ok, { { "rows", list }, { "HasMore", false }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+}
+
+HttpResponse StandinStore::change(const std::string& body)
+{
+    const auto request = json::parse(body, nullptr, false);
+    json present = json::array();
+    bool holds = true;
+    for (const auto& condition : request.at("Expect")) {
+        const Key key { condition.at("Table"), condition.at("Key") };
+        const auto found = this->rows.find(key);
+        const bool exists = found != this->rows.end() && !found->second.removed;
+        holds = holds && condition.at("SchemaVersion") == (exists ? found->second.version : 0);
+        if (exists)
+            present.push_back(encodeRow(key.first, key.second, found->second.value, found->second.version));
+    }
+    if (!holds)
+        return respond(
+            conflict, { { "rows", present }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+    ++this->version;
+    for (const auto& row : request.at("SetKeys")) {
+        std::string value;
+        platform::decodeBase64(row.at("Value"), value);
+        this->rows[{ row.at("Table"), row.at("Key") }] = { value, this->version, false };
+    }
+    for (const auto& row : request.at("Remove"))
+        this->rows[{ row.at("Table"), row.at("Key") }] = { "", this->version, true };
+    return respond(ok, { { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+}
+
+std::string StandinStore::changedSince(const std::string& table, std::uint64_t after, bool& any) const
+{
+    json list = json::array();
+    for (const auto& [key, row] : this->rows) {
+        if (key.first != table || row.version <= after)
+            continue;
+        list.push_back(encodeRow(table, key.second, row.value, row.version));
+        if (row.removed)
+            list.back()["Deleted"] = true;
+    }
+    any = !list.empty();
+    return json { { "rows", list }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } }.dump();
+}
+
+void StandinStore::watch(const std::string& query, const HttpServer::Answer& answer)
+{
+    Watch watch { parameter(query, "Table"), std::stoull(parameter(query, "after")),
+        this->nowMs() + std::stoll(parameter(query, "WaitMs")), answer };
+    if (watch.after < this->compactedTo)
+        answer({ gone, "application/json", "{}" });
+    else
+        this->watches.push_back(std::move(watch));
+}
+
+void StandinStore::tick()
+{
+    std::vector<Watch> kept;
+    for (auto& watch : std::exchange(this->watches, {})) {
+        bool any = false;
+        const auto body = this->changedSince(watch.table, watch.after, any);
+        if (this->down)
+            watch.answer({ unavailable, "application/json", "{}" });
+        else if (any || watch.untilMs <= this->nowMs())
+            watch.answer({ ok, "application/json", body });
+        else
+            kept.push_back(std::move(watch));
+    }
+    this->watches = std::move(kept);
+}
+
+HttpResponse StandinStore::promotion(const HttpRequest& request)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    const auto token = request.headers.find("Fence-Token");
+    const auto number = token == request.headers.end() ? 0 : std::stoull(token->second);
+    return respond(this->promote(body.at("Service"), body.at("Id"), number), json::object());
+}
+
+} // namespace endivetrestle::soak
