Do not doubt a primary that has no room for a connection

Cause: after a loss of power on all hosts the endpoints still count the lost connections.

Change: a full endpoint counts as alive and is left alone for 500 ms.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -12,8 +12,8 @@
 constexpr Duration storeRetry = std::chrono::milliseconds(300);
 // Interval at which the fleet table is read while a primary is being replaced.
 constexpr Duration replacingPoll = std::chrono::milliseconds(300);
-// Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does not
-// load the store with listings.
+// Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does
+// not load the store with listings.
 constexpr Duration listingInterval = std::chrono::seconds(4);
 constexpr Duration listingIntervalPerDaemon = std::chrono::milliseconds(250);
 // A daemon whose lease was renewed this recently counts as alive.
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -375,9 +375,19 @@
 void GroupScheduler::onFull(ConnectionId id, Time now)
 {
     constexpr Duration overflowPause = std::chrono::seconds(1);
-    if (auto* connection = this->findConnection(id))
-        this->endpoints.at(connection->endpoint).overflowNotBefore = now + overflowPause;
+    // A refused connection has occupied a slot of the endpoint for a while, which other statements need.
+    constexpr Duration fullPause = std::chrono::milliseconds(500);
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& endpoint = this->endpoints.at(connection->endpoint);
+    endpoint.overflowNotBefore = now + overflowPause;
     this->onClosed(id, now);
+    endpoint.openNotBefore = std::max(endpoint.openNotBefore, now + fullPause);
+    // An endpoint that says it is full is alive.
+    endpoint.openFailures = 0;
+    endpoint.lastAnswerAt = now;
+    endpoint.silent = false;
 }
 
 void GroupScheduler::onClosed(ConnectionId id, Time now)
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -398,3 +398,20 @@
     submit(start + 10s);
     CHECK(refused);
 }
+
+TEST_CASE("GroupScheduler, does not doubt a primary that has no room for a connection")
+{
+    // Guards against a storm of questions about primaries when many daemons restart at once and find all places taken.
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.scheduler->onClosed(fixture.take().connection, fixture.now);
+    for (int i = 0; i < 20; ++i) {
+        fixture.advance(100ms);
+        fixture.scheduler->tick(fixture.now);
+        for (const auto& [id, endpoint] : std::exchange(fixture.opening, {})) {
+            if (endpoint == EndpointId("e1"))
+                fixture.scheduler->onFull(id, fixture.now);
+        }
+        CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::None);
+    }
+}
--- /dev/null
+++ b/src/soak/audit_test.cc
@@ -0,0 +1,110 @@
+#include "soak/audit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace endivetrestle::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time start { 100s };
+
+// An endpoint whose log holds exactly these positions.
+auto logOf(std::vector<Position> positions)
+{
+    return [positions = std::move(positions)](const Position& wanted) {
+        return std::find(positions.begin(), positions.end(), wanted) != positions.end();
+    };
+}
+
+SentStatement readOf(std::optional<Duration> maxStaleness)
+{
+    SentStatement statement;
+    statement.group = "g";
+    statement.reads = true;
+    statement.maxStaleness = maxStaleness;
+    return statement;
+}
+
+// Acknowledges one write at position 1:1.
+void acknowledgeWrite(Audit& audit)
+{
+    audit.onSent("w", SentStatement { "g" }, start);
+    audit.onCommitted("w", "g", { 1, 1 }, false);
+    audit.onAcknowledged("g", { "w" }, start + 10ms);
+}
+
+} // namespace
+
+TEST_CASE("Audit, finds a read that misses an acknowledged write")
+{
+    Audit audit;
+    acknowledgeWrite(audit);
+    audit.onSent("r", readOf(std::nullopt), start + 20ms);
+    audit.onRun("r", {}, logOf({}));
+    CHECK(audit.violations().size() == 1);
+}
+
+TEST_CASE("Audit, allows a read that was sent before the acknowledgement or may be old enough")
+{
+    Audit audit;
+    audit.onSent("before", readOf(std::nullopt), start + 5ms);
+    acknowledgeWrite(audit);
+    audit.onSent("old", readOf(600ms), start + 20ms);
+    audit.onRun("before", {}, logOf({}));
+    audit.onRun("old", {}, logOf({}));
+    CHECK(audit.violations().empty());
+    audit.onSent("late", readOf(600ms), start + 2s);
+    audit.onRun("late", {}, logOf({}));
+    CHECK(audit.violations().size() == 1);
+}
+
+TEST_CASE("Audit, does not ask for writes that a promotion rolled back")
+{
+    Audit audit;
+    acknowledgeWrite(audit);
+    audit.onRolledBack("g", { 1, 0 }, 2);
+    audit.onSent("r", readOf(std::nullopt), start + 20ms);
+    audit.onRun("r", {}, logOf({}));
+    CHECK(audit.violations().empty());
+}
+
+TEST_CASE("Audit, finds a write that takes effect twice, after a refusal, or before one")
+{
+    Audit twice;
+    acknowledgeWrite(twice);
+    twice.onCommitted("w", "g", { 1, 2 }, false);
+    CHECK(twice.violations().size() == 1);
+    Audit after;
+    after.onRefused({ "w" });
+    after.onCommitted("w", "g", { 1, 1 }, false);
+    CHECK(after.violations().size() == 1);
+    Audit before;
+    before.onCommitted("w", "g", { 1, 1 }, false);
+    before.onRefused({ "w" });
+    CHECK(before.violations().size() == 1);
+}
+
+TEST_CASE("Audit, finds an acknowledgement by a replaced primary and one without effect")
+{
+    Audit audit;
+    audit.onCommitted("w", "g", { 1, 1 }, true);
+    audit.onAcknowledged("g", { "w", "never" }, start);
+    CHECK(audit.violations().size() == 2);
+}
+
+TEST_CASE("Audit, finds statements of nobody, with other session values, and tokens that decrease")
+{
+    Audit audit;
+    audit.onRun("unknown", {}, logOf({}));
+    SentStatement statement;
+    statement.values = { { "zone", "a" } };
+    audit.onSent("s", statement, start);
+    audit.onRun("s", { { "zone", "b" } }, logOf({}));
+    audit.onToken(2);
+    audit.onToken(2);
+    CHECK(audit.violations().size() == 2);
+    audit.onToken(1);
+    CHECK(audit.violations().size() == 3);
+}
