Split how statements end off the scheduler; decode code words in one place

Change: release, loss and time-outs stand in group_scheduler_endings.cc; parseReplyCode() is public. No behaviour changes.

--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -105,6 +105,8 @@
     [[nodiscard]] const std::optional<EndpointId>& primary() const { return this->primaryId; }
     [[nodiscard]] bool primaryUsable(Time now) const;
 
+    // Sends of one statement, the first included.
+    static constexpr int maxAttempts = 4;
     // Longest wait for outstanding statements after a suspension.
     static constexpr Duration drainLimit = std::chrono::milliseconds(150);
 
@@ -143,13 +145,15 @@
     void afterRefusal(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
     void refuse(const ExecutionPtr& execution, ReplyCode code, const std::string& text, const std::string& reason);
+    bool startControl(EndpointState& endpoint, EndpointConnection& connection, Time now);
+
+    // group_scheduler_endings.cc
     void release(EndpointConnection& connection, Time now);
     void closeConnection(EndpointConnection& connection);
     void eraseConnection(ConnectionId connection);
     void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason, Time now);
     void onTimer(const ExecutionPtr& execution, Time now);
     void armTimer(const ExecutionPtr& execution, Time at);
-    bool startControl(EndpointState& endpoint, EndpointConnection& connection, Time now);
     void checkDrained(bool force);
 
     // group_scheduler_upkeep.cc
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -1,6 +1,7 @@
 #include "soak/soak_client.h"
 
 #include "base/boot_clock.h"
+#include "platform/line_codec.h"
 
 #include <utility>
 
@@ -8,17 +9,13 @@
 
 namespace {
 
-constexpr std::size_t maxLineBytes = 1U << 20U;
 // Longest wait for an answer, longer than any statement time of the routes.
 constexpr std::chrono::seconds answerLimit { 4 };
 
-bool promisesNothingKept(const std::string& code)
+bool promisesNothingKept(const std::string& word)
 {
-    for (const char* promise : { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" }) {
-        if (code == promise)
-            return true;
-    }
-    return false;
+    const auto code = platform::parseReplyCode(word);
+    return code == ReplyCode::Aborted || (provesNotRun(code) && code != ReplyCode::NoStatement);
 }
 
 } // namespace
@@ -57,7 +54,7 @@
     this->values.clear();
     this->ownWrite.reset();
     this->expected = Expect::Startup;
-    this->socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), maxLineBytes);
+    this->socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
     this->socket->connect(
         this->pickDaemon(),
         [this] { this->socket->write("STARTUP " + this->route.database + " " + this->name + "\r\n"); },
