Refuse writes at once when a replacement takes longer than usual

Change: after 3 s of suspension statements for the primary are refused as they arrive. Unused arguments are gone.

--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -106,7 +106,7 @@
     };
     hooks.doubtsPrimary = [this](const DatabaseId& group) {
         auto* scheduler = this->schedulerOf(group);
-        return scheduler != nullptr && scheduler->primaryDoubt(bootNow()) != PrimaryDoubt::None;
+        return scheduler != nullptr && scheduler->primaryDoubt() != PrimaryDoubt::None;
     };
     hooks.onLiveDaemons = [this](std::size_t count) {
         if (count != this->liveDaemons)
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -63,7 +63,7 @@
             auto& connection = entry->second.connections.begin()->second;
             const auto id = connection.id;
             this->hooks.close(id);
-            this->failExecution(connection, false, "endpoint left", now);
+            this->failExecution(connection, false, "endpoint left");
             this->eraseConnection(id);
         }
         entry = this->endpoints.erase(entry);
@@ -91,13 +91,14 @@
     this->suspended = false;
     this->suspensionConfirmed = false;
     this->primaryDenied = false;
-    this->primaryExpectedAt = Time();
     this->history.startTerm(term);
     this->dispatch(now);
 }
 
 void GroupScheduler::suspendPrimary(Time now, std::function<void()> drained)
 {
+    if (!this->suspended)
+        this->suspendedAt = now;
     this->suspended = true;
     // A second suspension replaces the first; both are drained at the same time.
     if (this->onDrained) {
@@ -234,7 +235,7 @@
         this->openConnection(*endpoint, now);
 }
 
-PrimaryDoubt GroupScheduler::primaryDoubt(Time now) const
+PrimaryDoubt GroupScheduler::primaryDoubt() const
 {
     constexpr int refusalsForDoubt = 2;
     const auto* endpoint = this->primaryId ? this->findEndpoint(*this->primaryId) : nullptr;
@@ -244,7 +245,6 @@
         return PrimaryDoubt::NotPrimary;
     if (endpoint->openFailures >= refusalsForDoubt && endpoint->connections.empty())
         return PrimaryDoubt::Refused;
-    (void)now;
     return endpoint->silent ? PrimaryDoubt::Silent : PrimaryDoubt::None;
 }
 
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -71,8 +71,6 @@
     // outstanding there, at the latest after drainLimit. Acknowledgements that arrive later are not passed on.
     void suspendPrimary(Time now, std::function<void()> drained);
     [[nodiscard]] bool isSuspended() const { return this->suspended; }
-    // Time at which the primary is expected to serve again; statements that cannot wait that long are refused at once.
-    void expectPrimaryAt(Time time) { this->primaryExpectedAt = time; }
 
     // Runs a statement that is not part of an open transaction.
     void submit(const ExecutionPtr& execution, Time now);
@@ -97,7 +95,7 @@
     void tick(Time now);
 
     // Whether and why the primary seems unable to serve.
-    [[nodiscard]] PrimaryDoubt primaryDoubt(Time now) const;
+    [[nodiscard]] PrimaryDoubt primaryDoubt() const;
     // Time of the last answer of an endpoint; Time() if it never answered.
     [[nodiscard]] Time lastAnswerFrom(const EndpointId& endpoint) const;
     [[nodiscard]] const PositionHistory& positions() const { return this->history; }
@@ -151,7 +149,7 @@
     void release(EndpointConnection& connection, Time now);
     void closeConnection(EndpointConnection& connection);
     void eraseConnection(ConnectionId connection);
-    void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason, Time now);
+    void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason);
     void onTimer(const ExecutionPtr& execution, Time now);
     void armTimer(const ExecutionPtr& execution, Time at);
     void checkDrained(bool force);
@@ -182,7 +180,8 @@
     std::function<void()> onDrained;
     std::uint64_t drainTimer = 0;
     Time startedAt;
-    Time primaryExpectedAt;
+    // Start of the present suspension.
+    Time suspendedAt;
     bool primaryDenied = false;
     int connectionShare = 4;
     SchedulerFigures counts;
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -23,6 +23,9 @@
 // Time after the start in which the primary may still become known. Statements wait for it as for one that is being
 // replaced.
 constexpr Duration startupGrace = std::chrono::seconds(3);
+// Time within which a primary is usually replaced. A longer replacement waits for a daemon that does not answer, and
+// its end is not known; statements for the primary are then refused at once.
+constexpr Duration usualReplacement = std::chrono::seconds(3);
 // Lower bound of a latency in the estimate of completions.
 constexpr double shortestLatencySeconds = 0.0005;
 
@@ -130,8 +133,9 @@
     const bool needsPrimary = this->requirementOf(execution.work).needsPrimary;
     const auto left = execution.work.expiresAt - now;
     if (needsPrimary && !this->primaryUsable(now)) {
-        const bool starting = now - this->startedAt < startupGrace;
-        return this->primaryExpectedAt > execution.work.expiresAt || (!this->primaryId && !starting);
+        if (this->suspended)
+            return now - this->suspendedAt > usualReplacement;
+        return !this->primaryId && now - this->startedAt >= startupGrace;
     }
     WaitOutlook outlook;
     outlook.ahead = this->queue.countAhead(execution.work, needsPrimary);
--- a/src/process/group_scheduler_endings.cc
+++ b/src/process/group_scheduler_endings.cc
@@ -67,14 +67,14 @@
         ++endpoint.openFailures;
         endpoint.openNotBefore = now + firstOpenPause * std::min(endpoint.openFailures, maxOpenPauseFactor);
     }
-    this->failExecution(*connection, false, "connection lost", now);
+    this->failExecution(*connection, false, "connection lost");
     this->eraseConnection(id);
     this->checkDrained(false);
     this->dispatch(now);
 }
 
 // Ends the statement of a connection that is lost or given up. The caller removes the connection.
-void GroupScheduler::failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason, Time now)
+void GroupScheduler::failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason)
 {
     if (connection.control) {
         --this->endpoints.at(connection.endpoint).running;
@@ -114,7 +114,6 @@
         return;
     }
     this->queue.push(execution);
-    (void)now;
 }
 
 // Ends a statement whose time is over: the time for which it may wait in the queue, or the time of its route.
@@ -141,7 +140,7 @@
         auto* connection = this->findConnection(id);
         if (connection == nullptr)
             continue;
-        this->failExecution(*connection, true, "no answer in time", now);
+        this->failExecution(*connection, true, "no answer in time");
         this->closeConnection(*connection);
     }
     this->checkDrained(false);
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -349,11 +349,11 @@
 TEST_CASE("GroupScheduler, doubts a primary that refuses connections or answers nothing")
 {
     SchedulerFixture fixture;
-    CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::None);
+    CHECK(fixture.scheduler->primaryDoubt() == PrimaryDoubt::None);
     fixture.submit(SchedulerFixture::write());
     fixture.advance(700ms);
     fixture.scheduler->tick(fixture.now);
-    CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::Silent);
+    CHECK(fixture.scheduler->primaryDoubt() == PrimaryDoubt::Silent);
 }
 
 TEST_CASE("GroupScheduler, prepares a statement again that the endpoint has forgotten")
@@ -412,6 +412,21 @@
             if (endpoint == EndpointId("e1"))
                 fixture.scheduler->onFull(id, fixture.now);
         }
-        CHECK(fixture.scheduler->primaryDoubt(fixture.now) == PrimaryDoubt::None);
+        CHECK(fixture.scheduler->primaryDoubt() == PrimaryDoubt::None);
     }
 }
+
+TEST_CASE("GroupScheduler, refuses writes at once when a replacement takes much longer than usual")
+{
+    // Guards against holding every write for its whole time while the lease of a silent daemon is waited for.
+    SchedulerFixture fixture;
+    fixture.scheduler->suspendPrimary(fixture.now, [] {});
+    fixture.submit(SchedulerFixture::write());
+    CHECK(fixture.results.empty());
+    fixture.advance(4s);
+    fixture.results.clear();
+    fixture.submit(SchedulerFixture::write());
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::Busy);
+    CHECK(fixture.results[0].reason == "not_in_time");
+}
