--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -479,14 +479,10 @@
         ++this->promotions;
     }
 
-    // Nobody may use an endpoint other than the leader of the highest term. While no endpoint leads, as between a
-    // demotion and the promotion that follows it, nothing can be committed, so a use of the demoted endpoint breaks no
-    // rule.
+    // Nobody may use an endpoint other than the leader of the highest term.
     void checkUse()
     {
         const auto present = this->leader();
-        if (present.empty())
-            return;
         for (std::size_t i = 0; i < this->daemons.size(); ++i) {
             for (const auto& [id, endpoint] : this->endpoints) {
                 if (this->violations.size() < maxViolations && id != present && endpoint.up && this->uses(i, id)
