Hold a read's answer until a majority holds what it shows

Cause: a read at a primary that is cut off from its replicas was answered with a write that only the primary held.

Ruled out: refusing reads at a primary with writes in flight (every read after any write would be refused for a replication delay); asking all endpoints for a confirmation for each such read (the watches of the replicas report the position anyway).

Change: WriteTracker::isHeld() tells whether a majority holds a position. A read waits for that in the stage that already waits for a confirmation. A replica whose log does not reach the present term may still be cut back, so its answer is not used.

The check is stricter now: such a read is a violation in every cell, not only in the cells of one scenario.

Statements inside a transaction are not covered: their results may still show a write that no majority holds; the transaction's commit is covered.

--- a/src/process/controller_reads.cc
+++ b/src/process/controller_reads.cc
@@ -99,15 +99,16 @@
         entry.answer = answer;
         if (this->completeReadIfFresh(ticket, now))
             return;
-        if (!entry.atPrimary) {
-            // The answer has become older than the bound on its way.
+        if (!entry.atPrimary && (!this->isFresh(entry, now) || !this->followsPrimary(answer.status))) {
+            // The answer has become older than the bound on its way, or the replica's log may still be cut back.
             entry.primaryOnly = true;
             this->routeRead(ticket, now);
             return;
         }
         entry.stage = Stage::AwaitingConfirmation;
         this->awaitingConfirmation.insert(ticket);
-        this->requestConfirmation(now);
+        if (!this->isFresh(entry, now))
+            this->requestConfirmation(now);
         return;
     case ErrorCode::StatementFailed:
         this->complete(ticket, didNotRun(ErrorCode::StatementFailed, answer.detail));
@@ -153,10 +154,18 @@
     return oldest && entry.answer.position >= *oldest;
 }
 
+// Whether the endpoint's log ends with a record of the present term, so that it is a part of the primary's log.
+bool DatabaseController::followsPrimary(const EndpointStatus& status) const
+{
+    return status.lastLog.index == 0 || status.lastLog.term == this->writes.highestTerm();
+}
+
+// Completes a read whose answer is fresh and shows only records that a majority holds. A record that fewer hold may be
+// dropped by a failover and then be reported as not run, although a caller has seen its effect.
 bool DatabaseController::completeReadIfFresh(Ticket ticket, Time now)
 {
     const auto& entry = this->pending.at(ticket);
-    if (!this->isFresh(entry, now))
+    if (!this->isFresh(entry, now) || !this->writes.isHeld(entry.answer.position, entry.answer.status.lastLog))
         return false;
     Outcome outcome;
     outcome.state = OutcomeState::Completed;
@@ -174,18 +183,22 @@
         return;
     const std::vector<Ticket> waiting(this->awaitingConfirmation.begin(), this->awaitingConfirmation.end());
     const auto primary = this->failover.primary();
+    bool unconfirmed = false;
     for (const auto ticket : waiting) {
         if (this->completeReadIfFresh(ticket, now))
             continue;
         auto& entry = this->pending.at(ticket);
-        if (primary && primary->term == entry.answer.status.term)
+        if (primary && primary->term == entry.answer.status.term) {
+            unconfirmed = unconfirmed || !this->isFresh(entry, now);
             continue;
+        }
         // The primary that answered has been replaced: read again.
         this->awaitingConfirmation.erase(ticket);
         if (!this->retry(ticket, SendEvidence::ProvenNotRun, now))
             this->complete(ticket, didNotRun(ErrorCode::NoPrimary, "the primary changed during the read"));
     }
-    if (!this->awaitingConfirmation.empty())
+    // Reads that only wait for holders are woken by the watches of the replicas.
+    if (unconfirmed)
         this->requestConfirmation(now);
 }
 
--- a/src/process/database_controller.h
+++ b/src/process/database_controller.h
@@ -166,7 +166,7 @@
         Running,
         // Executed; a majority must hold the position.
         AwaitingHolders,
-        // Read at the primary; the primary must be confirmed.
+        // Read; the primary must be confirmed, or a majority must hold what the read shows.
         AwaitingConfirmation,
         // The outcome is asked for at the primary.
         Resolving,
@@ -259,6 +259,7 @@
     void routeRead(Ticket ticket, Time now);
     void onReadAnswer(Ticket ticket, const ExecuteAnswer& answer, Time now);
     bool completeReadIfFresh(Ticket ticket, Time now);
+    [[nodiscard]] bool followsPrimary(const EndpointStatus& status) const;
     void rerouteReads(Time now);
     void releaseWaitingReads(Time now);
     void confirmReads(Time now);
--- a/src/request/write_tracker.cc
+++ b/src/request/write_tracker.cc
@@ -93,6 +93,23 @@
     return evidence.term == this->term && now - evidence.observedAt < this->settings.ackEvidenceMaxAge;
 }
 
+bool WriteTracker::isHeld(const Position& position, const Position& lastLog) const
+{
+    if (position.index == 0)
+        return true;
+    if (lastLog.term != this->term)
+        return false;
+    std::uint64_t newest = 0;
+    for (const auto& [endpoint, holder] : this->holders)
+        newest = std::max(newest, holder.index);
+    const std::uint64_t required = position.term == this->term ? position.index : 1;
+    const auto count = std::count_if(this->holders.begin(), this->holders.end(), [&](const auto& entry) {
+        const auto& holder = entry.second;
+        return (holder.leads ? newest : holder.index) >= required;
+    });
+    return static_cast<std::size_t>(count) >= this->majority();
+}
+
 std::optional<MajorityEvidence> WriteTracker::evidence() const
 {
     std::vector<Time> times;
@@ -130,6 +147,7 @@
     if (found == this->holders.end() || status.term != this->term)
         return;
     Holder& holder = found->second;
+    holder.leads = holder.leads || status.role == EndpointRole::Primary;
     holder.inTermAt = std::max(holder.inTermAt.value_or(Time::min()), this->provenAt(status, sentAt));
     const std::uint64_t index = status.lastLog.term == this->term ? status.lastLog.index : 0;
     // A lower index counts only if its request was sent after the higher one had arrived; otherwise the answers
--- a/src/request/write_tracker.h
+++ b/src/request/write_tracker.h
@@ -108,6 +108,11 @@
     // The last check: the evidence is of the highest known term and younger than ackEvidenceMaxAge.
     [[nodiscard]] bool canAcknowledge(const MajorityEvidence& evidence, Time now) const;
 
+    // Whether a majority is known to hold the record at the position, so that no later primary can lack it. lastLog is
+    // the end of the log that contains the position. A record of an earlier term counts once that log and a majority
+    // hold a record of the highest known term, which follows it.
+    [[nodiscard]] bool isHeld(const Position& position, const Position& lastLog) const;
+
     // Newest evidence of the highest known term; no value if no majority has been seen in it.
     [[nodiscard]] std::optional<MajorityEvidence> evidence() const;
 
@@ -123,6 +128,8 @@
         // Index of its last record if that record is of the current term, otherwise 0.
         std::uint64_t index = 0;
         Time indexReceivedAt;
+        // Whether it has reported that it leads the term. Every record of the term comes from it.
+        bool leads = false;
     };
     using PendingKey = std::pair<std::uint64_t, std::uint64_t>;
 
--- a/src/request/write_tracker_test.cc
+++ b/src/request/write_tracker_test.cc
@@ -157,3 +157,39 @@
     CHECK(five.onStatus(statusOf(b, 2, { 2, 1 }), start, start).empty());
     CHECK(five.onStatus(statusOf(c, 2, { 2, 1 }), start, start).size() == 1);
 }
+
+// Guards against a read that shows a record which a failover may still drop.
+TEST_CASE("WriteTracker, takes a position for held when a majority has its record")
+{
+    Fixture fixture;
+    const Position read { 2, 12 };
+    fixture.tracker.onStatus(statusOf(a, 2, read), start, start + 1ms);
+    CHECK_FALSE(fixture.tracker.isHeld(read, read));
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 11 }), start, start + 2ms);
+    CHECK_FALSE(fixture.tracker.isHeld(read, read));
+    CHECK(fixture.tracker.isHeld({ 2, 11 }, read));
+    fixture.tracker.onStatus(statusOf(b, 2, read), start, start + 3ms);
+    CHECK(fixture.tracker.isHeld(read, read));
+}
+
+// Guards against reads at a replica that wait for the next status of the primary.
+TEST_CASE("WriteTracker, counts the primary as a holder when a replica has a newer record of the term")
+{
+    Fixture fixture;
+    fixture.tracker.onStatus(statusOf(a, 2, { 2, 5 }), start, start + 1ms);
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 12 }), start, start + 2ms);
+    CHECK(fixture.tracker.isHeld({ 2, 12 }, { 2, 12 }));
+}
+
+// Guards against believing a record of an earlier term that the present primary may lack.
+TEST_CASE(
+    "WriteTracker, takes a position of an earlier term for held when its log and a majority reach the present term")
+{
+    Fixture fixture;
+    const Position old { 1, 9 };
+    fixture.tracker.onStatus(statusOf(a, 2, { 2, 10 }), start, start + 1ms);
+    CHECK_FALSE(fixture.tracker.isHeld(old, { 2, 10 }));
+    fixture.tracker.onStatus(statusOf(b, 2, { 2, 10 }), start, start + 2ms);
+    CHECK(fixture.tracker.isHeld(old, { 2, 10 }));
+    CHECK_FALSE(fixture.tracker.isHeld(old, old));
+}
--- a/tests/fault_matrix_test.cc
+++ b/tests/fault_matrix_test.cc
@@ -29,7 +29,6 @@
     std::size_t full = 0;
     std::size_t violated = 0;
     std::size_t completed = 0;
-    std::size_t unheld = 0;
 };
 
 void report(const Cell& cell, const std::vector<std::string>& violations, std::size_t injected, Tally& tally)
@@ -46,9 +45,11 @@
 {
     World world(cell, Mutation::None);
     world.run();
-    report(cell, world.violations(), world.injected(), tally);
+    // A read that shows a write which no majority holds breaks the invariants in every cell.
+    auto violations = world.violations();
+    violations.insert(violations.end(), world.unheldReads().begin(), world.unheldReads().end());
+    report(cell, violations, world.injected(), tally);
     tally.completed += world.completed();
-    tally.unheld += world.unheldReads().empty() ? 0 : 1;
 }
 
 void runConfirmCell(const Cell& cell, Tally& tally)
@@ -63,8 +64,7 @@
 void print(const Tally& tally)
 {
     std::cout << "fault matrix: cases " << tally.cases << ", all faults injected " << tally.full << ", violated "
-              << tally.violated << ", with a read of a write that no majority held " << tally.unheld << ", completed "
-              << tally.completed << "\n";
+              << tally.violated << ", completed " << tally.completed << "\n";
 }
 
 template <typename Run> void runRows(const std::vector<StepRow>& rows, bool pairs, const Run& run)
@@ -188,9 +188,8 @@
                 continue;
             World world(cell, Mutation::None);
             world.run();
-            INFO("cell " << toString(cell));
-            for (const auto& violation : world.unheldReads())
-                FAIL_CHECK(violation);
+            CAPTURE(toString(cell));
+            CHECK(world.unheldReads() == std::vector<std::string> {});
         }
     }
 }
