--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -136,8 +136,8 @@
 void ClientSession::rollback(Time now)
 {
     if (this->transaction == TransactionPhase::Open) {
-        if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
-            scheduler->endTransaction(this->transactionConnection, now);
+        if (auto* runner = this->hooks.runner(this->transactionRoute->group))
+            runner->endTransaction(this->transactionConnection, now);
     }
     this->transaction = TransactionPhase::None;
     this->transactionRoute.reset();
@@ -199,17 +199,17 @@
         this->replyError(ReplyCode::UnknownDatabase, "no such database", "no_route");
         return;
     }
-    auto* scheduler = this->hooks.scheduler(this->currentRoute->group);
-    if (scheduler == nullptr) {
+    auto* runner = this->hooks.runner(this->currentRoute->group);
+    if (runner == nullptr) {
         this->replyError(ReplyCode::Busy, "no endpoint of the database is known", "no_endpoint");
         return;
     }
     this->execution = this->makeExecution(statement, std::move(prepared), *this->currentRoute, now);
     const auto started = this->execution;
     if (this->transaction == TransactionPhase::Open)
-        scheduler->continueTransaction(this->transactionConnection, started, now);
+        runner->continueTransaction(this->transactionConnection, started, now);
     else
-        scheduler->submit(started, now);
+        runner->submit(started, now);
 }
 
 void ClientSession::updateTransaction(const ScheduledStatement& work, const StatementResult& result)
@@ -231,8 +231,8 @@
     if (result.answer.phase != SessionPhase::FailedTransaction)
         return;
     this->transaction = TransactionPhase::Failed;
-    if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
-        scheduler->endTransaction(this->transactionConnection, this->currentSince);
+    if (auto* runner = this->hooks.runner(this->transactionRoute->group))
+        runner->endTransaction(this->transactionConnection, this->currentSince);
 }
 
 void ClientSession::onResult(const ExecutionPtr& finished, const StatementResult& result)
@@ -256,7 +256,7 @@
     reply.payload = result.answer.payload;
     reply.position = result.answer.position;
     reply.phase = this->phase();
-    this->finishStatement(reply, result.reason, result.endpoint, finished->attempts);
+    this->finishStatement(reply, { result.reason, result.endpoint, result.owner, finished->attempts });
 }
 
 void ClientSession::replySuccess()
@@ -264,7 +264,7 @@
     SessionReply reply;
     reply.succeeded = true;
     reply.phase = this->phase();
-    this->finishStatement(reply, "", "", 0);
+    this->finishStatement(reply, {});
 }
 
 void ClientSession::replyError(ReplyCode code, const std::string& text, const std::string& reason)
@@ -273,15 +273,14 @@
     reply.code = code;
     reply.errorText = text;
     reply.phase = this->phase();
-    this->finishStatement(reply, reason, "", 0);
+    this->finishStatement(reply, { reason });
 }
 
-void ClientSession::finishStatement(
-    const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts)
+void ClientSession::finishStatement(const SessionReply& reply, StatementTrace trace)
 {
     const auto now = this->hooks.now();
-    this->hooks.record({ this->current, this->currentRoute ? &*this->currentRoute : nullptr, reply, reason, endpoint,
-        attempts, now - this->currentSince });
+    this->hooks.record({ this->current, this->currentRoute ? &*this->currentRoute : nullptr, reply, std::move(trace),
+        now - this->currentSince });
     this->hooks.reply(reply);
     this->busy = false;
     if (this->transaction == TransactionPhase::Begun || this->transaction == TransactionPhase::Open)
@@ -322,8 +321,8 @@
         return;
     this->cancelIdleTimer();
     if (this->transaction == TransactionPhase::Open) {
-        if (auto* scheduler = this->hooks.scheduler(this->transactionRoute->group))
-            scheduler->endTransaction(this->transactionConnection, now);
+        if (auto* runner = this->hooks.runner(this->transactionRoute->group))
+            runner->endTransaction(this->transactionConnection, now);
     }
     this->transaction = TransactionPhase::Failed;
     this->failureReason = reason;
@@ -334,13 +333,13 @@
     this->disconnected = true;
     this->cancelIdleTimer();
     this->waiting.clear();
-    auto* scheduler = this->currentRoute ? this->hooks.scheduler(this->currentRoute->group) : nullptr;
+    auto* runner = this->currentRoute ? this->hooks.runner(this->currentRoute->group) : nullptr;
     if (this->execution) {
-        if (scheduler != nullptr)
-            scheduler->abandon(this->execution, now);
+        if (runner != nullptr)
+            runner->abandon(this->execution, now);
         this->execution.reset();
     } else if (this->transaction == TransactionPhase::Open) {
-        if (auto* owner = this->hooks.scheduler(this->transactionRoute->group))
+        if (auto* owner = this->hooks.runner(this->transactionRoute->group))
             owner->endTransaction(this->transactionConnection, now);
     }
 }
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -2,8 +2,7 @@
 
 #include "base/timer_service.h"
 #include "connection/session_state.h"
-#include "process/group_scheduler.h"
-#include "request/scheduled_statement.h"
+#include "request/statement_runner.h"
 #include "version/route_table.h"
 
 #include <deque>
@@ -25,15 +24,24 @@
     std::optional<Position> position;
 };
 
+// Who served a statement.
+struct StatementTrace {
+    // Why the proxy answered with an error of its own; empty for answers of an endpoint.
+    std::string reason;
+    // Endpoint that answered or was tried last.
+    std::string endpoint;
+    // Daemon that ran the statement for this one; empty if this daemon did.
+    DaemonId owner;
+    // Sends to endpoints.
+    int attempts = 0;
+};
+
 // What became of a statement, for logs and metrics.
 struct StatementRecord {
     const Statement& statement;
     const Route* route = nullptr;
     const SessionReply& reply;
-    // Why the proxy answered with an error of its own; empty for answers of an endpoint.
-    std::string reason;
-    std::string endpoint;
-    int attempts = 0;
+    StatementTrace trace;
     Duration elapsed {};
 };
 
@@ -45,13 +53,13 @@
     std::function<void()> close;
     // Present configuration; null before the first one is known.
     std::function<std::shared_ptr<const RouteTable>()> routes;
-    // Scheduler of a group, or null.
-    std::function<GroupScheduler*(const DatabaseId&)> scheduler;
+    // Runner of a group's statements, or null.
+    std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<void(const StatementRecord&)> record;
 };
 
 // One client session: its values, prepared statements and transaction. It answers the statements that need no endpoint
-// itself and passes the others to the scheduler of the route's group, one at a time and in order.
+// itself and passes the others to the runner of the route's group, one at a time and in order.
 //
 // A transaction is opened at an endpoint only with its first statement. It stays on one connection until it ends.
 //
@@ -96,8 +104,7 @@
     void updateTransaction(const ScheduledStatement& work, const StatementResult& result);
     void replySuccess();
     void replyError(ReplyCode code, const std::string& text, const std::string& reason);
-    void finishStatement(
-        const SessionReply& reply, const std::string& reason, const std::string& endpoint, int attempts);
+    void finishStatement(const SessionReply& reply, StatementTrace trace);
     void nextStatement();
     void armIdleTimer(Time now);
     void cancelIdleTimer();
--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -32,7 +32,7 @@
         hooks.reply = [this](const SessionReply& reply) { this->replies.push_back(reply); };
         hooks.close = [this] { this->closed = true; };
         hooks.routes = [this] { return this->routes; };
-        hooks.scheduler = [this](const DatabaseId&) { return this->world.scheduler.get(); };
+        hooks.runner = [this](const DatabaseId&) { return this->world.scheduler.get(); };
         hooks.record = [](const StatementRecord&) {};
         this->session = std::make_unique<ClientSession>(database, this->world.timers, std::move(hooks));
     }
--- /dev/null
+++ b/src/edge/forward_codec.cc
@@ -0,0 +1,225 @@
+#include "edge/forward_codec.h"
+
+#include "base/log.h"
+#include "edge/forward.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+
+namespace endivetrestle {
+
+namespace {
+
+// Words of the first segment of a message that is built; larger messages get further segments.
+constexpr std::size_t firstSegmentWords = 256;
+
+std::string readText(capnp::Text::Reader reader) { return { reader.begin(), reader.size() }; }
+
+std::string readData(capnp::Data::Reader reader)
+{
+    return { reinterpret_cast<const char*>(reader.begin()), reader.size() };
+}
+
+kj::ArrayPtr<const kj::byte> dataOf(const std::string& text)
+{
+    return { reinterpret_cast<const kj::byte*>(text.data()), text.size() };
+}
+
+void writePosition(wire::LogPosition::Builder builder, const Position& position)
+{
+    builder.setTerm(position.term);
+    builder.setIndex(position.index);
+}
+
+Position readPosition(wire::LogPosition::Reader reader) { return { reader.getTerm(), reader.getIndex() }; }
+
+template <typename Enum> std::optional<Enum> readEnum(unsigned value, Enum last)
+{
+    if (value > static_cast<unsigned>(last))
+        return std::nullopt;
+    return static_cast<Enum>(value);
+}
+
+void write(wire::Statement::Builder builder, const ForwardedStatement& message, Time now)
+{
+    const auto& work = message.work;
+    builder.setNumber(message.number);
+    builder.setGroup(message.group.value);
+    builder.setConnection(message.connection.value_or(0));
+    builder.setKind(static_cast<std::uint8_t>(work.statement.kind));
+    builder.setId(work.statement.id);
+    builder.setText(work.statement.text);
+    builder.setName(work.statement.name);
+    builder.setArgument(work.statement.argument);
+    if (work.prepared) {
+        builder.setPreparedShape(work.prepared->shape);
+        builder.setPreparedWrites(work.prepared->writes);
+    }
+    auto values = builder.initValues(static_cast<unsigned>(work.session->values.size()));
+    unsigned index = 0;
+    for (const auto& [name, value] : work.session->values) {
+        auto entry = values[index++];
+        entry.setName(name);
+        entry.setValue(value);
+    }
+    builder.setStart(static_cast<std::uint8_t>(work.start));
+    builder.setNeedsPrimary(work.needsPrimary);
+    builder.setMaxStalenessUs(work.maxStaleness.count());
+    builder.setRemainingUs((work.expiresAt - now).count());
+    builder.setObjectiveUs(work.objective.count());
+    if (work.lastWrite)
+        writePosition(builder.initLastWrite(), *work.lastWrite);
+    builder.setPriority(work.priority);
+}
+
+std::optional<ForwardMessage> read(wire::Statement::Reader reader, Time now)
+{
+    const auto kind = readEnum(reader.getKind(), StatementKind::Unknown);
+    const auto start = readEnum(reader.getStart(), TransactionStart::ReadOnly);
+    if (!kind || !start)
+        return std::nullopt;
+    ForwardedStatement message;
+    message.number = reader.getNumber();
+    message.group = DatabaseId(readText(reader.getGroup()));
+    if (reader.getConnection() != 0)
+        message.connection = reader.getConnection();
+    auto& work = message.work;
+    work.statement.kind = *kind;
+    work.statement.id = readText(reader.getId());
+    work.statement.text = readText(reader.getText());
+    work.statement.name = readText(reader.getName());
+    work.statement.argument = readText(reader.getArgument());
+    if (reader.getPreparedShape().size() > 0)
+        work.prepared = PreparedStatement { reader.getPreparedWrites(), readText(reader.getPreparedShape()) };
+    auto session = std::make_shared<SessionState>();
+    for (const auto entry : reader.getValues())
+        session->values[readText(entry.getName())] = readText(entry.getValue());
+    work.session = std::move(session);
+    work.start = *start;
+    work.needsPrimary = reader.getNeedsPrimary();
+    work.maxStaleness = Duration(reader.getMaxStalenessUs());
+    work.arrivedAt = now;
+    work.expiresAt = now + Duration(reader.getRemainingUs());
+    work.objective = Duration(reader.getObjectiveUs());
+    if (reader.hasLastWrite())
+        work.lastWrite = readPosition(reader.getLastWrite());
+    work.priority = reader.getPriority();
+    return message;
+}
+
+void write(wire::Outcome::Builder builder, const ForwardedOutcome& message)
+{
+    const auto& result = message.result;
+    builder.setNumber(message.number);
+    builder.setDeclined(message.declined);
+    builder.setSucceeded(result.answer.succeeded);
+    builder.setCode(static_cast<std::uint8_t>(result.answer.code));
+    builder.setErrorText(result.answer.errorText);
+    builder.setPayload(dataOf(result.answer.payload));
+    builder.setPhase(static_cast<std::uint8_t>(result.answer.phase));
+    if (result.answer.position)
+        writePosition(builder.initPosition(), *result.answer.position);
+    builder.setReason(result.reason);
+    builder.setEndpoint(result.endpoint);
+    builder.setConnection(result.connection.value_or(0));
+    builder.setFromEndpoint(result.fromEndpoint);
+    builder.setAttempts(message.attempts);
+}
+
+std::optional<ForwardMessage> read(wire::Outcome::Reader reader)
+{
+    const auto code = readEnum(reader.getCode(), ReplyCode::Unknown);
+    const auto phase = readEnum(reader.getPhase(), SessionPhase::FailedTransaction);
+    if (!code || !phase)
+        return std::nullopt;
+    ForwardedOutcome message;
+    message.number = reader.getNumber();
+    message.declined = reader.getDeclined();
+    auto& result = message.result;
+    result.answer.succeeded = reader.getSucceeded();
+    result.answer.code = *code;
+    result.answer.errorText = readText(reader.getErrorText());
+    result.answer.payload = readData(reader.getPayload());
+    result.answer.phase = *phase;
+    if (reader.hasPosition())
+        result.answer.position = readPosition(reader.getPosition());
+    result.reason = readText(reader.getReason());
+    result.endpoint = readText(reader.getEndpoint());
+    if (reader.getConnection() != 0)
+        result.connection = reader.getConnection();
+    result.fromEndpoint = reader.getFromEndpoint();
+    message.attempts = reader.getAttempts();
+    return message;
+}
+
+std::optional<ForwardMessage> read(wire::Message::Reader reader, Time now)
+{
+    switch (reader.which()) {
+    case wire::Message::STATEMENT:
+        return read(reader.getStatement(), now);
+    case wire::Message::OUTCOME:
+        return read(reader.getOutcome());
+    case wire::Message::END:
+        return ForwardedEnd { DatabaseId(readText(reader.getEnd().getGroup())), reader.getEnd().getConnection() };
+    case wire::Message::ABANDON:
+        return ForwardedAbandon { reader.getAbandon() };
+    case wire::Message::OWNER_LEAVING:
+        return OwnerLeaving {};
+    case wire::Message::PROBE:
+        return LinkProbe {};
+    case wire::Message::PROBE_ANSWER:
+        return LinkProbeAnswer {};
+    }
+    return std::nullopt;
+}
+
+// Writes each kind of message into the union.
+struct MessageWriter {
+    wire::Message::Builder builder;
+    Time now;
+
+    void operator()(const ForwardedStatement& message) { write(this->builder.initStatement(), message, this->now); }
+    void operator()(const ForwardedOutcome& message) { write(this->builder.initOutcome(), message); }
+    void operator()(const ForwardedEnd& message)
+    {
+        auto end = this->builder.initEnd();
+        end.setGroup(message.group.value);
+        end.setConnection(message.connection);
+    }
+    void operator()(const ForwardedAbandon& message) { this->builder.setAbandon(message.number); }
+    void operator()(const OwnerLeaving&) { this->builder.setOwnerLeaving(); }
+    void operator()(const LinkProbe&) { this->builder.setProbe(); }
+    void operator()(const LinkProbeAnswer&) { this->builder.setProbeAnswer(); }
+};
+
+} // namespace
+
+std::string encodeForward(const ForwardMessage& message, Time now)
+{
+    capnp::MallocMessageBuilder builder(firstSegmentWords);
+    std::visit(MessageWriter { builder.initRoot<wire::Message>(), now }, message);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asBytes();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+std::optional<ForwardMessage> decodeForward(std::string_view frame, Time now)
+{
+    // The reader needs aligned words; the frame may begin anywhere in the receive buffer.
+    if (frame.empty() || frame.size() % sizeof(capnp::word) != 0)
+        return std::nullopt;
+    auto words = kj::heapArray<capnp::word>(frame.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), frame.data(), frame.size());
+    try {
+        capnp::FlatArrayMessageReader message(words);
+        return read(message.getRoot<wire::Message>(), now);
+    } catch (const kj::Exception& error) {
+        logEvent(LogLevel::Warning, "peer_frame_unreadable",
+            { { "bytes", frame.size() }, { "error", error.getDescription().cStr() } });
+        return std::nullopt;
+    }
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/forward_codec_test.cc
@@ -0,0 +1,117 @@
+#include "edge/forward_codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time sender { 5000s };
+const Time receiver { 70s };
+
+ForwardedStatement sample()
+{
+    ForwardedStatement message;
+    message.number = 9;
+    message.group = DatabaseId("shop");
+    message.connection = 12;
+    auto& work = message.work;
+    work.statement = { StatementKind::Execute, "id1", "EXECUTE s1 1 x", "s1", "1 x", false };
+    work.prepared = PreparedStatement { true, "q2c" };
+    auto session = std::make_shared<SessionState>();
+    session->values = { { "lang", "th" }, { "tz", "" } };
+    work.session = session;
+    work.start = TransactionStart::ReadOnly;
+    work.needsPrimary = false;
+    work.maxStaleness = 1500ms;
+    work.lastWrite = Position { 3, 1207 };
+    work.priority = 2;
+    work.arrivedAt = sender - 10ms;
+    work.expiresAt = sender + 800ms;
+    work.objective = 200ms;
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("ForwardCodec, keeps a statement")
+{
+    const auto decoded = decodeForward(encodeForward(sample(), sender), receiver);
+    REQUIRE(decoded);
+    const auto& message = std::get<ForwardedStatement>(*decoded);
+    const auto expected = sample();
+    CHECK(message.number == expected.number);
+    CHECK(message.group == expected.group);
+    CHECK(message.connection == expected.connection);
+    CHECK(message.work.statement == expected.work.statement);
+    CHECK(message.work.prepared == expected.work.prepared);
+    CHECK(message.work.session->values == expected.work.session->values);
+    CHECK(message.work.start == expected.work.start);
+    CHECK(message.work.needsPrimary == expected.work.needsPrimary);
+    CHECK(message.work.lastWrite == expected.work.lastWrite);
+    CHECK(message.work.priority == expected.work.priority);
+    CHECK(message.work.objective == expected.work.objective);
+}
+
+// Guards against comparing the clocks of two hosts.
+TEST_CASE("ForwardCodec, counts the time left from the arrival")
+{
+    const auto decoded = decodeForward(encodeForward(sample(), sender), receiver);
+    REQUIRE(decoded);
+    const auto& work = std::get<ForwardedStatement>(*decoded).work;
+    CHECK(work.expiresAt - receiver == 800ms);
+    CHECK(work.arrivedAt == receiver);
+    CHECK(work.maxStaleness == 1500ms);
+}
+
+TEST_CASE("ForwardCodec, keeps an outcome with bytes of any kind")
+{
+    ForwardedOutcome outcome;
+    outcome.number = 4;
+    outcome.result.answer.succeeded = true;
+    outcome.result.answer.payload = std::string("DATAROW \0\xff\r\n", 12);
+    outcome.result.answer.phase = SessionPhase::Transaction;
+    outcome.result.answer.position = Position { 2, 8 };
+    outcome.result.reason = "r";
+    outcome.result.endpoint = "e1";
+    outcome.result.connection = 5;
+    outcome.result.fromEndpoint = true;
+    outcome.attempts = 3;
+    const auto decoded = decodeForward(encodeForward(outcome, sender), receiver);
+    REQUIRE(decoded);
+    const auto& message = std::get<ForwardedOutcome>(*decoded);
+    CHECK(message.result.answer.payload == outcome.result.answer.payload);
+    CHECK(message.result.answer.position == outcome.result.answer.position);
+    CHECK(message.result.answer.phase == outcome.result.answer.phase);
+    CHECK(message.result.connection == outcome.result.connection);
+    CHECK(message.attempts == 3);
+    CHECK_FALSE(message.declined);
+}
+
+TEST_CASE("ForwardCodec, keeps messages without content")
+{
+    CHECK(std::holds_alternative<OwnerLeaving>(*decodeForward(encodeForward(OwnerLeaving {}, sender), receiver)));
+    CHECK(std::holds_alternative<LinkProbe>(*decodeForward(encodeForward(LinkProbe {}, sender), receiver)));
+    const auto end = decodeForward(encodeForward(ForwardedEnd { DatabaseId("shop"), 3 }, sender), receiver);
+    CHECK(std::get<ForwardedEnd>(*end).connection == 3);
+}
+
+// Guards against a crash or a huge allocation on bytes that are no message.
+TEST_CASE("ForwardCodec, survives any bytes")
+{
+    rc::prop("random bytes", [](const std::string& bytes) {
+        decodeForward(bytes, receiver);
+        return true;
+    });
+    rc::prop("damaged messages", [] {
+        auto frame = encodeForward(sample(), sender);
+        const auto at = *rc::gen::inRange<std::size_t>(0, frame.size());
+        frame[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        const auto length = *rc::gen::inRange<std::size_t>(0, frame.size() + 1);
+        decodeForward(std::string_view(frame).substr(0, length), receiver);
+        return true;
+    });
+}
--- /dev/null
+++ b/src/edge/forward_links.cc
@@ -0,0 +1,237 @@
+#include "edge/forward_links.h"
+
+#include "base/log.h"
+#include "edge/forward_codec.h"
+
+namespace endivetrestle {
+
+ForwardLinks::ForwardLinks(asio::io_context& context, ForwardLinkHooks hooks)
+    : context(context)
+    , hooks(std::move(hooks))
+    , acceptor(context)
+{
+}
+
+ForwardLinks::~ForwardLinks()
+{
+    for (auto& [owner, link] : this->outgoing)
+        link.socket->close();
+    for (auto& [id, link] : this->incoming)
+        link.socket->close();
+}
+
+void ForwardLinks::listen(const SocketAddress& address)
+{
+    constexpr int backlog = 256;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen(backlog);
+    this->accept();
+}
+
+void ForwardLinks::setDaemons(std::map<DaemonId, SocketAddress> listed)
+{
+    this->addresses = std::move(listed);
+    std::vector<DaemonId> moved;
+    for (const auto& [owner, link] : this->outgoing) {
+        const auto found = this->addresses.find(owner);
+        if (found != this->addresses.end() && found->second != link.address)
+            moved.push_back(owner);
+    }
+    for (const auto& owner : moved)
+        this->lose(owner, Duration::zero());
+}
+
+bool ForwardLinks::send(const DaemonId& owner, const ForwardMessage& message)
+{
+    const auto now = this->hooks.now();
+    if (this->outgoing.count(owner) == 0) {
+        const auto address = this->addresses.find(owner);
+        const auto pause = this->openNotBefore.find(owner);
+        const bool paused = pause != this->openNotBefore.end() && now < pause->second;
+        if (address == this->addresses.end() || paused || !std::holds_alternative<ForwardedStatement>(message))
+            return false;
+        this->open(owner, address->second);
+    }
+    auto& link = this->outgoing.at(owner);
+    const auto* statement = std::get_if<ForwardedStatement>(&message);
+    if (link.leaving && statement != nullptr && !statement->connection)
+        return false;
+    auto frame = encodeForward(message, now);
+    if (!link.unansweredSince)
+        link.unansweredSince = now;
+    if (link.established)
+        link.socket->writeFrame(frame);
+    else
+        link.waiting.push_back(std::move(frame));
+    return true;
+}
+
+void ForwardLinks::open(const DaemonId& owner, const SocketAddress& address)
+{
+    auto& link = this->outgoing[owner];
+    link.address = address;
+    link.socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), maxForwardBytes, Framing::Lengths);
+    link.socket->connect(
+        asio::ip::tcp::endpoint(asio::ip::make_address(address.ip), address.port),
+        [this, owner] { this->onEstablished(owner); },
+        [this, owner](std::string_view frame) { return this->onAnswer(owner, frame); },
+        [this, owner] { this->lose(owner, refusedPause); });
+}
+
+void ForwardLinks::onEstablished(const DaemonId& owner)
+{
+    auto& link = this->outgoing.at(owner);
+    link.established = true;
+    logEvent(LogLevel::Info, "owner_link_established", { { "owner", owner.value } });
+    for (const auto& frame : std::exchange(link.waiting, {}))
+        link.socket->writeFrame(frame);
+}
+
+bool ForwardLinks::onAnswer(const DaemonId& owner, std::string_view frame)
+{
+    const auto now = this->hooks.now();
+    const auto message = decodeForward(frame, now);
+    const auto found = this->outgoing.find(owner);
+    if (found == this->outgoing.end())
+        return false;
+    if (!message) {
+        logEvent(LogLevel::Warning, "owner_answer_unreadable", { { "owner", owner.value }, { "bytes", frame.size() } });
+        this->lose(owner, silentPause);
+        return false;
+    }
+    found->second.unansweredSince.reset();
+    found->second.probedAt.reset();
+    if (std::holds_alternative<OwnerLeaving>(*message))
+        found->second.leaving = true;
+    else if (const auto* outcome = std::get_if<ForwardedOutcome>(&*message))
+        this->hooks.outcome(owner, *outcome);
+    return this->outgoing.count(owner) != 0;
+}
+
+void ForwardLinks::lose(const DaemonId& owner, Duration pause)
+{
+    const auto found = this->outgoing.find(owner);
+    if (found == this->outgoing.end())
+        return;
+    const auto link = std::move(found->second);
+    this->outgoing.erase(found);
+    link.socket->close();
+    this->openNotBefore[owner] = this->hooks.now() + pause;
+    logEvent(LogLevel::Warning, "owner_link_lost",
+        { { "owner", owner.value }, { "established", link.established ? 1 : 0 }, { "leaving", link.leaving ? 1 : 0 },
+            { "pause_ms", toMilliseconds(pause) } });
+    this->hooks.lost(owner, link.established);
+}
+
+void ForwardLinks::probeSilentLinks(Time now)
+{
+    std::vector<DaemonId> silent;
+    for (auto& [owner, link] : this->outgoing) {
+        if (!link.unansweredSince || now - *link.unansweredSince < quietLimit)
+            continue;
+        if (!link.probedAt) {
+            link.probedAt = now;
+            if (link.established)
+                link.socket->writeFrame(encodeForward(LinkProbe {}, now));
+        } else if (now - *link.probedAt >= probeLimit)
+            silent.push_back(owner);
+    }
+    for (const auto& owner : silent)
+        this->lose(owner, silentPause);
+}
+
+void ForwardLinks::tick(Time now, Duration idleLimit)
+{
+    this->probeSilentLinks(now);
+    for (auto& [id, link] : this->incoming)
+        link.statements->endIdleSince(now - idleLimit, now);
+}
+
+void ForwardLinks::accept()
+{
+    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (!this->acceptor.is_open())
+            return;
+        if (!error)
+            this->add(std::move(socket));
+        else
+            logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
+        this->accept();
+    });
+}
+
+void ForwardLinks::add(asio::ip::tcp::socket socket)
+{
+    const auto id = ++this->lastId;
+    auto& link = this->incoming[id];
+    link.socket = std::make_shared<LineSocket>(std::move(socket), maxForwardBytes, Framing::Lengths);
+    ForwardedHooks statementHooks;
+    statementHooks.now = this->hooks.now;
+    statementHooks.runner = this->hooks.runner;
+    statementHooks.accepts = this->hooks.accepts;
+    statementHooks.reply = [this, socket = std::weak_ptr<LineSocket>(link.socket)](const ForwardMessage& message) {
+        if (const auto open = socket.lock())
+            open->writeFrame(encodeForward(message, this->hooks.now()));
+    };
+    link.statements = std::make_unique<ForwardedStatements>(std::move(statementHooks));
+    link.socket->start(
+        [this, id](std::string_view frame) { return this->onRequest(id, frame); }, [this, id] { this->remove(id); });
+    if (this->leaving)
+        link.socket->writeFrame(encodeForward(OwnerLeaving {}, this->hooks.now()));
+}
+
+bool ForwardLinks::onRequest(std::uint64_t id, std::string_view frame)
+{
+    const auto found = this->incoming.find(id);
+    if (found == this->incoming.end())
+        return false;
+    const auto now = this->hooks.now();
+    auto message = decodeForward(frame, now);
+    auto& statements = *found->second.statements;
+    if (!message) {
+        logEvent(LogLevel::Warning, "forwarded_frame_unreadable", { { "bytes", frame.size() } });
+        found->second.socket->close();
+        this->remove(id);
+        return false;
+    }
+    if (auto* statement = std::get_if<ForwardedStatement>(&*message))
+        statements.onStatement(std::move(*statement), now);
+    else if (const auto* end = std::get_if<ForwardedEnd>(&*message))
+        statements.onEnd(*end, now);
+    else if (const auto* abandon = std::get_if<ForwardedAbandon>(&*message))
+        statements.onAbandon(*abandon, now);
+    else if (std::holds_alternative<LinkProbe>(*message))
+        found->second.socket->writeFrame(encodeForward(LinkProbeAnswer {}, now));
+    return this->incoming.count(id) != 0;
+}
+
+void ForwardLinks::remove(std::uint64_t id)
+{
+    const auto found = this->incoming.find(id);
+    if (found == this->incoming.end())
+        return;
+    const auto statements = std::move(found->second.statements);
+    this->incoming.erase(found);
+    statements->onClosed(this->hooks.now());
+}
+
+void ForwardLinks::announceLeaving()
+{
+    this->leaving = true;
+    for (auto& [id, link] : this->incoming)
+        link.socket->writeFrame(encodeForward(OwnerLeaving {}, this->hooks.now()));
+}
+
+bool ForwardLinks::idle() const
+{
+    for (const auto& [id, link] : this->incoming) {
+        if (!link.statements->empty())
+            return false;
+    }
+    return true;
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/forward_links.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/socket_address.h"
+#include "edge/line_socket.h"
+#include "process/forwarded_statements.h"
+#include "request/forward_message.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace endivetrestle {
+
+// What the links ask of their surroundings.
+struct ForwardLinkHooks {
+    std::function<Time()> now;
+    // An owner answered.
+    std::function<void(const DaemonId&, const ForwardedOutcome&)> outcome;
+    // The link to an owner is lost; `established` tells whether anything that was sent may have arrived.
+    std::function<void(const DaemonId&, bool established)> lost;
+    std::function<StatementRunner*(const DatabaseId&)> runner;
+    std::function<bool(const ForwardedStatement&, Time now)> accepts;
+};
+
+// TCP links over which statements are forwarded: one to each owner that this daemon uses, opened with the first
+// statement, and one from each daemon that uses this one. A link that does not answer a probe is closed, because a host
+// that loses power or is cut off resets nothing.
+class ForwardLinks {
+public:
+    ForwardLinks(asio::io_context& context, ForwardLinkHooks hooks);
+    ~ForwardLinks();
+    ForwardLinks(const ForwardLinks&) = delete;
+    ForwardLinks& operator=(const ForwardLinks&) = delete;
+
+    // Opens the port for links of other daemons. Throws std::system_error if it cannot be opened.
+    void listen(const SocketAddress& address);
+    // Port that was opened.
+    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    // Sets where the other daemons accept links. A link to a daemon that has another address now is closed.
+    void setDaemons(std::map<DaemonId, SocketAddress> addresses);
+    // Sends a message to an owner and opens the link if there is none. False if the owner is unknown, was lost a moment
+    // ago, or is about to stop and would have to take a new statement.
+    bool send(const DaemonId& owner, const ForwardMessage& message);
+    // Tells the daemons that use this one to send no new statements.
+    void announceLeaving();
+    // Periodic work: probes of silent links, transactions left idle by a suspended daemon.
+    void tick(Time now, Duration idleLimit);
+    // Whether nothing that other daemons have forwarded is under way here.
+    [[nodiscard]] bool idle() const;
+
+    // Time without a message on a link with something unanswered, after which it is probed.
+    static constexpr Duration quietLimit = std::chrono::milliseconds(250);
+    // Time that a probe, or a new link, has to be answered. It exceeds the pauses of a host whose processor share is
+    // used up.
+    static constexpr Duration probeLimit = std::chrono::milliseconds(400);
+    // Pause before a lost link is opened again, if the host refused it and if it was silent.
+    static constexpr Duration refusedPause = std::chrono::milliseconds(100);
+    static constexpr Duration silentPause = std::chrono::milliseconds(1000);
+
+private:
+    struct Outgoing {
+        SocketAddress address;
+        std::shared_ptr<LineSocket> socket;
+        bool established = false;
+        bool leaving = false;
+        // Frames that wait for the link to be established.
+        std::vector<std::string> waiting;
+        // Since when something sent has gone without any message from the owner.
+        std::optional<Time> unansweredSince;
+        std::optional<Time> probedAt;
+    };
+    struct Incoming {
+        std::shared_ptr<LineSocket> socket;
+        std::unique_ptr<ForwardedStatements> statements;
+    };
+
+    void open(const DaemonId& owner, const SocketAddress& address);
+    void onEstablished(const DaemonId& owner);
+    bool onAnswer(const DaemonId& owner, std::string_view frame);
+    void lose(const DaemonId& owner, Duration pause);
+    void probeSilentLinks(Time now);
+    void accept();
+    void add(asio::ip::tcp::socket socket);
+    bool onRequest(std::uint64_t id, std::string_view frame);
+    void remove(std::uint64_t id);
+
+    asio::io_context& context;
+    ForwardLinkHooks hooks;
+    asio::ip::tcp::acceptor acceptor;
+    std::map<DaemonId, SocketAddress> addresses;
+    std::map<DaemonId, Outgoing> outgoing;
+    // Time before which no link to a daemon is opened.
+    std::map<DaemonId, Time> openNotBefore;
+    std::unordered_map<std::uint64_t, Incoming> incoming;
+    std::uint64_t lastId = 0;
+    bool leaving = false;
+};
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/edge/forward_links_test.cc
@@ -0,0 +1,171 @@
+#include "edge/forward_links.h"
+
+#include "process/scheduler_fixture_test.h"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const DaemonId owner { "owner" };
+
+// A sender and an owner on one event loop with real sockets; the owner runs statements on a scheduler fixture.
+struct Fixture {
+    Fixture()
+    {
+        this->ownerLinks = std::make_unique<ForwardLinks>(this->context, this->ownerHooks());
+        this->ownerLinks->listen({ "127.0.0.1", 0 });
+        ForwardLinkHooks hooks;
+        hooks.now = [this] { return this->world.now; };
+        hooks.outcome = [this](const DaemonId&, const ForwardedOutcome& outcome) { this->outcomes.push_back(outcome); };
+        hooks.lost = [this](const DaemonId&, bool established) { this->losses.push_back(established); };
+        hooks.runner = [](const DatabaseId&) { return nullptr; };
+        hooks.accepts = [](const ForwardedStatement&, Time) { return false; };
+        this->sender = std::make_unique<ForwardLinks>(this->context, std::move(hooks));
+        this->sender->setDaemons({ { owner, { "127.0.0.1", this->ownerLinks->port() } } });
+    }
+
+    ForwardLinkHooks ownerHooks()
+    {
+        ForwardLinkHooks hooks;
+        hooks.now = [this] { return this->world.now; };
+        hooks.outcome = [](const DaemonId&, const ForwardedOutcome&) {};
+        hooks.lost = [](const DaemonId&, bool) {};
+        hooks.runner = [this](const DatabaseId&) { return this->world.scheduler.get(); };
+        hooks.accepts = [](const ForwardedStatement&, Time) { return true; };
+        return hooks;
+    }
+
+    static ForwardedStatement statement(std::uint64_t number, Time now)
+    {
+        ForwardedStatement message;
+        message.number = number;
+        message.group = DatabaseId("shop");
+        message.work = SchedulerFixture::write();
+        message.work.session = std::make_shared<SessionState>();
+        message.work.expiresAt = now + 800ms;
+        return message;
+    }
+
+    bool send(std::uint64_t number) { return this->sender->send(owner, statement(number, this->world.now)); }
+
+    // Runs the event loop until the condition holds; a condition that never holds fails the test.
+    template <typename Condition> void runUntil(const Condition& condition)
+    {
+        constexpr int maxRounds = 5000;
+        for (int round = 0; round < maxRounds && !condition(); ++round)
+            this->context.run_one_for(2ms);
+        REQUIRE(condition());
+    }
+
+    asio::io_context context;
+    SchedulerFixture world;
+    std::unique_ptr<ForwardLinks> ownerLinks;
+    std::unique_ptr<ForwardLinks> sender;
+    std::vector<ForwardedOutcome> outcomes;
+    std::vector<bool> losses;
+};
+
+} // namespace
+
+TEST_CASE("ForwardLinks, carries a statement to the owner and its outcome back")
+{
+    Fixture fixture;
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+    fixture.world.succeed(fixture.world.take());
+    fixture.runUntil([&] { return !fixture.outcomes.empty(); });
+    CHECK(fixture.outcomes.front().number == 1);
+    CHECK(fixture.outcomes.front().result.answer.succeeded);
+}
+
+TEST_CASE("ForwardLinks, refuses to send when the daemon is unknown")
+{
+    Fixture fixture;
+    CHECK_FALSE(fixture.sender->send(DaemonId("other"), Fixture::statement(1, fixture.world.now)));
+}
+
+// Guards against reporting a write as in doubt although no byte of it has left.
+TEST_CASE("ForwardLinks, reports a link as never established when the owner refuses it")
+{
+    Fixture fixture;
+    fixture.ownerLinks.reset();
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.losses.empty(); });
+    CHECK(fixture.losses == std::vector<bool> { false });
+    // Until the pause is over the owner is not tried again.
+    CHECK_FALSE(fixture.send(2));
+    fixture.world.now += ForwardLinks::refusedPause;
+    CHECK(fixture.send(3));
+}
+
+TEST_CASE("ForwardLinks, reports a link as lost when the owner ends")
+{
+    Fixture fixture;
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+    fixture.ownerLinks.reset();
+    fixture.runUntil([&] { return !fixture.losses.empty(); });
+    CHECK(fixture.losses == std::vector<bool> { true });
+}
+
+// Guards against statements that wait for an owner which has lost power or is cut off: nothing resets the link.
+TEST_CASE("ForwardLinks, gives a link up when the owner does not answer a probe")
+{
+    Fixture fixture;
+    asio::ip::tcp::acceptor silent(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
+    fixture.sender->setDaemons({ { owner, { "127.0.0.1", silent.local_endpoint().port() } } });
+    REQUIRE(fixture.send(1));
+    fixture.world.now += ForwardLinks::quietLimit;
+    fixture.sender->tick(fixture.world.now, 1s);
+    CHECK(fixture.losses.empty());
+    fixture.world.now += ForwardLinks::probeLimit;
+    fixture.sender->tick(fixture.world.now, 1s);
+    CHECK(fixture.losses.size() == 1);
+}
+
+// Guards against giving up an owner that only takes its time with a statement.
+TEST_CASE("ForwardLinks, keeps a link when the owner answers the probe")
+{
+    Fixture fixture;
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+    for (int round = 0; round < 5; ++round) {
+        fixture.world.now += ForwardLinks::quietLimit;
+        fixture.sender->tick(fixture.world.now, 1s);
+        fixture.context.run_for(20ms);
+        fixture.world.now += ForwardLinks::probeLimit;
+        fixture.sender->tick(fixture.world.now, 1s);
+        fixture.context.run_for(20ms);
+    }
+    CHECK(fixture.losses.empty());
+}
+
+TEST_CASE("ForwardLinks, sends no new statements when the owner is about to stop")
+{
+    Fixture fixture;
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+    fixture.ownerLinks->announceLeaving();
+    fixture.runUntil([&] { return !fixture.send(2); });
+    CHECK(fixture.losses.empty());
+}
+
+// Guards against one daemon's rubbish that ends the process or the links of others.
+TEST_CASE("ForwardLinks, closes a link that carries no messages and serves the others")
+{
+    Fixture fixture;
+    asio::ip::tcp::socket socket(fixture.context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), fixture.ownerLinks->port() });
+    asio::write(socket, asio::buffer(std::string("\0\0\0\5hello", 9)));
+    bool closed = false;
+    std::array<char, 64> buffer {};
+    socket.async_read_some(
+        asio::buffer(buffer), [&](const asio::error_code& error, std::size_t) { closed = static_cast<bool>(error); });
+    fixture.runUntil([&] { return closed; });
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+}
--- a/src/edge/line_socket.cc
+++ b/src/edge/line_socket.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 65536;
+// Bytes of a frame's length.
+constexpr std::size_t lengthBytes = 4;
 
 std::array<char, readBufferBytes>& sharedBuffer()
 {
@@ -18,9 +20,10 @@
 
 } // namespace
 
-LineSocket::LineSocket(asio::ip::tcp::socket socket, std::size_t maxLineBytes)
+LineSocket::LineSocket(asio::ip::tcp::socket socket, std::size_t maxLineBytes, Framing framing)
     : socket(std::move(socket))
     , maxLineBytes(maxLineBytes)
+    , framing(framing)
 {
 }
 
@@ -89,35 +92,58 @@
     }
     // The lines are handed out from a copy, since handlers may read other sockets into the shared buffer.
     this->partial.append(buffer.data(), length);
-    if (!this->takeLines())
+    if (!this->takeUnits())
         return;
     if (this->socket.is_open())
         this->waitForInput();
 }
 
-bool LineSocket::takeLines()
+std::optional<std::string_view> LineSocket::nextLine(std::string_view& input) const
+{
+    const auto end = input.find('\n');
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    auto line = input.substr(0, end);
+    if (!line.empty() && line.back() == '\r')
+        line.remove_suffix(1);
+    input.remove_prefix(end + 1);
+    return line;
+}
+
+std::optional<std::string_view> LineSocket::nextFrame(std::string_view& input) const
+{
+    if (input.size() < lengthBytes)
+        return std::nullopt;
+    std::size_t length = 0;
+    for (const char byte : input.substr(0, lengthBytes))
+        length = length << 8U | static_cast<unsigned char>(byte);
+    if (input.size() - lengthBytes < length)
+        return std::nullopt;
+    const auto frame = input.substr(lengthBytes, length);
+    input.remove_prefix(lengthBytes + length);
+    return frame;
+}
+
+std::optional<std::string_view> LineSocket::nextUnit(std::string_view& input) const
+{
+    return this->framing == Framing::Lines ? this->nextLine(input) : this->nextFrame(input);
+}
+
+bool LineSocket::takeUnits()
 {
     const auto self = this->shared_from_this();
-    std::string input = std::move(this->partial);
+    const std::string received = std::move(this->partial);
     this->partial.clear();
-    std::size_t begin = 0;
-    while (begin < input.size()) {
-        const auto end = input.find('\n', begin);
-        if (end == std::string::npos)
-            break;
-        auto line = std::string_view(input).substr(begin, end - begin);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        begin = end + 1;
-        if (!this->onLine(line)) {
+    std::string_view input = received;
+    while (const auto unit = this->nextUnit(input)) {
+        if (!this->onLine(*unit)) {
             this->closeAfterWrites();
             return false;
         }
         if (!this->socket.is_open() || this->closing)
             return false;
     }
-    if (begin < input.size())
-        this->partial = input.substr(begin);
+    this->partial = input;
     if (this->partial.size() > this->maxLineBytes) {
         this->fail();
         return false;
@@ -125,6 +151,16 @@
     return true;
 }
 
+void LineSocket::writeFrame(std::string_view frame)
+{
+    std::string bytes;
+    bytes.reserve(lengthBytes + frame.size());
+    for (int shift = 24; shift >= 0; shift -= 8)
+        bytes += static_cast<char>(frame.size() >> static_cast<unsigned>(shift) & 0xffU);
+    bytes += frame;
+    this->write(bytes);
+}
+
 void LineSocket::write(std::string_view text)
 {
     if (!this->socket.is_open() || this->closing)
--- a/src/edge/line_socket.h
+++ b/src/edge/line_socket.h
@@ -5,13 +5,22 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace endivetrestle {
 
-// TCP connection that exchanges lines which end with CR LF, on the caller's event loop. An idle connection holds no
-// read buffer: all connections of a loop share one.
+// How the bytes of a connection are divided into units.
+enum class Framing {
+    // Lines that end with CR LF. The line end is not part of the unit.
+    Lines,
+    // Units that follow their length, four bytes with the most significant first.
+    Lengths,
+};
+
+// TCP connection that exchanges lines or length-prefixed frames, on the caller's event loop. An idle connection holds
+// no read buffer: all connections of a loop share one.
 //
 // The line callback returns false to stop reading, after which the connection is closed. The closed callback runs once,
 // unless close() was called before. The callbacks must not keep the socket alive.
@@ -23,7 +32,7 @@
     // Bytes that may wait to be written. A peer that does not read is closed beyond that.
     static constexpr std::size_t maxPendingWrite = 8U << 20U;
 
-    LineSocket(asio::ip::tcp::socket socket, std::size_t maxLineBytes);
+    LineSocket(asio::ip::tcp::socket socket, std::size_t maxLineBytes, Framing framing = Framing::Lines);
     ~LineSocket();
     LineSocket(const LineSocket&) = delete;
     LineSocket& operator=(const LineSocket&) = delete;
@@ -34,7 +43,10 @@
     void connect(const asio::ip::tcp::endpoint& address, std::function<void()> onConnected, LineCallback onLine,
         ClosedCallback onClosed);
 
+    // Writes bytes as they are.
     void write(std::string_view text);
+    // Writes one unit in the framing Lengths.
+    void writeFrame(std::string_view frame);
     // Closes after what was written has been handed to the kernel. No callback follows.
     void closeAfterWrites();
     // Closes at once. No callback follows.
@@ -45,16 +57,21 @@
 private:
     void waitForInput();
     void readAvailable();
-    bool takeLines();
+    bool takeUnits();
+    // Returns the first unit of the input and removes it; no value if it is not complete yet.
+    std::optional<std::string_view> nextUnit(std::string_view& input) const;
+    std::optional<std::string_view> nextLine(std::string_view& input) const;
+    std::optional<std::string_view> nextFrame(std::string_view& input) const;
     void flush();
     void fail();
     void setOptions();
 
     asio::ip::tcp::socket socket;
     std::size_t maxLineBytes;
+    Framing framing;
     LineCallback onLine;
     ClosedCallback onClosed;
-    // Incomplete line.
+    // Incomplete unit.
     std::string partial;
     // Bytes that wait behind the write that is under way.
     std::string outgoing;
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -22,6 +22,8 @@
 // Descriptors kept for files, the store, other daemons and endpoints.
 constexpr int reservedDescriptors = 500;
 constexpr std::size_t httpBodyLimit = 65536;
+// Time beyond the idle limit of transactions that the forwarding daemon has to end an idle one itself.
+constexpr Duration forwardedIdleSlack = std::chrono::milliseconds(500);
 
 std::string makeIncarnation()
 {
@@ -50,9 +52,9 @@
     logEvent(LogLevel::Info, "daemon_started",
         { { "daemon", this->settings.daemon.value }, { "incarnation", this->incarnation },
             { "data_centre", this->settings.dataCentre.value } });
-    this->fleet = std::make_unique<FleetController>(
-        FleetIdentity { this->settings.daemon, this->incarnation, this->settings.peerAddress }, this->store,
-        this->timers, this->makeFleetHooks(), [] { return bootNow(); });
+    this->fleet = std::make_unique<FleetController>(FleetIdentity { this->settings.daemon, this->incarnation,
+                                                        this->settings.peerAddress, this->settings.dataCentre },
+        this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
     this->listen();
     this->startFeeds();
     this->fleet->start();
@@ -104,10 +106,12 @@
         = std::make_unique<HttpServer>(this->context, metricsPort, [this](const HttpRequest&, const auto& answer) {
               answer(HttpResponse { 200, "text/plain; version=0.0.4", this->metricsPage() });
           });
+    this->links = std::make_unique<ForwardLinks>(this->context, this->makeLinkHooks());
+    this->links->listen({ this->settings.peerAddress.ip, this->settings.forwardPort });
     SessionServerHooks hooks;
     hooks.now = [] { return bootNow(); };
     hooks.routes = [this] { return this->routes; };
-    hooks.scheduler = [this](const DatabaseId& group) { return this->schedulerOf(group); };
+    hooks.runner = [this](const DatabaseId& group) { return this->runnerOf(group); };
     hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
     const auto maxSessions = std::max(64, this->settings.descriptorLimit - reservedDescriptors);
     this->sessions = std::make_unique<SessionServer>(
@@ -217,6 +221,7 @@
     hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
     group.scheduler
         = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks), bootNow());
+    group.forwarder = this->makeForwarder(id, *group.scheduler);
     return group;
 }
 
@@ -235,19 +240,7 @@
         }
         found->second.scheduler->setEndpoints(this->endpointsOf(id), now);
     }
-    this->updateShares();
-}
-
-void SessionProxy::updateShares()
-{
-    if (!this->routes)
-        return;
-    for (auto& [id, group] : this->groups) {
-        const auto declared = this->routes->groups.find(id);
-        if (declared != this->routes->groups.end()) {
-            group.scheduler->setConnectionShare(declared->second.connectionLimit / static_cast<int>(this->liveDaemons));
-        }
-    }
+    this->updatePlacements();
 }
 
 GroupScheduler* SessionProxy::schedulerOf(const DatabaseId& group)
@@ -258,7 +251,8 @@
 
 bool SessionProxy::isReady() const
 {
-    return !this->stopping && this->routes && this->registryKnown && this->fleet->leaseValid(bootNow());
+    return !this->stopping && this->routes && this->registryKnown && this->fleet->peersKnown()
+        && this->fleet->leaseValid(bootNow());
 }
 
 std::string SessionProxy::metricsPage()
@@ -267,10 +261,11 @@
     for (const auto& [id, group] : this->groups) {
         this->metrics.group(
             id, group.scheduler->figures(), group.scheduler->positions().term(), group.scheduler->primaryUsable(now));
+        this->metrics.forwarding(id, group.forwarder->figures(), group.placement.ownedHere);
     }
     ProxyState state;
     state.sessions = this->sessions->sessions();
-    state.liveDaemons = this->liveDaemons;
+    state.liveDaemons = this->alive.size();
     state.configurationVersion = this->routes ? this->routes->version : 0;
     state.ready = this->isReady();
     state.leaseLeftSeconds = toSeconds(this->fleet->leaseEnd() - now);
@@ -287,10 +282,10 @@
     // One success in this many is logged, so that the path of ordinary requests can be seen.
     constexpr std::uint64_t successSampling = 1024;
     const bool succeeded = statement.reply.succeeded;
-    if (succeeded && (statement.endpoint.empty() || ++this->successes % successSampling != 0))
+    if (succeeded && (statement.trace.endpoint.empty() || ++this->successes % successSampling != 0))
         return;
     const auto code = succeeded ? std::string_view("ok") : replyCodeName(statement.reply.code);
-    const auto decision = this->logLimiter.decide(std::string(code) + "/" + statement.reason, bootNow());
+    const auto decision = this->logLimiter.decide(std::string(code) + "/" + statement.trace.reason, bootNow());
     if (!decision.write)
         return;
     const auto* route = statement.route;
@@ -298,11 +293,11 @@
     const auto primary = this->fleet->primaries().find(group);
     const bool known = primary != this->fleet->primaries().end();
     logEvent(LogLevel::Info, succeeded ? "statement_sampled" : "statement_failed",
-        { { "request", statement.statement.id }, { "code", code }, { "reason", statement.reason },
+        { { "request", statement.statement.id }, { "code", code }, { "reason", statement.trace.reason },
             { "database", route == nullptr ? "" : route->databaseName }, { "group", group.value },
             { "consistency", route == nullptr ? "" : consistencyName(route->consistency) },
-            { "endpoint", statement.endpoint }, { "attempts", statement.attempts },
-            { "elapsed_ms", toMilliseconds(statement.elapsed) },
+            { "endpoint", statement.trace.endpoint }, { "owner", statement.trace.owner.value },
+            { "attempts", statement.trace.attempts }, { "elapsed_ms", toMilliseconds(statement.elapsed) },
             { "configuration", this->routes ? this->routes->version : 0 },
             { "primary", known ? primary->second.endpoint.value : "" }, { "term", known ? primary->second.term : 0 },
             { "replacing", known && primary->second.replacing ? 1 : 0 },
@@ -332,6 +327,7 @@
     this->stopAt = now + this->settings.stopGrace - stopReserve;
     logEvent(LogLevel::Info, "stop_requested",
         { { "sessions", this->sessions->sessions() }, { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
+    this->links->announceLeaving();
     const auto firstEnd = std::min<Duration>(sessionEndDelay, this->settings.stopGrace / 3);
     this->timers.subscribeAt(now + firstEnd, [this](Time) { this->sessions->closeIdleSessions(); });
     this->timers.subscribeAt(now + this->settings.stopGrace / 2,
@@ -354,9 +350,12 @@
     for (auto& [id, group] : this->groups)
         group.scheduler->tick(now);
     this->fleet->tick();
+    const auto idleLimit = (this->routes ? this->routes->transactionIdleLimit : Duration::zero()) + forwardedIdleSlack;
+    this->links->tick(now, idleLimit);
     if (!this->stopping || this->stopAt == Time::max())
         return;
-    const bool sessionsEnded = this->sessions->sessions() == 0 && now + stopReserve > this->stopAt - sessionEndDelay;
+    const bool sessionsEnded
+        = this->sessions->sessions() == 0 && this->links->idle() && now + stopReserve > this->stopAt - sessionEndDelay;
     if (sessionsEnded || now >= this->stopAt)
         this->finishStop();
 }
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -2,6 +2,7 @@
 
 #include "base/log_limiter.h"
 #include "edge/endpoint_transport.h"
+#include "edge/forward_links.h"
 #include "edge/http_server.h"
 #include "edge/peer_calls.h"
 #include "edge/session_server.h"
@@ -9,9 +10,11 @@
 #include "platform/store_client.h"
 #include "process/endpoint_directory.h"
 #include "process/fleet_controller.h"
+#include "process/group_placement.h"
 #include "process/group_scheduler.h"
 #include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
+#include "process/statement_forwarder.h"
 #include "process/table_feed.h"
 
 #include <asio/signal_set.hpp>
@@ -45,6 +48,8 @@
     struct Group {
         std::unique_ptr<EndpointTransport> transport;
         std::unique_ptr<GroupScheduler> scheduler;
+        std::unique_ptr<StatementForwarder> forwarder;
+        GroupPlacement placement;
     };
 
     // session_proxy_fleet.cc
@@ -53,12 +58,19 @@
         std::function<void(std::optional<EndpointReport>)> callback);
     void handlePeer(const HttpRequest& request, HttpServer::Answer answer);
 
+    // session_proxy_forwarding.cc
+    ForwardLinkHooks makeLinkHooks();
+    std::unique_ptr<StatementForwarder> makeForwarder(const DatabaseId& group, GroupScheduler& scheduler);
+    void onLiveDaemons(const std::vector<LeaseRow>& others);
+    void updatePlacements();
+    [[nodiscard]] std::vector<DaemonId> otherOwners(const DatabaseId& group) const;
+    StatementRunner* runnerOf(const DatabaseId& group);
+
     void listen();
     void startFeeds();
     void onConfigurationRows(const std::vector<StoreRow>& rows);
     void onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot);
     void updateGroups();
-    void updateShares();
     GroupScheduler* schedulerOf(const DatabaseId& group);
     Group makeGroup(const DatabaseId& group);
     void record(const StatementRecord& statement);
@@ -84,6 +96,7 @@
     bool registryKnown = false;
     std::map<DatabaseId, Group> groups;
     std::unique_ptr<FleetController> fleet;
+    std::unique_ptr<ForwardLinks> links;
     std::unique_ptr<SessionServer> sessions;
     std::unique_ptr<TableFeed> configurationFeed;
     std::unique_ptr<TableFeed> registryFeed;
@@ -94,7 +107,7 @@
     LogLimiter logLimiter;
     std::uint64_t successes = 0;
     ConnectionId lastConnectionId = 0;
-    std::size_t liveDaemons = 1;
+    std::vector<DaemonInfo> alive;
     bool stopping = false;
     bool finished = false;
     Time stopAt;
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -108,12 +108,8 @@
         auto* scheduler = this->schedulerOf(group);
         return scheduler != nullptr && scheduler->primaryDoubt() != PrimaryDoubt::None;
     };
-    hooks.onLiveDaemons = [this](std::size_t count) {
-        if (count != this->liveDaemons)
-            logEvent(LogLevel::Info, "live_daemons", { { "count", count } });
-        this->liveDaemons = count;
-        this->updateShares();
-    };
+    hooks.primaryUsers = [this](const DatabaseId& group) { return this->otherOwners(group); };
+    hooks.onLiveDaemons = [this](const std::vector<LeaseRow>& others) { this->onLiveDaemons(others); };
     return hooks;
 }
 
--- /dev/null
+++ b/src/edge/session_proxy_forwarding.cc
@@ -0,0 +1,100 @@
+// How the daemon shares the groups with the other daemons and exchanges statements with them.
+#include "edge/session_proxy.h"
+
+#include "base/boot_clock.h"
+#include "base/log.h"
+
+namespace endivetrestle {
+
+std::unique_ptr<StatementForwarder> SessionProxy::makeForwarder(const DatabaseId& id, GroupScheduler& scheduler)
+{
+    ForwarderHooks hooks;
+    hooks.owners = [this](const DatabaseId& group) {
+        const auto found = this->groups.find(group);
+        const bool remote = found != this->groups.end() && !found->second.placement.ownedHere;
+        return remote ? found->second.placement.owners : std::vector<DaemonId> {};
+    };
+    hooks.send
+        = [this](const DaemonId& owner, const ForwardMessage& message) { return this->links->send(owner, message); };
+    // Connections and forwarded statements share one sequence, so that their identifiers never meet.
+    hooks.nextId = [this] { return ++this->lastConnectionId; };
+    return std::make_unique<StatementForwarder>(id, this->timers, scheduler, std::move(hooks));
+}
+
+ForwardLinkHooks SessionProxy::makeLinkHooks()
+{
+    ForwardLinkHooks hooks;
+    hooks.now = [] { return bootNow(); };
+    hooks.outcome = [this](const DaemonId& owner, const ForwardedOutcome& outcome) {
+        for (auto& [id, group] : this->groups) {
+            if (group.forwarder->onOutcome(owner, outcome, bootNow()))
+                return;
+        }
+    };
+    hooks.lost = [this](const DaemonId& owner, bool established) {
+        for (auto& [id, group] : this->groups)
+            group.forwarder->onLinkLost(owner, established, bootNow());
+    };
+    hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
+    hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
+        // Without a lease this daemon cannot use the primary; another owner may.
+        return !this->stopping && (!statement.work.needsPrimary || this->fleet->leaseValid(now));
+    };
+    return hooks;
+}
+
+StatementRunner* SessionProxy::runnerOf(const DatabaseId& group)
+{
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? nullptr : found->second.forwarder.get();
+}
+
+std::vector<DaemonId> SessionProxy::otherOwners(const DatabaseId& group) const
+{
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? std::vector<DaemonId> {} : found->second.placement.owners;
+}
+
+void SessionProxy::onLiveDaemons(const std::vector<LeaseRow>& others)
+{
+    std::vector<DaemonInfo> daemons;
+    std::map<DaemonId, SocketAddress> addresses;
+    DaemonInfo self;
+    self.id = this->settings.daemon;
+    self.dataCentre = this->settings.dataCentre;
+    daemons.push_back(self);
+    for (const auto& lease : others) {
+        DaemonInfo info;
+        info.id = lease.daemon;
+        info.dataCentre = lease.dataCentre;
+        daemons.push_back(info);
+        addresses[lease.daemon] = { lease.address.ip, this->settings.forwardPort };
+    }
+    if (daemons.size() != this->alive.size())
+        logEvent(LogLevel::Info, "live_daemons", { { "count", daemons.size() } });
+    this->alive = std::move(daemons);
+    this->links->setDaemons(std::move(addresses));
+    this->updatePlacements();
+}
+
+void SessionProxy::updatePlacements()
+{
+    if (!this->routes || this->alive.empty())
+        return;
+    const PlacementPolicy policy(this->settings.daemon, this->alive);
+    for (auto& [id, group] : this->groups) {
+        const auto declared = this->routes->groups.find(id);
+        if (declared == this->routes->groups.end())
+            continue;
+        const auto placement = policy.placementOf(id, declared->second.connectionLimit);
+        if (placement.ownedHere != group.placement.ownedHere) {
+            logEvent(LogLevel::Info, "group_placement",
+                { { "group", id.value }, { "owned_here", placement.ownedHere ? 1 : 0 },
+                    { "other_owners", placement.owners.size() }, { "share", placement.connectionShare } });
+        }
+        group.placement = placement;
+        group.scheduler->setConnectionShare(placement.connectionShare, placement.ownedHere);
+    }
+}
+
+} // namespace endivetrestle
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -123,7 +123,7 @@
         asio::post(this->context, [this, id] { this->remove(id, true); });
     };
     sessionHooks.routes = this->hooks.routes;
-    sessionHooks.scheduler = this->hooks.scheduler;
+    sessionHooks.runner = this->hooks.runner;
     sessionHooks.record = this->hooks.record;
     link.session = std::make_unique<ClientSession>(databaseName, this->timers, std::move(sessionHooks));
     link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/socket_address.h"
 #include "connection/client_session.h"
 #include "edge/line_socket.h"
 #include "platform/line_codec.h"
@@ -14,7 +15,7 @@
 struct SessionServerHooks {
     std::function<Time()> now;
     std::function<std::shared_ptr<const RouteTable>()> routes;
-    std::function<GroupScheduler*(const DatabaseId&)> scheduler;
+    std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<void(const StatementRecord&)> record;
 };
 
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -163,7 +163,8 @@
     const auto preparedAt = this->now();
     this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
     LeaseRow row { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
-        this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion };
+        this->identity.dataCentre, this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity),
+        this->epochVersion };
     StoreChange change;
     change.conditions.push_back({ fleetTable, epochKey, this->epochVersion });
     // Without this condition a renewal whose answer never came could take effect after a later one and show others an
@@ -186,7 +187,6 @@
             if (result.status == StoreStatus::Done) {
                 this->lease.onRenewed(preparedAt);
                 this->leaseRowVersion = result.version;
-                this->everLeased = true;
                 return;
             }
             this->nextRenewal = this->now();
@@ -218,16 +218,18 @@
         const auto storeMs = this->clock.earliestMs(this->now());
         const auto aliveUntil = storeMs + milliseconds(PrimaryLease::validity - aliveWindow);
         this->peers.clear();
-        this->liveCount = 1;
+        std::vector<LeaseRow> alive;
         for (const auto& row : result.rows) {
             const auto lease = decodeLeaseRow(row);
             if (!lease || lease->daemon == this->identity.daemon || lease->untilStoreMs <= storeMs)
                 continue;
             this->peers[lease->daemon] = *lease;
             if (lease->untilStoreMs > aliveUntil)
-                ++this->liveCount;
+                alive.push_back(*lease);
         }
-        this->hooks.onLiveDaemons(this->liveCount);
+        this->liveCount = alive.size() + 1;
+        this->everListed = true;
+        this->hooks.onLiveDaemons(alive);
     });
 }
 
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -18,6 +18,7 @@
     // Unique for each start of the process.
     std::string incarnation;
     SocketAddress peerAddress;
+    DataCentre dataCentre;
 };
 
 // Keeps this daemon's view of the groups' primaries and its lease, and replaces primaries.
@@ -48,8 +49,8 @@
 
     [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
     [[nodiscard]] Time leaseEnd() const { return this->lease.end(); }
-    // Whether the fleet table has been read and a lease was held at least once.
-    [[nodiscard]] bool isReady() const { return this->everLeased; }
+    // Whether the leases of the other daemons have been listed.
+    [[nodiscard]] bool peersKnown() const { return this->everListed; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
 
@@ -78,6 +79,7 @@
     void watchGroups(Time now);
     void adopt(const DatabaseId& group);
     void inquire(const DatabaseId& group, const EndpointId& primary);
+    [[nodiscard]] std::vector<LeaseRow> opinionHolders(const DatabaseId& group) const;
     void onInquiryAnswer(const DatabaseId& group);
     void startPromotion(const DatabaseId& group, const std::string& reason);
     void runPromotion(const DatabaseId& group, const std::string& reason);
@@ -100,7 +102,7 @@
     bool fleetKnown = false;
     bool fleetReading = false;
     bool renewing = false;
-    bool everLeased = false;
+    bool everListed = false;
     bool storeReachable = true;
     bool stopping = false;
     Time nextRenewal;
--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -117,23 +117,36 @@
         });
 }
 
+// Daemons that use the primary themselves. The others would have to open connections to it only to give an opinion.
+std::vector<LeaseRow> FleetController::opinionHolders(const DatabaseId& group) const
+{
+    const auto users = this->hooks.primaryUsers(group);
+    std::vector<LeaseRow> holders;
+    for (const auto& [daemon, lease] : this->peers) {
+        if (users.empty() || std::find(users.begin(), users.end(), daemon) != users.end())
+            holders.push_back(lease);
+    }
+    return holders;
+}
+
 void FleetController::inquire(const DatabaseId& group, const EndpointId& primary)
 {
     if (this->inquiries.count(group) != 0)
         return;
     const auto records = this->hooks.endpointsOf(group);
     auto& inquiry = this->inquiries[group];
-    inquiry.outstanding = this->peers.size() + records.size();
+    const auto asked = this->opinionHolders(group);
+    inquiry.outstanding = asked.size() + records.size();
     const std::weak_ptr<int> weak = this->lifetime;
-    for (const auto& [daemon, lease] : this->peers) {
+    for (const auto& lease : asked) {
         this->hooks.askReachable(lease.address, group, primary, [this, group, weak](std::optional<bool> reachable) {
             if (weak.expired())
                 return;
-            auto& asked = this->inquiries[group];
+            auto& current = this->inquiries[group];
             if (!reachable)
-                ++asked.silent;
+                ++current.silent;
             else
-                ++(*reachable ? asked.reachable : asked.unreachable);
+                ++(*reachable ? current.reachable : current.unreachable);
             this->onInquiryAnswer(group);
         });
     }
@@ -143,11 +156,11 @@
             group, record.id, [this, group, isPrimary, weak](const std::optional<EndpointReport>& report) {
                 if (weak.expired())
                     return;
-                auto& asked = this->inquiries[group];
+                auto& current = this->inquiries[group];
                 if (isPrimary)
-                    ++(report && report->isPrimary ? asked.reachable : asked.unreachable);
+                    ++(report && report->isPrimary ? current.reachable : current.unreachable);
                 else if (report)
-                    ++asked.replicas;
+                    ++current.replicas;
                 this->onInquiryAnswer(group);
             });
     }
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -66,8 +66,10 @@
     std::function<std::vector<DatabaseId>()> groups;
     // Whether statements to the primary of a group go unanswered or are refused.
     std::function<bool(const DatabaseId&)> doubtsPrimary;
-    // Reports how many daemons are alive, this one included.
-    std::function<void(std::size_t)> onLiveDaemons;
+    // Daemons whose opinion on the primary of a group counts; empty if all daemons use it themselves.
+    std::function<std::vector<DaemonId>(const DatabaseId&)> primaryUsers;
+    // Reports the other daemons that are alive.
+    std::function<void(const std::vector<LeaseRow>&)> onLiveDaemons;
 };
 
 } // namespace endivetrestle
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -33,7 +33,7 @@
 StoreRow encodeRow(const LeaseRow& row)
 {
     const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
-        { "until", row.untilStoreMs }, { "epoch", row.epochVersion } };
+        { "data_centre", row.dataCentre.value }, { "until", row.untilStoreMs }, { "epoch", row.epochVersion } };
     return { leaseTable, row.daemon.value, value.dump() };
 }
 
@@ -75,6 +75,7 @@
     result.daemon = DaemonId(row.key);
     result.incarnation = value->value("incarnation", std::string());
     result.address = *address;
+    result.dataCentre = DataCentre(value->value("data_centre", std::string()));
     result.untilStoreMs = value->value("until", std::int64_t { 0 });
     result.epochVersion = value->value("epoch", std::uint64_t { 0 });
     return result;
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -41,6 +41,7 @@
     std::string incarnation;
     // Where other daemons reach it.
     SocketAddress address;
+    DataCentre dataCentre;
     std::int64_t untilStoreMs = 0;
     // Version of the epoch row that the daemon has taken into account.
     std::uint64_t epochVersion = 0;
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -116,7 +116,8 @@
         daemon.timers = std::make_unique<TimerService>();
         daemon.store = std::make_unique<Store>(*this, index);
         daemon.controller = std::make_unique<FleetController>(
-            FleetIdentity { DaemonId("d" + std::to_string(index)), std::to_string(daemon.incarnation), address(index) },
+            FleetIdentity { DaemonId("d" + std::to_string(index)), std::to_string(daemon.incarnation), address(index),
+                DataCentre("a") },
             *daemon.store, *daemon.timers, this->makeHooks(index), [this] { return this->clock; });
         daemon.controller->start();
         daemon.timers->subscribeEvery(this->clock, std::chrono::milliseconds(100), [this, index](Time) {
@@ -461,7 +462,8 @@
             const auto& endpoint = this->endpoints.at(*daemon.usedPrimary);
             return !endpoint.up || !endpoint.primary;
         };
-        hooks.onLiveDaemons = [](std::size_t) {};
+        hooks.onLiveDaemons = [](const std::vector<LeaseRow>&) {};
+        hooks.primaryUsers = [](const DatabaseId&) { return std::vector<DaemonId> {}; };
         return hooks;
     }
 
--- /dev/null
+++ b/src/process/group_placement_test.cc
@@ -0,0 +1,114 @@
+#include "process/group_placement.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace endivetrestle;
+
+namespace {
+
+std::vector<DaemonInfo> fleet(int count, int dataCentres)
+{
+    std::vector<DaemonInfo> daemons;
+    for (int i = 0; i < count; ++i) {
+        DaemonInfo info;
+        info.id = DaemonId("d" + std::to_string(i));
+        info.dataCentre = DataCentre(std::string(1, static_cast<char>('a' + i % dataCentres)));
+        daemons.push_back(info);
+    }
+    return daemons;
+}
+
+GroupPlacement placementAt(int daemon, int count, int dataCentres, int limit, const std::string& group = "shop")
+{
+    const PlacementPolicy policy(DaemonId("d" + std::to_string(daemon)), fleet(count, dataCentres));
+    return policy.placementOf(DatabaseId(group), limit);
+}
+
+} // namespace
+
+// Guards against a hop where every daemon can hold connections itself.
+TEST_CASE("PlacementPolicy, makes every daemon an owner when an equal share is large enough")
+{
+    const auto placement = placementAt(2, 4, 3, 16);
+    CHECK(placement.ownedHere);
+    CHECK(placement.owners.empty());
+    CHECK(placement.connectionShare == 4);
+}
+
+// Guards against 28 daemons that hold one of 28 connections each: no room for a burst or for a restarted daemon.
+TEST_CASE("PlacementPolicy, picks one owner in each data centre when the connections are scarce")
+{
+    std::set<std::string> owners;
+    std::set<std::string> places;
+    int share = 0;
+    for (int i = 0; i < 28; ++i) {
+        const auto placement = placementAt(i, 28, 3, 28);
+        if (!placement.ownedHere)
+            continue;
+        owners.insert("d" + std::to_string(i));
+        places.insert(fleet(28, 3)[static_cast<std::size_t>(i)].dataCentre.value);
+        share += placement.connectionShare;
+    }
+    CHECK(owners.size() == 3);
+    CHECK(places.size() == 3);
+    // The reserve stays free.
+    CHECK(share <= 28 * (1 - PlacementPolicy::reserve));
+}
+
+// Guards against daemons that disagree on the owners, which would hold more connections than the endpoint offers.
+TEST_CASE("PlacementPolicy, gives all daemons the same owners")
+{
+    std::set<std::string> expected;
+    for (int i = 0; i < 28; ++i) {
+        if (placementAt(i, 28, 3, 28).ownedHere)
+            expected.insert("d" + std::to_string(i));
+    }
+    for (int i = 0; i < 28; ++i) {
+        const auto placement = placementAt(i, 28, 3, 28);
+        std::set<std::string> seen;
+        for (const auto& owner : placement.owners)
+            seen.insert(owner.value);
+        if (placement.ownedHere)
+            seen.insert("d" + std::to_string(i));
+        CAPTURE(i);
+        CHECK(seen == expected);
+    }
+}
+
+// Guards against traffic between data centres that has an owner in its own.
+TEST_CASE("PlacementPolicy, prefers the owner of its own data centre")
+{
+    for (int i = 0; i < 28; ++i) {
+        const auto placement = placementAt(i, 28, 3, 28);
+        if (placement.ownedHere)
+            continue;
+        const auto daemons = fleet(28, 3);
+        const auto first = std::stoul(placement.owners.front().value.substr(1));
+        CHECK(daemons[first].dataCentre == daemons[static_cast<std::size_t>(i)].dataCentre);
+    }
+}
+
+// Guards against one daemon that owns most groups.
+TEST_CASE("PlacementPolicy, spreads the groups over the daemons")
+{
+    std::map<int, int> owned;
+    for (int group = 0; group < 64; ++group) {
+        for (int i = 0; i < 28; ++i)
+            owned[i] += placementAt(i, 28, 3, 28, "g" + std::to_string(group)).ownedHere ? 1 : 0;
+    }
+    int most = 0;
+    for (const auto& [daemon, count] : owned)
+        most = std::max(most, count);
+    // 64 groups with 3 owners each over 28 daemons are 6.9 on average.
+    CHECK(most <= 16);
+}
+
+TEST_CASE("PlacementPolicy, owns every group when no other daemon is alive")
+{
+    const auto placement = placementAt(0, 1, 1, 1);
+    CHECK(placement.ownedHere);
+    CHECK(placement.connectionShare == 1);
+}
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -78,7 +78,11 @@
     this->dispatch(now);
 }
 
-void GroupScheduler::setConnectionShare(int share) { this->connectionShare = std::max(1, share); }
+void GroupScheduler::setConnectionShare(int share, bool keepWarm)
+{
+    this->connectionShare = std::max(1, share);
+    this->warmConnections = keepWarm ? 1 : 0;
+}
 
 void GroupScheduler::setPrimary(const EndpointId& endpoint, std::uint64_t term, Time now)
 {
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -5,6 +5,7 @@
 #include "request/position_history.h"
 #include "request/scheduled_statement.h"
 #include "request/statement_queue.h"
+#include "request/statement_runner.h"
 
 #include <functional>
 #include <map>
@@ -53,17 +54,18 @@
 // it.
 // - A statement is sent a second time only if the first send is known not to have run, or if it only reads.
 // - A connection whose state is unknown is closed.
-class GroupScheduler {
+class GroupScheduler : public StatementRunner {
 public:
     GroupScheduler(DatabaseId group, DataCentre local, TimerService& timers, SchedulerHooks hooks, Time startedAt);
-    ~GroupScheduler();
+    ~GroupScheduler() override;
     GroupScheduler(const GroupScheduler&) = delete;
     GroupScheduler& operator=(const GroupScheduler&) = delete;
 
     // Sets the registered endpoints of the group. Connections to endpoints that are gone are closed.
     void setEndpoints(const std::vector<EndpointRecord>& records, Time now);
-    // Sets how many connections to each endpoint this daemon may hold.
-    void setConnectionShare(int share);
+    // Sets how many connections to each endpoint this daemon may hold, and whether one is kept open to each endpoint
+    // before it is needed.
+    void setConnectionShare(int share, bool keepWarm = true);
 
     // Declares the primary and its term and ends a suspension.
     void setPrimary(const EndpointId& endpoint, std::uint64_t term, Time now);
@@ -72,14 +74,10 @@
     void suspendPrimary(Time now, std::function<void()> drained);
     [[nodiscard]] bool isSuspended() const { return this->suspended; }
 
-    // Runs a statement that is not part of an open transaction.
-    void submit(const ExecutionPtr& execution, Time now);
-    // Runs a statement in the transaction that is open on the connection.
-    void continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now);
-    // Rolls the open transaction back.
-    void endTransaction(ConnectionId connection, Time now);
-    // Drops a statement whose client has left. Its result is not reported any more.
-    void abandon(const ExecutionPtr& execution, Time now);
+    void submit(const ExecutionPtr& execution, Time now) override;
+    void continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now) override;
+    void endTransaction(ConnectionId connection, Time now) override;
+    void abandon(const ExecutionPtr& execution, Time now) override;
     // Runs a control command on any connection to the endpoint. The callback runs once, within the time-out.
     void control(const EndpointId& endpoint, const EndpointCommand& command, Duration timeout, Time now,
         ControlCallback callback);
@@ -184,6 +182,8 @@
     Time suspendedAt;
     bool primaryDenied = false;
     int connectionShare = 4;
+    // Connections to each endpoint that are opened before they are needed.
+    int warmConnections = 1;
     SchedulerFigures counts;
     // Whether dispatch() is running; a nested call asks for another pass instead.
     bool dispatching = false;
--- a/src/process/group_scheduler_upkeep.cc
+++ b/src/process/group_scheduler_upkeep.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Connections to each endpoint that are opened before they are needed.
-constexpr int warmConnections = 1;
 // Time for which a connection beyond the recent need is kept.
 constexpr Duration idleLimit = std::chrono::milliseconds(500);
 // Time without any answer after which an endpoint with outstanding statements counts as silent, if that is more than
@@ -56,11 +54,11 @@
     }
     endpoint.decayBusyPeak();
     const int present = static_cast<int>(endpoint.connections.size());
-    if (!endpoint.record.draining && present < warmConnections && this->canOpen(endpoint, now))
+    if (!endpoint.record.draining && present < this->warmConnections && this->canOpen(endpoint, now))
         this->openConnection(endpoint, now);
     // Connections that are not needed are given up, so that other daemons, and daemons that start after a crash whose
     // connections the endpoint still counts, find room under the endpoint's limit.
-    const int wanted = std::max(warmConnections, endpoint.connectionsWanted());
+    const int wanted = std::max(this->warmConnections, endpoint.connectionsWanted());
     if (present <= wanted)
         return;
     for (auto& [id, connection] : endpoint.connections) {
--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -59,7 +59,8 @@
     return XXH3_64bits_withSeed(daemon.value.data(), daemon.value.size(), seed);
 }
 
-void Ownership::pick(const Tiers& tiers, const DatabaseId& database, std::vector<DaemonInfo>& chosen) const
+void Ownership::pick(
+    const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen)
 {
     for (const auto& tier : tiers) {
         std::vector<Candidate> ordered;
@@ -67,7 +68,7 @@
         for (const auto& info : tier)
             ordered.push_back({ &info, weight(info.id, database) });
         std::sort(ordered.begin(), ordered.end(), isHeavier);
-        while (chosen.size() < this->count && !ordered.empty()) {
+        while (chosen.size() < ownerCount && !ordered.empty()) {
             const auto next = best(ordered, chosen);
             chosen.push_back(*next->info);
             ordered.erase(next);
@@ -76,11 +77,17 @@
 }
 
 std::vector<DaemonInfo> Ownership::owners(const DatabaseId& database, const Region& region) const
+{
+    return this->owners(database, region, this->count);
+}
+
+std::vector<DaemonInfo> Ownership::owners(
+    const DatabaseId& database, const Region& region, std::size_t ownerCount) const
 {
     std::vector<DaemonInfo> chosen;
     const auto found = this->byRegion.find(region);
     if (found != this->byRegion.end())
-        this->pick(found->second, database, chosen);
+        pick(found->second, database, ownerCount, chosen);
     if (!chosen.empty())
         return chosen;
     Tiers others;
@@ -88,7 +95,7 @@
         for (std::size_t tier = 0; tier < tiers.size(); ++tier)
             others[tier].insert(others[tier].end(), tiers[tier].begin(), tiers[tier].end());
     }
-    this->pick(others, database, chosen);
+    pick(others, database, ownerCount, chosen);
     return chosen;
 }
 
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -29,6 +29,9 @@
 
     // Daemons by rank, at most ownersPerDatabase. Empty if no daemon is known that is not dead.
     [[nodiscard]] std::vector<DaemonInfo> owners(const DatabaseId& database, const Region& region) const;
+    // The same with a number of owners of its own for the database.
+    [[nodiscard]] std::vector<DaemonInfo> owners(
+        const DatabaseId& database, const Region& region, std::size_t ownerCount) const;
     // Rank of a daemon, or -1 if it is no owner.
     [[nodiscard]] int rankOf(const DaemonId& daemon, const DatabaseId& database, const Region& region) const;
 
@@ -39,7 +42,8 @@
     // Daemons by state in the order of preference: alive, suspected, leaving.
     using Tiers = std::array<std::vector<DaemonInfo>, 3>;
 
-    void pick(const Tiers& tiers, const DatabaseId& database, std::vector<DaemonInfo>& chosen) const;
+    static void pick(
+        const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen);
 
     std::size_t count;
     std::map<Region, Tiers> byRegion;
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -32,10 +32,10 @@
 void ProxyMetrics::statement(const StatementRecord& record)
 {
     const std::string consistency(record.route == nullptr ? "local" : consistencyName(record.route->consistency));
-    auto& counter = this->outcomes[{ consistency, outcomeOf(record.reply), record.reason }];
+    auto& counter = this->outcomes[{ consistency, outcomeOf(record.reply), record.trace.reason }];
     if (counter == nullptr) {
-        counter = &this->statements.Add(
-            { { "consistency", consistency }, { "outcome", outcomeOf(record.reply) }, { "reason", record.reason } });
+        counter = &this->statements.Add({ { "consistency", consistency }, { "outcome", outcomeOf(record.reply) },
+            { "reason", record.trace.reason } });
     }
     counter->Increment();
     auto& histogram = this->latencyByConsistency[consistency];
@@ -74,6 +74,18 @@
     set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
 }
 
+void ProxyMetrics::forwarding(const DatabaseId& group, const ForwarderFigures& figures, bool ownedHere)
+{
+    const auto set
+        = [&](const char* name, const char* help, double value) { this->gauge(name, help, group).Set(value); };
+    set("forwarded_statements", "Statements sent to owners of the group.", static_cast<double>(figures.forwarded));
+    set("forwarded_declined", "Forwarded statements that the owner did not take.",
+        static_cast<double>(figures.declined));
+    set("forwarded_lost", "Forwarded statements that ended with their link.", static_cast<double>(figures.lost));
+    set("forwarded_under_way", "Forwarded statements without an outcome.", static_cast<double>(figures.underWay));
+    set("group_owned", "1 if this daemon runs the group's statements itself.", ownedHere ? 1 : 0);
+}
+
 void ProxyMetrics::state(const ProxyState& state)
 {
     const DatabaseId none;
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -3,6 +3,7 @@
 #include "base/identifier.h"
 #include "connection/client_session.h"
 #include "process/group_scheduler.h"
+#include "process/statement_forwarder.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -38,6 +39,8 @@
     void statement(const StatementRecord& record);
     // Sets the gauges of a group.
     void group(const DatabaseId& group, const SchedulerFigures& figures, std::uint64_t term, bool primaryUsable);
+    // Sets the gauges of the exchange of a group's statements with other daemons.
+    void forwarding(const DatabaseId& group, const ForwarderFigures& figures, bool ownedHere);
     void state(const ProxyState& state);
 
     // Text of the Prometheus exposition format 0.0.4.
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -12,9 +12,9 @@
     SessionReply reply;
     reply.code = ReplyCode::Busy;
     const Statement statement;
-    metrics.statement({ statement, &route, reply, "queue_timeout", "", 0, std::chrono::milliseconds(30) });
+    metrics.statement({ statement, &route, reply, { "queue_timeout" }, std::chrono::milliseconds(30) });
     reply.succeeded = true;
-    metrics.statement({ statement, nullptr, reply, "", "", 0, std::chrono::milliseconds(1) });
+    metrics.statement({ statement, nullptr, reply, {}, std::chrono::milliseconds(1) });
     const auto text = metrics.serialize();
     CHECK(text.find("endivetrestle_statements_total{consistency=\"read_your_writes\",outcome=\"busy\",reason="
                     "\"queue_timeout\"} 1")
@@ -28,11 +28,16 @@
     SchedulerFigures figures;
     figures.waiting = 3;
     metrics.group(DatabaseId("shop"), figures, 7, true);
+    ForwarderFigures forwarder;
+    forwarder.forwarded = 5;
+    metrics.forwarding(DatabaseId("shop"), forwarder, false);
     ProxyState state;
     state.sessions = 12;
     metrics.state(state);
     const auto text = metrics.serialize();
     CHECK(text.find("endivetrestle_waiting_statements{group=\"shop\"} 3") != std::string::npos);
     CHECK(text.find("endivetrestle_primary_term{group=\"shop\"} 7") != std::string::npos);
+    CHECK(text.find("endivetrestle_forwarded_statements{group=\"shop\"} 5") != std::string::npos);
+    CHECK(text.find("endivetrestle_group_owned{group=\"shop\"} 0") != std::string::npos);
     CHECK(text.find("endivetrestle_sessions 12") != std::string::npos);
 }
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -22,6 +22,8 @@
     SocketAddress readinessAddress;
     // Where other daemons reach this one.
     SocketAddress peerAddress;
+    // Port on which daemons forward statements to each other; the same on all hosts.
+    std::uint16_t forwardPort = 0;
     SocketAddress storeAddress;
     // Service that executes promotions.
     SocketAddress promotionAddress;
--- /dev/null
+++ b/src/process/statement_forwarder.cc
@@ -0,0 +1,249 @@
+#include "process/statement_forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivetrestle {
+
+namespace {
+
+// An error of the proxy's own for a statement that did not get an answer from its owner.
+StatementResult ownResult(const DaemonId& owner, ReplyCode code, const std::string& text, const std::string& reason)
+{
+    StatementResult result;
+    result.owner = owner;
+    result.answer.code = code;
+    result.answer.errorText = text;
+    result.reason = reason;
+    return result;
+}
+
+void finish(const ExecutionPtr& execution, const StatementResult& result)
+{
+    if (std::exchange(execution->finished, true))
+        return;
+    const auto callback = std::move(execution->callback);
+    callback(result);
+}
+
+} // namespace
+
+StatementForwarder::StatementForwarder(
+    DatabaseId group, TimerService& timers, StatementRunner& local, ForwarderHooks hooks)
+    : group(std::move(group))
+    , timers(timers)
+    , local(local)
+    , hooks(std::move(hooks))
+{
+}
+
+StatementForwarder::~StatementForwarder()
+{
+    for (const auto& [number, entry] : this->pending)
+        this->timers.cancel(entry.timer);
+}
+
+void StatementForwarder::submit(const ExecutionPtr& execution, Time now) { this->offer(execution, {}, now); }
+
+// Sends the statement to the first owner that has not been tried and is reachable, or runs it here.
+void StatementForwarder::offer(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now)
+{
+    for (const auto& owner : this->hooks.owners(this->group)) {
+        if (tried.size() >= maxOwnersTried)
+            break;
+        if (std::find(tried.begin(), tried.end(), owner) != tried.end())
+            continue;
+        tried.push_back(owner);
+        if (this->sendTo(owner, Pending { execution, owner, std::nullopt, tried }, std::nullopt))
+            return;
+    }
+    this->local.submit(execution, now);
+}
+
+bool StatementForwarder::sendTo(const DaemonId& owner, Pending entry, std::optional<ConnectionId> connection)
+{
+    const auto number = this->hooks.nextId();
+    const auto& work = entry.execution->work;
+    entry.timer = this->timers.subscribeAt(
+        work.expiresAt + answerSlack, [this, number](Time at) { this->onTimer(number, at); });
+    const auto timer = entry.timer;
+    // The entry is stored first, since a failing link may report its loss before send() returns.
+    this->pending.emplace(number, std::move(entry));
+    if (this->hooks.send(owner, ForwardedStatement { number, this->group, connection, work })) {
+        ++this->counts.forwarded;
+        return true;
+    }
+    this->timers.cancel(timer);
+    this->pending.erase(number);
+    return false;
+}
+
+void StatementForwarder::continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now)
+{
+    const auto found = this->transactions.find(connection);
+    if (found == this->transactions.end()) {
+        this->local.continueTransaction(connection, execution, now);
+        return;
+    }
+    auto& transaction = found->second;
+    transaction.wrote = transaction.wrote || execution->work.changesData();
+    const auto owner = transaction.owner;
+    if (this->sendTo(owner, Pending { execution, owner, connection, { owner } }, transaction.connection))
+        return;
+    this->transactions.erase(found);
+    finish(execution, ownResult(owner, ReplyCode::Aborted, "the transaction was rolled back", "owner_lost"));
+}
+
+void StatementForwarder::endTransaction(ConnectionId connection, Time now)
+{
+    const auto found = this->transactions.find(connection);
+    if (found == this->transactions.end()) {
+        this->local.endTransaction(connection, now);
+        return;
+    }
+    // Without a link the owner has rolled the transaction back already.
+    this->hooks.send(found->second.owner, ForwardedEnd { this->group, found->second.connection });
+    this->transactions.erase(found);
+}
+
+void StatementForwarder::abandon(const ExecutionPtr& execution, Time now)
+{
+    const auto found = std::find_if(this->pending.begin(), this->pending.end(),
+        [&](const auto& entry) { return entry.second.execution == execution; });
+    if (found == this->pending.end()) {
+        this->local.abandon(execution, now);
+        return;
+    }
+    const auto number = found->first;
+    const auto entry = this->take(number);
+    execution->finished = true;
+    this->hooks.send(entry->owner, ForwardedAbandon { number });
+    // The owner rolls the transaction of an abandoned statement back.
+    if (entry->transaction)
+        this->transactions.erase(*entry->transaction);
+}
+
+std::optional<StatementForwarder::Pending> StatementForwarder::take(std::uint64_t number)
+{
+    const auto found = this->pending.find(number);
+    if (found == this->pending.end())
+        return std::nullopt;
+    auto entry = std::move(found->second);
+    this->pending.erase(found);
+    this->timers.cancel(entry.timer);
+    return entry;
+}
+
+bool StatementForwarder::onOutcome(const DaemonId& owner, const ForwardedOutcome& outcome, Time now)
+{
+    const auto entry = this->take(outcome.number);
+    if (!entry)
+        return false;
+    if (!outcome.declined) {
+        this->deliver(*entry, outcome);
+        return true;
+    }
+    ++this->counts.declined;
+    if (!entry->transaction) {
+        this->offer(entry->execution, entry->tried, now);
+        return true;
+    }
+    this->transactions.erase(*entry->transaction);
+    finish(entry->execution, ownResult(owner, ReplyCode::Aborted, "the transaction was rolled back", "owner_declined"));
+    return true;
+}
+
+// Translates the owner's connection into an identifier of this process.
+void StatementForwarder::deliver(const Pending& entry, const ForwardedOutcome& outcome)
+{
+    auto result = outcome.result;
+    result.owner = entry.owner;
+    entry.execution->attempts = outcome.attempts;
+    if (!result.connection) {
+        if (entry.transaction)
+            this->transactions.erase(*entry.transaction);
+    } else if (entry.transaction) {
+        result.connection = entry.transaction;
+    } else {
+        const auto id = this->hooks.nextId();
+        this->transactions[id] = { entry.owner, *result.connection, entry.execution->work.changesData() };
+        result.connection = id;
+    }
+    finish(entry.execution, result);
+}
+
+bool StatementForwarder::mayHaveChanged(const Pending& entry) const
+{
+    const auto& work = entry.execution->work;
+    if (!entry.transaction)
+        return work.start == TransactionStart::None && work.changesData();
+    const auto found = this->transactions.find(*entry.transaction);
+    return work.statement.kind == StatementKind::Commit && found != this->transactions.end() && found->second.wrote;
+}
+
+// Ends a statement that was sent and whose answer does not come.
+void StatementForwarder::endLost(const Pending& entry, const std::string& reason, bool timedOut)
+{
+    const auto& work = entry.execution->work;
+    const bool changed = this->mayHaveChanged(entry);
+    if (entry.transaction)
+        this->transactions.erase(*entry.transaction);
+    if (changed)
+        finish(entry.execution,
+            ownResult(entry.owner, ReplyCode::InDoubt, "no answer from the owner of the group", reason));
+    else if (entry.transaction || work.start != TransactionStart::None)
+        finish(entry.execution, ownResult(entry.owner, ReplyCode::Aborted, "the transaction is rolled back", reason));
+    else if (timedOut)
+        finish(entry.execution,
+            ownResult(entry.owner, ReplyCode::Timeout, "no answer within the time of the route", reason));
+    else
+        finish(entry.execution, ownResult(entry.owner, ReplyCode::Aborted, "the read has no effect", reason));
+}
+
+void StatementForwarder::onTimer(std::uint64_t number, Time)
+{
+    const auto found = this->pending.find(number);
+    if (found == this->pending.end())
+        return;
+    const auto entry = std::move(found->second);
+    this->pending.erase(found);
+    // Makes the owner roll back whatever the statement has opened.
+    this->hooks.send(entry.owner, ForwardedAbandon { number });
+    this->endLost(entry, "statement_timeout", true);
+}
+
+void StatementForwarder::onLinkLost(const DaemonId& owner, bool established, Time now)
+{
+    std::vector<std::uint64_t> affected;
+    for (const auto& [number, entry] : this->pending) {
+        if (entry.owner == owner)
+            affected.push_back(number);
+    }
+    for (const auto number : affected) {
+        const auto entry = this->take(number);
+        if (!entry)
+            continue;
+        const bool repeat = !entry->transaction && (!established || entry->execution->work.isRepeatable());
+        if (repeat) {
+            this->offer(entry->execution, entry->tried, now);
+            continue;
+        }
+        ++this->counts.lost;
+        this->endLost(*entry, "owner_lost", false);
+    }
+    for (auto entry = this->transactions.begin(); entry != this->transactions.end();) {
+        if (entry->second.owner == owner)
+            entry = this->transactions.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+ForwarderFigures StatementForwarder::figures() const
+{
+    auto figures = this->counts;
+    figures.underWay = this->pending.size();
+    return figures;
+}
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/statement_forwarder_test.cc
@@ -0,0 +1,261 @@
+#include "process/statement_forwarder.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const DaemonId ownerA { "a" };
+const DaemonId ownerB { "b" };
+
+// Records what reaches this daemon's own scheduler.
+class LocalRunner : public StatementRunner {
+public:
+    void submit(const ExecutionPtr& execution, Time) override { this->submitted.push_back(execution); }
+    void continueTransaction(ConnectionId connection, const ExecutionPtr&, Time) override
+    {
+        this->continued.push_back(connection);
+    }
+    void endTransaction(ConnectionId connection, Time) override { this->ended.push_back(connection); }
+    void abandon(const ExecutionPtr& execution, Time) override { this->abandoned.push_back(execution); }
+
+    std::vector<ExecutionPtr> submitted;
+    std::vector<ConnectionId> continued;
+    std::vector<ConnectionId> ended;
+    std::vector<ExecutionPtr> abandoned;
+};
+
+struct Fixture {
+    Fixture()
+    {
+        ForwarderHooks hooks;
+        hooks.owners = [this](const DatabaseId&) { return this->owners; };
+        hooks.send = [this](const DaemonId& owner, const ForwardMessage& message) {
+            if (this->unreachable.count(owner) != 0)
+                return false;
+            this->sent.emplace_back(owner, message);
+            return true;
+        };
+        hooks.nextId = [this] { return ++this->lastId; };
+        this->forwarder
+            = std::make_unique<StatementForwarder>(DatabaseId("shop"), this->timers, this->local, std::move(hooks));
+    }
+
+    ExecutionPtr make(StatementKind kind, TransactionStart start = TransactionStart::None)
+    {
+        auto execution = std::make_shared<Execution>();
+        execution->work.statement = { kind, "id", "TEXT" };
+        execution->work.session = std::make_shared<SessionState>();
+        execution->work.start = start;
+        execution->work.arrivedAt = this->now;
+        execution->work.expiresAt = this->now + 800ms;
+        execution->callback = [this](const StatementResult& result) { this->results.push_back(result); };
+        return execution;
+    }
+
+    ExecutionPtr submit(StatementKind kind, TransactionStart start = TransactionStart::None)
+    {
+        auto execution = this->make(kind, start);
+        this->forwarder->submit(execution, this->now);
+        return execution;
+    }
+
+    // The statement that was sent last.
+    const ForwardedStatement& last() { return std::get<ForwardedStatement>(this->sent.back().second); }
+
+    void answer(std::optional<ConnectionId> connection, bool declined = false)
+    {
+        ForwardedOutcome outcome;
+        outcome.number = this->last().number;
+        outcome.declined = declined;
+        outcome.result.answer.succeeded = !declined;
+        outcome.result.answer.phase = connection ? SessionPhase::Transaction : SessionPhase::Idle;
+        outcome.result.connection = connection;
+        this->forwarder->onOutcome(this->sent.back().first, outcome, this->now);
+    }
+
+    // Opens a transaction whose first statement writes, and returns the session's identifier of it.
+    ConnectionId openTransaction()
+    {
+        this->submit(StatementKind::Write, TransactionStart::Plain);
+        this->answer(77);
+        const auto id = *this->results.back().connection;
+        this->results.clear();
+        return id;
+    }
+
+    void advance(Duration duration)
+    {
+        this->now += duration;
+        this->timers.advance(this->now);
+    }
+
+    Time now { 1000s };
+    TimerService timers;
+    LocalRunner local;
+    std::vector<DaemonId> owners { ownerA, ownerB };
+    std::set<DaemonId> unreachable;
+    std::vector<std::pair<DaemonId, ForwardMessage>> sent;
+    std::vector<StatementResult> results;
+    std::uint64_t lastId = 0;
+    std::unique_ptr<StatementForwarder> forwarder;
+};
+
+} // namespace
+
+TEST_CASE("StatementForwarder, runs a statement here when this daemon owns the group")
+{
+    Fixture fixture;
+    fixture.owners.clear();
+    fixture.submit(StatementKind::Read);
+    CHECK(fixture.sent.empty());
+    CHECK(fixture.local.submitted.size() == 1);
+}
+
+TEST_CASE("StatementForwarder, reports the owner's result to the session")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Read);
+    REQUIRE(fixture.sent.size() == 1);
+    CHECK(fixture.sent.front().first == ownerA);
+    fixture.answer(std::nullopt);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.succeeded);
+}
+
+TEST_CASE("StatementForwarder, uses the next owner when the first cannot be reached")
+{
+    Fixture fixture;
+    fixture.unreachable = { ownerA };
+    fixture.submit(StatementKind::Write);
+    REQUIRE(fixture.sent.size() == 1);
+    CHECK(fixture.sent.front().first == ownerB);
+}
+
+// Guards against refusing what this daemon could serve itself while all owners restart.
+TEST_CASE("StatementForwarder, runs a statement here when no owner can be reached")
+{
+    Fixture fixture;
+    fixture.unreachable = { ownerA, ownerB };
+    fixture.submit(StatementKind::Write);
+    CHECK(fixture.local.submitted.size() == 1);
+}
+
+TEST_CASE("StatementForwarder, offers a declined statement to the next owner and then runs it here")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write);
+    fixture.answer(std::nullopt, true);
+    REQUIRE(fixture.sent.size() == 2);
+    CHECK(fixture.sent.back().first == ownerB);
+    fixture.answer(std::nullopt, true);
+    CHECK(fixture.local.submitted.size() == 1);
+    CHECK(fixture.results.empty());
+}
+
+// Guards against running a write twice: the owner may have executed it before the link broke.
+TEST_CASE("StatementForwarder, reports a write as in doubt when the link is lost after it was sent")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write);
+    fixture.forwarder->onLinkLost(ownerA, true, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::InDoubt);
+    CHECK(fixture.sent.size() == 1);
+    CHECK(fixture.local.submitted.empty());
+}
+
+// Guards against an unknown outcome of a write that never left this daemon.
+TEST_CASE("StatementForwarder, sends a write elsewhere when the link was never established")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write);
+    fixture.forwarder->onLinkLost(ownerA, false, fixture.now);
+    CHECK(fixture.results.empty());
+    REQUIRE(fixture.sent.size() == 2);
+    CHECK(fixture.sent.back().first == ownerB);
+}
+
+TEST_CASE("StatementForwarder, repeats a read elsewhere when the link is lost")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Read);
+    fixture.forwarder->onLinkLost(ownerA, true, fixture.now);
+    CHECK(fixture.results.empty());
+    CHECK(fixture.sent.back().first == ownerB);
+}
+
+TEST_CASE("StatementForwarder, keeps a transaction at the owner that opened it")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction();
+    fixture.owners = { ownerB };
+    fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Read), fixture.now);
+    CHECK(fixture.sent.back().first == ownerA);
+    CHECK(fixture.last().connection == 77);
+    fixture.answer(77);
+    CHECK(fixture.results.back().connection == transaction);
+}
+
+// Guards against "nothing is kept" for a commit that may have taken effect.
+TEST_CASE("StatementForwarder, reports a commit as in doubt when its transaction wrote and the link is lost")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction();
+    fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Commit), fixture.now);
+    fixture.forwarder->onLinkLost(ownerA, true, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::InDoubt);
+}
+
+TEST_CASE("StatementForwarder, reports a transaction as rolled back when the link is lost before the commit")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction();
+    fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Write), fixture.now);
+    fixture.forwarder->onLinkLost(ownerA, true, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::Aborted);
+    // The transaction is not known any more, so its next statement goes to the local runner, which aborts it.
+    fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Commit), fixture.now);
+    CHECK(fixture.local.continued == std::vector<ConnectionId> { transaction });
+}
+
+// Guards against an owner that keeps a connection pinned for a client that has given up.
+TEST_CASE("StatementForwarder, tells the owner when the time of a statement is over")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write);
+    const auto number = fixture.last().number;
+    fixture.advance(800ms + StatementForwarder::answerSlack);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::InDoubt);
+    CHECK(std::get<ForwardedAbandon>(fixture.sent.back().second).number == number);
+}
+
+TEST_CASE("StatementForwarder, ends the transaction at its owner when the session rolls it back")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction();
+    fixture.forwarder->endTransaction(transaction, fixture.now);
+    CHECK(std::get<ForwardedEnd>(fixture.sent.back().second).connection == 77);
+    CHECK(fixture.local.ended.empty());
+}
+
+TEST_CASE("StatementForwarder, reports nothing when the client has left")
+{
+    Fixture fixture;
+    const auto execution = fixture.submit(StatementKind::Write);
+    fixture.forwarder->abandon(execution, fixture.now);
+    CHECK(std::holds_alternative<ForwardedAbandon>(fixture.sent.back().second));
+    fixture.advance(2s);
+    CHECK(fixture.results.empty());
+    CHECK(fixture.forwarder->figures().underWay == 0);
+}
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/identifier.h"
 #include "base/position.h"
 #include "connection/session_state.h"
 #include "request/statement.h"
@@ -61,6 +62,8 @@
     std::string reason;
     // Endpoint that answered or was tried last; empty if there was none.
     std::string endpoint;
+    // Daemon to which the statement was forwarded; empty if this daemon ran it.
+    DaemonId owner;
     // Connection on which the transaction is open.
     std::optional<ConnectionId> connection;
     // Whether an endpoint has answered.
--- /dev/null
+++ b/src/request/statement_runner.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "request/scheduled_statement.h"
+
+namespace endivetrestle {
+
+// Runs the statements of client sessions for one database group: on this daemon's own endpoint connections, or at
+// another daemon that owns the group. The result comes through the callback of the execution, once, unless the
+// execution is abandoned first.
+class StatementRunner {
+public:
+    virtual ~StatementRunner() = default;
+
+    // Runs a statement that is not part of an open transaction.
+    virtual void submit(const ExecutionPtr& execution, Time now) = 0;
+    // Runs a statement in the transaction that is open on the connection.
+    virtual void continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now) = 0;
+    // Rolls the open transaction back.
+    virtual void endTransaction(ConnectionId connection, Time now) = 0;
+    // Drops a statement whose client has left. Its result is not reported any more.
+    virtual void abandon(const ExecutionPtr& execution, Time now) = 0;
+};
+
+} // namespace endivetrestle
