Keep statements off lost owner links and connections free of resting clients

Ruled out: ending transactions before their idle limit, which the clients are promised; more owners, which would leave no room after a loss of power.

Change: a lost link is reopened in the background and takes statements only once it is established; a silent link is given up after 450 ms instead of 650 ms. A quarter of an endpoint's connections, at least one, is kept for statements outside transactions. A daemon counts as alive until its lease ends.

The new test of the reserve fails without it.

--- a/src/connection/endpoint_state.cc
+++ b/src/connection/endpoint_state.cc
@@ -123,6 +123,15 @@
     }));
 }
 
+int EndpointState::transactions() const
+{
+    return static_cast<int>(std::count_if(this->connections.begin(), this->connections.end(), [](const auto& entry) {
+        const auto& connection = entry.second;
+        const bool opening = connection.execution && connection.execution->work.start != TransactionStart::None;
+        return connection.inTransaction || opening;
+    }));
+}
+
 void EndpointState::decayBusyPeak()
 {
     // Half a connection is forgotten in each second of ten ticks.
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -84,6 +84,8 @@
 
     // Connections that run a statement, hold a transaction or end one.
     [[nodiscard]] int connectionsInUse() const;
+    // Connections on which a transaction is open or being opened.
+    [[nodiscard]] int transactions() const;
     // Counts the connections in use towards the peak.
     void noteUse() { this->busyPeak = std::max(this->busyPeak, static_cast<double>(this->connectionsInUse())); }
     // Called at every tick.
--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -49,13 +49,14 @@
     const auto now = this->hooks.now();
     if (this->outgoing.count(owner) == 0) {
         const auto address = this->addresses.find(owner);
-        const auto pause = this->openNotBefore.find(owner);
-        const bool paused = pause != this->openNotBefore.end() && now < pause->second;
-        if (address == this->addresses.end() || paused || !std::holds_alternative<ForwardedStatement>(message))
+        const bool isStatement = std::holds_alternative<ForwardedStatement>(message);
+        if (address == this->addresses.end() || this->reopenAt.count(owner) != 0 || !isStatement)
             return false;
         this->open(owner, address->second);
     }
     auto& link = this->outgoing.at(owner);
+    if (!link.established && this->reopenAt.count(owner) != 0)
+        return false;
     const auto* statement = std::get_if<ForwardedStatement>(&message);
     if (link.leaving && statement != nullptr && !statement->connection)
         return false;
@@ -73,6 +74,7 @@
 {
     auto& link = this->outgoing[owner];
     link.address = address;
+    link.unansweredSince = this->hooks.now();
     link.socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), maxForwardBytes, Framing::Lengths);
     link.socket->connect(
         asio::ip::tcp::endpoint(asio::ip::make_address(address.ip), address.port),
@@ -85,6 +87,11 @@
 {
     auto& link = this->outgoing.at(owner);
     link.established = true;
+    link.unansweredSince.reset();
+    link.probedAt.reset();
+    this->reopenAt.erase(owner);
+    if (!link.waiting.empty())
+        link.unansweredSince = this->hooks.now();
     logEvent(LogLevel::Info, "owner_link_established", { { "owner", owner.value } });
     for (const auto& frame : std::exchange(link.waiting, {}))
         link.socket->writeFrame(frame);
@@ -119,8 +126,9 @@
     const auto link = std::move(found->second);
     this->outgoing.erase(found);
     link.socket->close();
-    this->openNotBefore[owner] = this->hooks.now() + pause;
-    logEvent(LogLevel::Warning, "owner_link_lost",
+    this->reopenAt[owner] = this->hooks.now() + pause;
+    // Attempts that fail while a host stays away are not worth a line each.
+    logEvent(link.established || !link.waiting.empty() ? LogLevel::Warning : LogLevel::Debug, "owner_link_lost",
         { { "owner", owner.value }, { "established", link.established ? 1 : 0 }, { "leaving", link.leaving ? 1 : 0 },
             { "pause_ms", toMilliseconds(pause) } });
     this->hooks.lost(owner, link.established);
@@ -143,9 +151,24 @@
         this->lose(owner, silentPause);
 }
 
+void ForwardLinks::reopenLostLinks(Time now)
+{
+    for (auto entry = this->reopenAt.begin(); entry != this->reopenAt.end();) {
+        const auto address = this->addresses.find(entry->first);
+        if (address == this->addresses.end()) {
+            entry = this->reopenAt.erase(entry);
+            continue;
+        }
+        if (this->outgoing.count(entry->first) == 0 && now >= entry->second)
+            this->open(entry->first, address->second);
+        ++entry;
+    }
+}
+
 void ForwardLinks::tick(Time now, Duration idleLimit)
 {
     this->probeSilentLinks(now);
+    this->reopenLostLinks(now);
     for (auto& [id, link] : this->incoming)
         link.statements->endIdleSince(now - idleLimit, now);
 }
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -43,8 +43,8 @@
     [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
     // Sets where the other daemons accept links. A link to a daemon that has another address now is closed.
     void setDaemons(std::map<DaemonId, SocketAddress> addresses);
-    // Sends a message to an owner and opens the link if there is none. False if the owner is unknown, was lost a moment
-    // ago, or is about to stop and would have to take a new statement.
+    // Sends a message to an owner; the first one opens the link. False if the owner is unknown, if its link was lost
+    // and is not back, or if the owner is about to stop and would have to take a new statement.
     bool send(const DaemonId& owner, const ForwardMessage& message);
     // Tells the daemons that use this one to send no new statements.
     void announceLeaving();
@@ -54,13 +54,13 @@
     [[nodiscard]] bool idle() const;
 
     // Time without a message on a link with something unanswered, after which it is probed.
-    static constexpr Duration quietLimit = std::chrono::milliseconds(250);
+    static constexpr Duration quietLimit = std::chrono::milliseconds(150);
     // Time that a probe, or a new link, has to be answered. It exceeds the pauses of a host whose processor share is
     // used up.
-    static constexpr Duration probeLimit = std::chrono::milliseconds(400);
+    static constexpr Duration probeLimit = std::chrono::milliseconds(300);
     // Pause before a lost link is opened again, if the host refused it and if it was silent.
     static constexpr Duration refusedPause = std::chrono::milliseconds(100);
-    static constexpr Duration silentPause = std::chrono::milliseconds(1000);
+    static constexpr Duration silentPause = std::chrono::milliseconds(500);
 
 private:
     struct Outgoing {
@@ -84,6 +84,7 @@
     bool onAnswer(const DaemonId& owner, std::string_view frame);
     void lose(const DaemonId& owner, Duration pause);
     void probeSilentLinks(Time now);
+    void reopenLostLinks(Time now);
     void accept();
     void add(asio::ip::tcp::socket socket);
     bool onRequest(std::uint64_t id, std::string_view frame);
@@ -94,8 +95,9 @@
     asio::ip::tcp::acceptor acceptor;
     std::map<DaemonId, SocketAddress> addresses;
     std::map<DaemonId, Outgoing> outgoing;
-    // Time before which no link to a daemon is opened.
-    std::map<DaemonId, Time> openNotBefore;
+    // Daemons whose link was lost and has not been established since, with the time of the next attempt. Statements do
+    // not wait for these links, since a host that is cut off lets connections hang.
+    std::map<DaemonId, Time> reopenAt;
     std::unordered_map<std::uint64_t, Incoming> incoming;
     std::uint64_t lastId = 0;
     bool leaving = false;
--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -96,10 +96,23 @@
     REQUIRE(fixture.send(1));
     fixture.runUntil([&] { return !fixture.losses.empty(); });
     CHECK(fixture.losses == std::vector<bool> { false });
-    // Until the pause is over the owner is not tried again.
-    CHECK_FALSE(fixture.send(2));
+}
+
+// Guards against statements that wait for a connection to a host that is cut off.
+TEST_CASE("ForwardLinks, takes no statements for a lost owner until the link is back")
+{
+    Fixture fixture;
+    const auto port = fixture.ownerLinks->port();
+    fixture.ownerLinks.reset();
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.losses.empty(); });
     fixture.world.now += ForwardLinks::refusedPause;
-    CHECK(fixture.send(3));
+    CHECK_FALSE(fixture.send(2));
+    fixture.ownerLinks = std::make_unique<ForwardLinks>(fixture.context, fixture.ownerHooks());
+    fixture.ownerLinks->listen({ "127.0.0.1", port });
+    fixture.sender->tick(fixture.world.now, 1s);
+    fixture.runUntil([&] { return fixture.send(3); });
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
 }
 
 TEST_CASE("ForwardLinks, reports a link as lost when the owner ends")
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -16,8 +16,6 @@
 // not load the store with listings.
 constexpr Duration listingInterval = std::chrono::seconds(4);
 constexpr Duration listingIntervalPerDaemon = std::chrono::milliseconds(250);
-// A daemon whose lease was renewed this recently counts as alive.
-constexpr Duration aliveWindow = std::chrono::milliseconds(5500);
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -216,16 +214,16 @@
             return;
         this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
         const auto storeMs = this->clock.earliestMs(this->now());
-        const auto aliveUntil = storeMs + milliseconds(PrimaryLease::validity - aliveWindow);
         this->peers.clear();
+        // A daemon counts as alive until its lease has ended: renewals come late while the store is slow, and then a
+        // shorter limit would take most daemons for dead.
         std::vector<LeaseRow> alive;
         for (const auto& row : result.rows) {
             const auto lease = decodeLeaseRow(row);
             if (!lease || lease->daemon == this->identity.daemon || lease->untilStoreMs <= storeMs)
                 continue;
             this->peers[lease->daemon] = *lease;
-            if (lease->untilStoreMs > aliveUntil)
-                alive.push_back(*lease);
+            alive.push_back(*lease);
         }
         this->liveCount = alive.size() + 1;
         this->everListed = true;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -120,10 +120,12 @@
     // group_scheduler_choice.cc
     [[nodiscard]] Requirement requirementOf(const ScheduledStatement& work) const;
     [[nodiscard]] std::optional<Target> choose(const Execution& execution, Time now);
-    [[nodiscard]] std::optional<Target> choosePrimary(Time now);
+    [[nodiscard]] std::optional<Target> choosePrimary(const Execution& execution, Time now);
     [[nodiscard]] bool mayHold(const EndpointState& endpoint, const Position& minimum, Time now) const;
     [[nodiscard]] Duration positionAge(const Position& position, Time now) const;
+    [[nodiscard]] int connectionLimit(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] bool canOpen(const EndpointState& endpoint, Time now) const;
+    [[nodiscard]] bool hasRoomForTransaction(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] bool cannotBeServed(const Execution& execution, Time now) const;
     bool tryStart(const ExecutionPtr& execution, Time now);
     void openConnection(EndpointState& endpoint, Time now);
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -26,6 +26,11 @@
 // Time within which a primary is usually replaced. A longer replacement waits for a daemon that does not answer, and
 // its end is not known; statements for the primary are then refused at once.
 constexpr Duration usualReplacement = std::chrono::seconds(3);
+// Part of the connections to an endpoint that transactions do not take, at least one. Clients that rest inside
+// transactions would otherwise keep single statements, which are most of the load, from the endpoint. With too few
+// connections there is nothing to reserve.
+constexpr double statementReserve = 0.25;
+constexpr int smallestLimitWithReserve = 3;
 // Lower bound of a latency in the estimate of completions.
 constexpr double shortestLatencySeconds = 0.0005;
 
@@ -76,20 +81,36 @@
     return endpoint.laggingUntil <= now && this->positionAge(minimum, now) >= endpoint.lagEstimate;
 }
 
-bool GroupScheduler::canOpen(const EndpointState& endpoint, Time now) const
+int GroupScheduler::connectionLimit(const EndpointState& endpoint, Time now) const
 {
     // Load is uneven, so a daemon may go beyond its share while the endpoint has room for it.
     const int overflow = endpoint.overflowNotBefore <= now ? this->connectionShare / 2 : 0;
-    const int limit = this->connectionShare + overflow;
-    return endpoint.opening < maxOpening && static_cast<int>(endpoint.connections.size()) < limit
+    return this->connectionShare + overflow;
+}
+
+bool GroupScheduler::canOpen(const EndpointState& endpoint, Time now) const
+{
+    return endpoint.opening < maxOpening
+        && static_cast<int>(endpoint.connections.size()) < this->connectionLimit(endpoint, now)
         && endpoint.openNotBefore <= now;
 }
 
-std::optional<GroupScheduler::Target> GroupScheduler::choosePrimary(Time now)
+bool GroupScheduler::hasRoomForTransaction(const EndpointState& endpoint, Time now) const
+{
+    const int limit = this->connectionLimit(endpoint, now);
+    if (limit < smallestLimitWithReserve)
+        return true;
+    const int reserve = std::max(1, static_cast<int>(limit * statementReserve));
+    return endpoint.transactions() < limit - reserve;
+}
+
+std::optional<GroupScheduler::Target> GroupScheduler::choosePrimary(const Execution& execution, Time now)
 {
     if (!this->primaryUsable(now))
         return std::nullopt;
     auto& endpoint = this->endpoints.at(*this->primaryId);
+    if (execution.work.start != TransactionStart::None && !this->hasRoomForTransaction(endpoint, now))
+        return std::nullopt;
     if (!endpoint.limit.allows(endpoint.running) || (!endpoint.hasIdle() && !this->canOpen(endpoint, now)))
         return std::nullopt;
     return Target { &endpoint, true, std::nullopt };
@@ -99,7 +120,7 @@
 {
     const auto requirement = this->requirementOf(execution.work);
     if (requirement.needsPrimary || execution.lagging >= maxLagging)
-        return this->choosePrimary(now);
+        return this->choosePrimary(execution, now);
     const bool primaryOpen = this->primaryUsable(now);
     std::optional<Target> best;
     Duration bestCost {};
@@ -109,6 +130,8 @@
             || (execution.attempts > 0 && id.value == execution.lastEndpoint && this->endpoints.size() > 1);
         if (excluded || (!asPrimary && !this->mayHold(endpoint, *requirement.minimum, now)))
             continue;
+        if (execution.work.start != TransactionStart::None && !this->hasRoomForTransaction(endpoint, now))
+            continue;
         const bool idle = endpoint.hasIdle();
         if (!endpoint.limit.allows(endpoint.running) || (!idle && !this->canOpen(endpoint, now)))
             continue;
@@ -125,7 +148,7 @@
         bestCost = cost;
     }
     // With no replica left a draining or silent primary is still better than none.
-    return best ? best : this->choosePrimary(now);
+    return best ? best : this->choosePrimary(execution, now);
 }
 
 bool GroupScheduler::cannotBeServed(const Execution& execution, Time now) const
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -430,3 +430,30 @@
     CHECK(fixture.results[0].answer.code == ReplyCode::Busy);
     CHECK(fixture.results[0].reason == "not_in_time");
 }
+
+// Guards against clients that rest inside transactions and keep all other statements from an endpoint.
+TEST_CASE("GroupScheduler, keeps a connection for single statements when clients rest inside transactions")
+{
+    SchedulerFixture fixture;
+    auto begin = SchedulerFixture::write();
+    begin.start = TransactionStart::Plain;
+    constexpr int restingClients = 20;
+    for (int i = 0; i < restingClients; ++i)
+        fixture.submit(begin);
+    for (int round = 0; round < restingClients * 4; ++round) {
+        fixture.openAll();
+        const auto sent = fixture.take();
+        if (sent.connection != 0)
+            fixture.succeed(sent, SessionPhase::Transaction);
+        fixture.advance(1ms);
+    }
+    const auto opened = fixture.results.size();
+    CHECK(opened >= 3);
+    fixture.submit(SchedulerFixture::write());
+    fixture.advance(1ms);
+    fixture.openAll();
+    const auto sent = fixture.take();
+    CAPTURE(opened);
+    CHECK(sent.command.kind == CommandKind::Forward);
+    CHECK(fixture.endpointName(sent.connection) == "e1");
+}
