--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -6,6 +6,7 @@
 #include "cli/exit_codes.h"
 #include "soak/soak.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -22,6 +23,10 @@
     TCLAP::ValueArg<int> seconds { "t", "seconds", "time with faults of each run (1 to 3600)", false, 20, "S", line };
     TCLAP::ValueArg<int> daemons { "", "daemons", "daemons (1 to 100)", false, 4, "N", line };
     TCLAP::ValueArg<int> clients { "", "clients", "client sessions (1 to 2000)", false, 24, "N", line };
+    TCLAP::ValueArg<int> connections { "", "connections",
+        "connections that an endpoint accepts (1 to 1000); below twice the number of daemons, statements are forwarded "
+        "to owners. 0: by seed, 32 if it is even and one less than that bound if it is odd",
+        false, 0, "N", line };
     TCLAP::SwitchArg json { "j", "json", "prints JSON", line };
 };
 
@@ -29,7 +34,17 @@
 {
     const auto within = [](int value, int highest) { return value >= 1 && value <= highest; };
     return within(parsed.runs.getValue(), 1000) && within(parsed.seconds.getValue(), 3600)
-        && within(parsed.daemons.getValue(), 100) && within(parsed.clients.getValue(), 2000);
+        && within(parsed.daemons.getValue(), 100) && within(parsed.clients.getValue(), 2000)
+        && (parsed.connections.getValue() == 0 || within(parsed.connections.getValue(), 1000));
+}
+
+// Without a number given, both ways of sharing connections are tried in turn.
+int connectionsOf(const SoakArguments& parsed, std::uint64_t seed)
+{
+    constexpr int ample = 32;
+    if (parsed.connections.getValue() != 0)
+        return parsed.connections.getValue();
+    return seed % 2 == 0 ? ample : std::max(1, 2 * parsed.daemons.getValue() - 1);
 }
 
 std::string makeDirectory()
@@ -57,6 +72,7 @@
         settings.seconds = parsed.seconds.getValue();
         settings.daemons = parsed.daemons.getValue();
         settings.clients = parsed.clients.getValue();
+        settings.connections = connectionsOf(parsed, settings.seed);
         settings.directory = makeDirectory();
         if (settings.directory.empty()) {
             std::cerr << "no directory for settings and logs can be made\n";
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -52,8 +52,9 @@
     logEvent(LogLevel::Info, "daemon_started",
         { { "daemon", this->settings.daemon.value }, { "incarnation", this->incarnation },
             { "data_centre", this->settings.dataCentre.value } });
-    this->fleet = std::make_unique<FleetController>(FleetIdentity { this->settings.daemon, this->incarnation,
-                                                        this->settings.peerAddress, this->settings.dataCentre },
+    this->fleet = std::make_unique<FleetController>(
+        FleetIdentity { this->settings.daemon, this->incarnation, this->settings.advertisedPeerAddress,
+            this->settings.advertisedForwardAddress, this->settings.dataCentre },
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
     this->listen();
     this->startFeeds();
@@ -107,7 +108,7 @@
               answer(HttpResponse { 200, "text/plain; version=0.0.4", this->metricsPage() });
           });
     this->links = std::make_unique<ForwardLinks>(this->context, this->makeLinkHooks());
-    this->links->listen({ this->settings.peerAddress.ip, this->settings.forwardPort });
+    this->links->listen(this->settings.forwardAddress);
     SessionServerHooks hooks;
     hooks.now = [] { return bootNow(); };
     hooks.routes = [this] { return this->routes; };
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -68,7 +68,7 @@
         info.id = lease.daemon;
         info.dataCentre = lease.dataCentre;
         daemons.push_back(info);
-        addresses[lease.daemon] = { lease.address.ip, this->settings.forwardPort };
+        addresses[lease.daemon] = lease.forwardAddress;
     }
     if (daemons.size() != this->alive.size())
         logEvent(LogLevel::Info, "live_daemons", { { "count", daemons.size() } });
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -161,8 +161,8 @@
     const auto preparedAt = this->now();
     this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
     LeaseRow row { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
-        this->identity.dataCentre, this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity),
-        this->epochVersion };
+        this->identity.forwardAddress, this->identity.dataCentre,
+        this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion };
     StoreChange change;
     change.conditions.push_back({ fleetTable, epochKey, this->epochVersion });
     // Without this condition a renewal whose answer never came could take effect after a later one and show others an
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -18,6 +18,7 @@
     // Unique for each start of the process.
     std::string incarnation;
     SocketAddress peerAddress;
+    SocketAddress forwardAddress;
     DataCentre dataCentre;
 };
 
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -33,7 +33,8 @@
 StoreRow encodeRow(const LeaseRow& row)
 {
     const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
-        { "data_centre", row.dataCentre.value }, { "until", row.untilStoreMs }, { "epoch", row.epochVersion } };
+        { "forward", toString(row.forwardAddress) }, { "data_centre", row.dataCentre.value },
+        { "until", row.untilStoreMs }, { "epoch", row.epochVersion } };
     return { leaseTable, row.daemon.value, value.dump() };
 }
 
@@ -69,12 +70,14 @@
     if (!value)
         return std::nullopt;
     const auto address = parseSocketAddress(value->value("address", std::string()));
-    if (!address)
+    const auto forward = parseSocketAddress(value->value("forward", std::string()));
+    if (!address || !forward)
         return std::nullopt;
     LeaseRow result;
     result.daemon = DaemonId(row.key);
     result.incarnation = value->value("incarnation", std::string());
     result.address = *address;
+    result.forwardAddress = *forward;
     result.dataCentre = DataCentre(value->value("data_centre", std::string()));
     result.untilStoreMs = value->value("until", std::int64_t { 0 });
     result.epochVersion = value->value("epoch", std::uint64_t { 0 });
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -41,6 +41,8 @@
     std::string incarnation;
     // Where other daemons reach it.
     SocketAddress address;
+    // Where other daemons forward statements to it.
+    SocketAddress forwardAddress;
     DataCentre dataCentre;
     std::int64_t untilStoreMs = 0;
     // Version of the epoch row that the daemon has taken into account.
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -117,7 +117,7 @@
         daemon.store = std::make_unique<Store>(*this, index);
         daemon.controller = std::make_unique<FleetController>(
             FleetIdentity { DaemonId("d" + std::to_string(index)), std::to_string(daemon.incarnation), address(index),
-                DataCentre("a") },
+                address(index), DataCentre("a") },
             *daemon.store, *daemon.timers, this->makeHooks(index), [this] { return this->clock; });
         daemon.controller->start();
         daemon.timers->subscribeEvery(this->clock, std::chrono::milliseconds(100), [this, index](Time) {
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -22,8 +22,11 @@
     SocketAddress readinessAddress;
     // Where other daemons reach this one.
     SocketAddress peerAddress;
-    // Port on which daemons forward statements to each other; the same on all hosts.
-    std::uint16_t forwardPort = 0;
+    // Where other daemons forward statements to this one.
+    SocketAddress forwardAddress;
+    // The addresses that other daemons are told, if they are not those on which this one listens.
+    SocketAddress advertisedPeerAddress;
+    SocketAddress advertisedForwardAddress;
     SocketAddress storeAddress;
     // Service that executes promotions.
     SocketAddress promotionAddress;
--- a/src/soak/fault_link.cc
+++ b/src/soak/fault_link.cc
@@ -35,7 +35,8 @@
     std::array<bool, 2> silent {};
 };
 
-FaultLink::FaultLink(asio::io_context& context, std::mt19937_64& random, std::function<std::uint16_t()> target)
+FaultLink::FaultLink(
+    asio::io_context& context, std::mt19937_64& random, std::function<asio::ip::tcp::endpoint()> target)
     : context(context)
     , random(random)
     , target(std::move(target))
@@ -59,8 +60,7 @@
                 return;
             const auto pair = std::make_shared<Pair>(std::move(socket));
             pair->silent = { this->dark, this->dark };
-            const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), this->target());
-            pair->server.async_connect(address, [this, weak, pair](const asio::error_code& failed) {
+            pair->server.async_connect(this->target(), [this, weak, pair](const asio::error_code& failed) {
                 if (weak.expired())
                     return;
                 if (failed) {
--- a/src/soak/fault_link.h
+++ b/src/soak/fault_link.h
@@ -13,8 +13,8 @@
 // Loopback proxy in front of one port, which can harm the connections through it.
 class FaultLink {
 public:
-    // The target port is asked for at each connection, because it may move.
-    FaultLink(asio::io_context& context, std::mt19937_64& random, std::function<std::uint16_t()> target);
+    // The target is asked for at each connection, because it may move.
+    FaultLink(asio::io_context& context, std::mt19937_64& random, std::function<asio::ip::tcp::endpoint()> target);
     ~FaultLink();
     FaultLink(const FaultLink&) = delete;
     FaultLink& operator=(const FaultLink&) = delete;
@@ -38,7 +38,7 @@
 
     asio::io_context& context;
     std::mt19937_64& random;
-    std::function<std::uint16_t()> target;
+    std::function<asio::ip::tcp::endpoint()> target;
     asio::ip::tcp::acceptor acceptor;
     std::uint16_t boundPort = 0;
     std::set<std::shared_ptr<Pair>> pairs;
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -14,6 +14,8 @@
     int daemons = 4;
     int groups = 2;
     int clients = 24;
+    // Connections that an endpoint accepts. Below twice the number of daemons, statements are forwarded to owners.
+    int connections = 32;
     // Directory for settings files and logs of the daemons. It must exist.
     std::string directory;
 };
@@ -32,7 +34,8 @@
 
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
-// and continue), harmed connections to the store and to endpoints, endpoints that crash, lag, drain or lose answers,
+// and continue), harmed connections to the store, to
+// endpoints and between daemons, endpoints that crash, lag, drain or lose answers,
 // and a store that is down, loses answers or forgets its history. At the end everything is healed, and most statements
 // must succeed again and every daemon must stop within its grace period.
 SoakReport runSoak(const SoakSettings& settings);
--- /dev/null
+++ b/src/soak/soak_run.cc
@@ -0,0 +1,274 @@
+// Setup, clients, processes and the end of a soak run.
+#include "soak/soak_run.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace endivetrestle::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t clientPort = 18784;
+constexpr std::chrono::milliseconds tickInterval { 5 };
+constexpr std::chrono::milliseconds registryInterval { 100 };
+// Time from SIGTERM until a daemon must have ended; its settings say six seconds.
+constexpr std::chrono::seconds stopLimit { 7 };
+// Quiet time at the end, and the part of it in which most statements must succeed.
+constexpr std::chrono::seconds recoveryTime { 20 };
+constexpr std::chrono::seconds recoveryWindow { 4 };
+constexpr double recoveredShare = 0.8;
+
+// Ports of a daemon for calls of other daemons and for forwarded statements.
+constexpr std::uint16_t peerPort = 17440;
+constexpr std::uint16_t forwardPort = 17441;
+
+asio::ip::tcp::endpoint loopback(std::uint16_t port) { return { asio::ip::address_v4::loopback(), port }; }
+
+} // namespace
+
+SoakRun::SoakRun(const SoakSettings& settings)
+    : settings(settings)
+    , random(settings.seed)
+    , store(this->context, this->random,
+          [this](const std::string& group, const std::string& id, std::uint64_t token) {
+              return this->promote(group, id, token);
+          })
+    , storeLink(this->context, this->random, [this] { return loopback(this->store.port()); })
+    , ticker(this->context)
+    , faultTimer(this->context)
+{
+}
+
+SoakReport SoakRun::run()
+{
+    this->report.seed = this->settings.seed;
+    this->makeGroups();
+    this->putConfiguration();
+    this->startDaemons();
+    this->tick();
+    this->runFor(std::chrono::seconds(4));
+    this->startClients();
+    this->scheduleFault();
+    this->runFor(std::chrono::seconds(this->settings.seconds));
+    this->heal();
+    this->runFor(recoveryTime - recoveryWindow);
+    this->checkRecovery();
+    this->stopAll();
+    this->report.violations = this->audit.violations();
+    this->report.acknowledgedWrites = this->audit.acknowledged();
+    this->report.checkedReads = this->audit.checkedReads();
+    return this->report;
+}
+
+void SoakRun::makeGroups()
+{
+    for (int i = 1; i <= this->settings.groups; ++i) {
+        this->groups.push_back(
+            std::make_unique<StandinGroup>(this->context, "g" + std::to_string(i), this->audit, this->random));
+        this->groups.back()->maxConnections = static_cast<std::size_t>(this->settings.connections);
+        for (const auto& endpoint : this->groups.back()->members) {
+            auto& member = this->members.emplace_back();
+            member.endpoint = endpoint.get();
+            member.link = std::make_unique<FaultLink>(
+                this->context, this->random, [target = endpoint.get()] { return loopback(target->port()); });
+        }
+    }
+}
+
+void SoakRun::putConfiguration()
+{
+    json routes = json::array();
+    json services = json::array();
+    for (const auto& group : this->groups) {
+        services.push_back(
+            { { "Name", group->name }, { "MaxConns", this->settings.connections }, { "SyncReplicas", 0 } });
+        for (const char* type : { "primary", "bounded_staleness", "read_your_writes" }) {
+            routes.push_back({ { "Name", group->name + type }, { "Host", group->name + "-" + type }, { "Type", type },
+                { "TimeoutMs", 800 }, { "TargetLatencyMs", 200 }, { "Priority", 1 }, { "Service", group->name },
+                { "MaxStalenessMs", staleness.count() / 1000 } });
+        }
+    }
+    this->configurationVersion += 3;
+    this->store.put("op", "config",
+        json { { "Version", this->configurationVersion }, { "Routes", routes }, { "Services", services },
+            { "Limits", { { "TxIdleMs", 3000 } } } }
+            .dump());
+}
+
+void SoakRun::putRegistry()
+{
+    const auto now = bootNow();
+    for (auto& member : this->members) {
+        const auto& endpoint = *member.endpoint;
+        const auto row = !endpoint.up && now >= member.lapsesAt
+            ? std::string()
+            : json {
+                  { "Service", endpoint.id.substr(0, endpoint.id.find('-')) },
+                  { "Address", "127.0.0.1:" + std::to_string(member.link->port()) }, { "Zone", "z" },
+                  { "Version", "v1" }, { "Capacity", 4 }, { "State", member.draining ? "draining" : "ready" },
+                  { "WarmupLeftMs", 0 }, { "DbRole", endpoint.primary ? "primary" : "replica" }, { "Seq", 1 },
+                  { "born", member.bornMs }
+              }.dump();
+        if (row == member.lastRow)
+            continue;
+        member.lastRow = row;
+        if (row.empty())
+            this->store.remove("servers", endpoint.id);
+        else
+            this->store.put("servers", endpoint.id, row);
+    }
+}
+
+void SoakRun::startDaemons()
+{
+    // Addresses of the loopback network that depend on the process, so that soaks can run side by side.
+    const auto process = getpid();
+    const std::string network
+        = "127." + std::to_string(1 + process / 250 % 250) + "." + std::to_string(1 + process % 250) + ".";
+    for (int i = 1; i <= this->settings.daemons; ++i)
+        this->startDaemon(i, network + std::to_string(i));
+}
+
+void SoakRun::startDaemon(int number, const std::string& ip)
+{
+    const auto address = asio::ip::make_address(ip);
+    auto& daemon = this->daemons.emplace_back();
+    daemon.address = { address, clientPort };
+    daemon.peerLink = std::make_unique<FaultLink>(
+        this->context, this->random, [address] { return asio::ip::tcp::endpoint(address, peerPort); });
+    daemon.forwardLink = std::make_unique<FaultLink>(
+        this->context, this->random, [address] { return asio::ip::tcp::endpoint(address, forwardPort); });
+    const auto name = "d" + std::to_string(number);
+    const auto file = this->settings.directory + "/" + name + ".toml";
+    // Two data centres, so that a group has two owners when connections are scarce.
+    std::ofstream(file) << "NodeName = \"" << name << "\"\nIp = \"" << ip << "\"\nZone = \"z" << number % 2
+                        << "\"\nRegion = \"r\"\nInternalPorts = [" << peerPort << ", " << forwardPort
+                        << "]\n[Advertise]\nPeers = \"127.0.0.1:" << daemon.peerLink->port()
+                        << "\"\nForward = \"127.0.0.1:" << daemon.forwardLink->port()
+                        << "\"\n[ListenAddrs]\nFrontend = \"" << ip << ":" << clientPort << "\"\nReadiness = \"" << ip
+                        << ":18785\"\n[platform]\nAddress = \"127.0.0.1:" << this->storeLink.port()
+                        << "\"\n[Cloud]\nAddress = \"127.0.0.1:" << this->store.port() << "\"\n[Bounds]\nGraceS = 6\n";
+    daemon.process = std::make_unique<DaemonProcess>(file, this->settings.directory + "/" + name + ".log");
+    daemon.process->start();
+}
+
+void SoakRun::startClients()
+{
+    for (int i = 0; i < this->settings.clients; ++i) {
+        const auto& group = this->groups.at(static_cast<std::size_t>(i) % this->groups.size())->name;
+        ClientRoute route { group + "-primary", group };
+        if (i % 3 == 1)
+            route = { group + "-bounded_staleness", group, staleness };
+        else if (i % 3 == 2)
+            route = { group + "-read_your_writes", group, staleness, true };
+        this->clients.push_back(std::make_unique<SoakClient>(this->context, this->random, this->audit,
+            this->report.counts, "c" + std::to_string(i), route,
+            [this] { return this->daemons.at(this->random() % this->daemons.size()).address; }));
+        this->clients.back()->start();
+    }
+}
+
+void SoakRun::tick()
+{
+    for (const auto& group : this->groups)
+        group->replicate();
+    this->store.tick();
+    this->putRegistry();
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+        this->watchDaemon(i);
+    this->ticker.expires_after(tickInterval);
+    this->ticker.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+void SoakRun::watchDaemon(std::size_t index)
+{
+    auto& daemon = this->daemons.at(index);
+    if (daemon.stopped || daemon.process->poll())
+        return;
+    if (!daemon.endExpected)
+        this->audit.violate("daemon " + std::to_string(index + 1) + " ended by itself with status "
+            + std::to_string(daemon.process->lastStatus()));
+    daemon.endExpected = false;
+    daemon.stopped = true;
+    this->later(std::chrono::milliseconds(100 + this->random() % 900), [this, index] {
+        this->daemons.at(index).process->start();
+        this->daemons.at(index).stopped = false;
+    });
+}
+
+int SoakRun::promote(const std::string& group, const std::string& id, std::uint64_t token)
+{
+    constexpr int accepted = 200;
+    constexpr int rejected = 409;
+    this->audit.onToken(token);
+    for (const auto& candidate : this->groups) {
+        auto* member = candidate->name == group ? candidate->find(id) : nullptr;
+        if (member == nullptr || !member->up)
+            continue;
+        ++this->report.promotions;
+        this->later(std::chrono::milliseconds(100 + this->random() % 400),
+            [target = candidate.get(), id] { target->promote(id); });
+        return accepted;
+    }
+    return rejected;
+}
+
+void SoakRun::later(std::chrono::milliseconds delay, std::function<void()> action)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(this->context, delay);
+    timer->async_wait([timer, action = std::move(action)](const asio::error_code& error) {
+        if (!error)
+            action();
+    });
+}
+
+void SoakRun::runFor(std::chrono::milliseconds duration) { this->context.run_for(duration); }
+
+void SoakRun::checkRecovery()
+{
+    const auto before = this->report.counts;
+    this->runFor(recoveryWindow);
+    const auto& now = this->report.counts;
+    const auto good = now.succeeded - before.succeeded;
+    const auto bad = now.refused - before.refused + now.unknown - before.unknown + now.lost - before.lost;
+    if (static_cast<double>(good) < recoveredShare * static_cast<double>(good + bad) || good == 0)
+        this->audit.violate("after healing only " + std::to_string(good) + " of " + std::to_string(good + bad)
+            + " statements succeeded");
+}
+
+void SoakRun::stopAll()
+{
+    for (const auto& client : this->clients)
+        client->stop();
+    for (auto& daemon : this->daemons) {
+        daemon.endExpected = true;
+        daemon.stopped = true;
+        daemon.process->signal(SIGTERM);
+    }
+    const auto end = bootNow() + stopLimit;
+    const auto running = [this] {
+        return std::any_of(
+            this->daemons.begin(), this->daemons.end(), [](const Daemon& daemon) { return daemon.process->poll(); });
+    };
+    while (bootNow() < end && running())
+        this->runFor(std::chrono::milliseconds(50));
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        const auto& process = *this->daemons.at(i).process;
+        if (this->daemons.at(i).process->poll())
+            this->audit.violate("daemon " + std::to_string(i + 1) + " did not stop within its grace period");
+        else if (process.lastStatus() != 0)
+            this->audit.violate(
+                "daemon " + std::to_string(i + 1) + " stopped with status " + std::to_string(process.lastStatus()));
+    }
+}
+
+} // namespace endivetrestle::soak
--- a/src/soak/standin_group.cc
+++ b/src/soak/standin_group.cc
@@ -96,6 +96,12 @@
     return std::string("READY ") + (connection.inTransaction ? "T " : "I ") + dotted(this->applied()) + "\r\n";
 }
 
+std::size_t StandinMember::startedConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->connections.begin(), this->connections.end(), [](const auto& entry) { return entry.second.started; }));
+}
+
 bool StandinMember::onLine(std::uint64_t number, std::string_view line)
 {
     auto& connection = this->connections.at(number);
@@ -109,6 +115,11 @@
             this->connections.erase(number);
             return false;
         }
+        if (this->startedConnections() >= this->group.maxConnections) {
+            connection.socket->write("ERROR TOOMANY full\r\n");
+            this->connections.erase(number);
+            return false;
+        }
         connection.started = true;
         connection.socket->write(this->ready(connection));
         return true;
--- a/src/soak/standin_group.h
+++ b/src/soak/standin_group.h
@@ -58,6 +58,7 @@
         std::vector<std::string> writes;
     };
 
+    [[nodiscard]] std::size_t startedConnections() const;
     void listen();
     void accept();
     bool onLine(std::uint64_t connection, std::string_view line);
@@ -95,6 +96,8 @@
     std::mt19937_64& random;
     // Records by which replicas stay behind in receiving and in applying.
     std::size_t lagRecords = 2;
+    // Connections that each member accepts.
+    std::size_t maxConnections = 32;
     std::vector<std::unique_ptr<StandinMember>> members;
 };
 
