Accept connections in one place

Cause: the session server and the links between daemons had the same accept loop, found by a look for repeated code over the change.

Ruled out: a common base class of both servers; they share nothing else.

Change: SocketListener opens the port and accepts. The test fixture of the links keeps its event loop running, which had ended when no operation was under way.

Conclusion: no change of behaviour.

--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -8,7 +8,7 @@
 ForwardLinks::ForwardLinks(asio::io_context& context, ForwardLinkHooks hooks)
     : context(context)
     , hooks(std::move(hooks))
-    , acceptor(context)
+    , listener(context, [this](asio::ip::tcp::socket socket) { this->add(std::move(socket)); })
 {
 }
 
@@ -23,12 +23,7 @@
 void ForwardLinks::listen(const SocketAddress& address)
 {
     constexpr int backlog = 256;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen(backlog);
-    this->accept();
+    this->listener.listen(address, backlog);
 }
 
 void ForwardLinks::setDaemons(std::map<DaemonId, SocketAddress> listed)
@@ -173,19 +168,6 @@
         link.statements->endIdleSince(now - idleLimit, now);
 }
 
-void ForwardLinks::accept()
-{
-    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-        if (!this->acceptor.is_open())
-            return;
-        if (!error)
-            this->add(std::move(socket));
-        else
-            logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
-        this->accept();
-    });
-}
-
 void ForwardLinks::add(asio::ip::tcp::socket socket)
 {
     const auto id = ++this->lastId;
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -3,6 +3,7 @@
 #include "base/identifier.h"
 #include "base/socket_address.h"
 #include "edge/line_socket.h"
+#include "edge/socket_listener.h"
 #include "process/forwarded_statements.h"
 #include "request/forward_message.h"
 
@@ -40,7 +41,7 @@
     // Opens the port for links of other daemons. Throws std::system_error if it cannot be opened.
     void listen(const SocketAddress& address);
     // Port that was opened.
-    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return this->listener.port(); }
     // Sets where the other daemons accept links. A link to a daemon that has another address now is closed.
     void setDaemons(std::map<DaemonId, SocketAddress> addresses);
     // Sends a message to an owner; the first one opens the link. False if the owner is unknown, if its link was lost
@@ -85,14 +86,13 @@
     void lose(const DaemonId& owner, Duration pause);
     void probeSilentLinks(Time now);
     void reopenLostLinks(Time now);
-    void accept();
     void add(asio::ip::tcp::socket socket);
     bool onRequest(std::uint64_t id, std::string_view frame);
     void remove(std::uint64_t id);
 
     asio::io_context& context;
     ForwardLinkHooks hooks;
-    asio::ip::tcp::acceptor acceptor;
+    SocketListener listener;
     std::map<DaemonId, SocketAddress> addresses;
     std::map<DaemonId, Outgoing> outgoing;
     // Daemons whose link was lost and has not been established since, with the time of the next attempt. Statements do
--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -62,6 +62,8 @@
     }
 
     asio::io_context context;
+    // Keeps the loop from ending while no operation is under way.
+    asio::executor_work_guard<asio::io_context::executor_type> work { this->context.get_executor() };
     SchedulerFixture world;
     std::unique_ptr<ForwardLinks> ownerLinks;
     std::unique_ptr<ForwardLinks> sender;
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -23,7 +23,7 @@
     , timers(timers)
     , hooks(std::move(hooks))
     , maxSessions(maxSessions)
-    , acceptor(context)
+    , listener(context, [this](asio::ip::tcp::socket socket) { this->add(std::move(socket)); })
 {
 }
 
@@ -36,25 +36,7 @@
 void SessionServer::listen(const SocketAddress& address)
 {
     constexpr int backlog = 1024;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen(backlog);
-    this->accept();
-}
-
-void SessionServer::accept()
-{
-    this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-        if (!this->acceptor.is_open())
-            return;
-        if (!error)
-            this->add(std::move(socket));
-        else
-            logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
-        this->accept();
-    });
+    this->listener.listen(address, backlog);
 }
 
 void SessionServer::add(asio::ip::tcp::socket socket)
@@ -164,10 +146,6 @@
     }
 }
 
-void SessionServer::stopAccepting()
-{
-    asio::error_code ignored;
-    this->acceptor.close(ignored);
-}
+void SessionServer::stopAccepting() { this->listener.close(); }
 
 } // namespace endivetrestle
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -3,6 +3,7 @@
 #include "base/socket_address.h"
 #include "connection/client_session.h"
 #include "edge/line_socket.h"
+#include "edge/socket_listener.h"
 #include "platform/line_codec.h"
 
 #include <functional>
@@ -45,7 +46,6 @@
         std::unique_ptr<ClientSession> session;
     };
 
-    void accept();
     void add(asio::ip::tcp::socket socket);
     bool onLine(std::uint64_t id, std::string_view line);
     bool startSession(std::uint64_t id, Link& link, const std::string& databaseName);
@@ -55,7 +55,7 @@
     TimerService& timers;
     SessionServerHooks hooks;
     std::size_t maxSessions;
-    asio::ip::tcp::acceptor acceptor;
+    SocketListener listener;
     std::unordered_map<std::uint64_t, Link> links;
     std::uint64_t lastId = 0;
     bool closing = false;
