List the daemons again soon when the store did not answer

Ruled out: owners remembered by the endpoints or by clients; the links between daemons, which were established within 5 ms of the list.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -35,7 +35,11 @@
 
 FleetController::~FleetController() = default;
 
-void FleetController::start() { this->readFleet(); }
+void FleetController::start()
+{
+    this->readFleet();
+    this->listLeases();
+}
 
 void FleetController::tick()
 {
@@ -154,8 +158,12 @@
     const Duration usual = listingInterval + listingIntervalPerDaemon * static_cast<int>(this->liveCount);
     this->nextListing = this->now() + (this->peersKnown() ? usual : secondListing);
     this->store.readAll(leaseTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-        if (weak.expired() || result.status != StoreStatus::Done)
+        if (weak.expired())
             return;
+        if (result.status != StoreStatus::Done) {
+            this->nextListing = std::min(this->nextListing, this->now() + storeRetry);
+            return;
+        }
         this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
         const auto storeMs = this->clock.earliestMs(this->now());
         this->peers.clear();
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -138,6 +138,21 @@
     }
 }
 
+TEST_CASE("FleetController, lists the daemons again soon when the store refused it at the start")
+{
+    // Guards against restarted daemons that take themselves for owners for a second and a half (inc-bbd5).
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    world.storeBusy = true;
+    world.kill(3);
+    world.startDaemon(3);
+    world.runFor(500ms);
+    CHECK_FALSE(world.daemons[3]->controller->peersKnown());
+    world.storeBusy = false;
+    world.runFor(500ms);
+    CHECK(world.daemons[3]->controller->peersKnown());
+}
+
 TEST_CASE("FleetController, renews the leases of the fleet with few calls to the store")
 {
     // Guards against calls in proportion to the number of daemons: 8 daemons that renew one by one make 32 in 10 s.
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -58,6 +58,8 @@
     std::vector<std::unique_ptr<Daemon>> daemons;
     std::map<EndpointId, Endpoint> endpoints;
     bool storeDown = false;
+    // The store refuses every call at once.
+    bool storeBusy = false;
     // Probability that a store call's answer is lost after its effect.
     double loseAnswers = 0;
     // Probability that a call's effect comes up to three seconds late, and its answer never.
@@ -279,6 +281,10 @@
                 callback(result);
             });
         };
+        if (this->storeBusy) {
+            answer({ StoreStatus::Refused }, this->storeLatency);
+            return;
+        }
         if (this->storeDown || this->daemons[index]->cutFromStore) {
             answer({ StoreStatus::Unknown }, timeout);
             return;
