Survive rows and messages whose fields have another type

Cause: decoding a lease, primary or duty row threw when a field had another type than expected, which ended the daemon. The rows are written by daemons only, but a renewal carries a lease row from another daemon; a new test of malformed messages found it.

Ruled out: catching the exception in each caller.

Change: fleet_rows.cc reads typed fields; a field of another type makes the row unreadable, which is logged. The messages between daemons have a test with malformed and damaged bodies.

--- /dev/null
+++ b/src/edge/peer_calls_test.cc
@@ -0,0 +1,69 @@
+#include "edge/peer_calls.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace endivetrestle;
+
+namespace {
+
+LeaseRenewal sampleRenewal()
+{
+    LeaseRenewal renewal;
+    renewal.row.daemon = DaemonId("d1");
+    renewal.row.incarnation = "77";
+    renewal.row.address = { "10.0.0.1", 7440 };
+    renewal.row.forwardAddress = { "10.0.0.1", 7441 };
+    renewal.row.dataCentre = DataCentre("bkk-a");
+    renewal.row.untilStoreMs = 123456789;
+    renewal.row.epochVersion = 9;
+    renewal.rowVersion = 8;
+    renewal.urgent = true;
+    return renewal;
+}
+
+} // namespace
+
+TEST_CASE("PeerCalls, keeps a renewal")
+{
+    CHECK(decodeRenewalMessage(encodeMessage(sampleRenewal())) == sampleRenewal());
+}
+
+TEST_CASE("PeerCalls, tells whether a renewal was done, with version and clock")
+{
+    StoreResult result;
+    result.status = StoreStatus::Done;
+    result.version = 31;
+    result.storeMs = -5;
+    const auto done = decodeRenewalAnswer(encodeMessage(result));
+    REQUIRE(done);
+    CHECK(done->status == StoreStatus::Done);
+    CHECK(done->version == 31);
+    CHECK(done->storeMs == -5);
+    // Guards against a daemon that takes a conflict, which another daemon's row may have caused, for its own.
+    result.status = StoreStatus::Conflict;
+    CHECK(decodeRenewalAnswer(encodeMessage(result))->status == StoreStatus::Refused);
+}
+
+// Guards against a daemon that ends because another one sends rubbish.
+TEST_CASE("PeerCalls, finds no message in bodies that are none")
+{
+    for (const char* body :
+        { "", "[]", "{}", "{\"daemon\":5}", "{\"daemon\":\"d\",\"lease\":\"{}\",\"version\":1}",
+            R"({"daemon":"d","lease":"{\"address\":5}","version":1})",
+            R"({"daemon":"d","lease":"{\"address\":\"1.2.3.4:5\",\"forward\":\"1.2.3.4:5\",\"until\":\"x\"}","version":1})",
+            "{\"done\":true}", "{\"version\":\"x\",\"clock\":1}" }) {
+        CAPTURE(body);
+        CHECK_FALSE(decodeRenewalMessage(body));
+        CHECK_FALSE(decodeRenewalAnswer(body));
+    }
+    rc::prop("damaged messages", [] {
+        auto body = encodeMessage(sampleRenewal());
+        const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+        body[at] = static_cast<char>(*rc::gen::inRange(1, 256));
+        decodeRenewalMessage(body);
+        decodeRenewalAnswer(body);
+        return true;
+    });
+}
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -12,14 +12,66 @@
 
 constexpr std::string_view primaryPrefix = primaryKeyPrefix;
 
-std::optional<json> parseObject(const StoreRow& row)
-{
-    auto value = json::parse(row.value, nullptr, false);
-    if (value.is_object())
-        return value;
-    logEvent(LogLevel::Warning, "fleet_row_unreadable", { { "table", row.table }, { "key", row.key } });
-    return std::nullopt;
-}
+// Reads the fields of a row's value. A value that is no object and a field of another type make the row unreadable.
+class RowReader {
+public:
+    explicit RowReader(const StoreRow& row)
+        : row(row)
+        , value(json::parse(row.value, nullptr, false))
+        , readable(this->value.is_object())
+    {
+    }
+
+    std::string text(const char* name)
+    {
+        const auto* field = this->find(name, &json::is_string);
+        return field == nullptr ? std::string() : field->get<std::string>();
+    }
+
+    std::int64_t integer(const char* name)
+    {
+        const auto* field = this->find(name, &json::is_number_integer);
+        return field == nullptr ? 0 : field->get<std::int64_t>();
+    }
+
+    bool flag(const char* name)
+    {
+        const auto* field = this->find(name, &json::is_boolean);
+        return field != nullptr && field->get<bool>();
+    }
+
+    SocketAddress address(const char* name)
+    {
+        const auto address = parseSocketAddress(this->text(name));
+        this->readable = this->readable && address;
+        return address.value_or(SocketAddress {});
+    }
+
+    // Whether every field so far could be read; logs the row if not.
+    [[nodiscard]] bool complete() const
+    {
+        if (!this->readable)
+            logEvent(
+                LogLevel::Warning, "fleet_row_unreadable", { { "table", this->row.table }, { "key", this->row.key } });
+        return this->readable;
+    }
+
+private:
+    const json* find(const char* name, bool (json::*hasType)() const noexcept)
+    {
+        if (!this->readable)
+            return nullptr;
+        const auto field = this->value.find(name);
+        if (field == this->value.end())
+            return nullptr;
+        this->readable = ((*field).*hasType)();
+        return this->readable ? &*field : nullptr;
+    }
+
+    const StoreRow& row;
+    json value;
+    bool readable;
+};
 
 } // namespace
 
@@ -49,55 +101,45 @@
 {
     if (row.key.rfind(primaryPrefix, 0) != 0)
         return std::nullopt;
-    const auto value = parseObject(row);
-    if (!value)
-        return std::nullopt;
+    RowReader reader(row);
     PrimaryRow result;
     result.group = DatabaseId(row.key.substr(primaryPrefix.size()));
-    result.replacing = value->value("replacing", false);
-    result.endpoint = EndpointId(value->value("endpoint", std::string()));
-    result.term = value->value("term", std::uint64_t { 0 });
-    result.writer = DaemonId(value->value("writer", std::string()));
+    result.replacing = reader.flag("replacing");
+    result.endpoint = EndpointId(reader.text("endpoint"));
+    result.term = static_cast<std::uint64_t>(reader.integer("term"));
+    result.writer = DaemonId(reader.text("writer"));
     result.version = row.version;
-    return result;
+    return reader.complete() ? std::optional(result) : std::nullopt;
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const StoreRow& row)
 {
     if (row.key == dutyKey)
         return std::nullopt;
-    const auto value = parseObject(row);
-    if (!value)
-        return std::nullopt;
-    const auto address = parseSocketAddress(value->value("address", std::string()));
-    const auto forward = parseSocketAddress(value->value("forward", std::string()));
-    if (!address || !forward)
-        return std::nullopt;
+    RowReader reader(row);
     LeaseRow result;
     result.daemon = DaemonId(row.key);
-    result.incarnation = value->value("incarnation", std::string());
-    result.address = *address;
-    result.forwardAddress = *forward;
-    result.dataCentre = DataCentre(value->value("data_centre", std::string()));
-    result.untilStoreMs = value->value("until", std::int64_t { 0 });
-    result.epochVersion = value->value("epoch", std::uint64_t { 0 });
-    return result;
+    result.incarnation = reader.text("incarnation");
+    result.address = reader.address("address");
+    result.forwardAddress = reader.address("forward");
+    result.dataCentre = DataCentre(reader.text("data_centre"));
+    result.untilStoreMs = reader.integer("until");
+    result.epochVersion = static_cast<std::uint64_t>(reader.integer("epoch"));
+    return reader.complete() ? std::optional(result) : std::nullopt;
 }
 
 std::optional<DutyRow> decodeDutyRow(const StoreRow& row)
 {
     if (row.key != dutyKey)
         return std::nullopt;
-    const auto value = parseObject(row);
-    if (!value)
-        return std::nullopt;
+    RowReader reader(row);
     DutyRow result;
-    result.holder = DaemonId(value->value("holder", std::string()));
-    result.incarnation = value->value("incarnation", std::string());
-    result.token = value->value("token", std::uint64_t { 0 });
-    result.untilStoreMs = value->value("until", std::int64_t { 0 });
+    result.holder = DaemonId(reader.text("holder"));
+    result.incarnation = reader.text("incarnation");
+    result.token = static_cast<std::uint64_t>(reader.integer("token"));
+    result.untilStoreMs = reader.integer("until");
     result.version = row.version;
-    return result;
+    return reader.complete() ? std::optional(result) : std::nullopt;
 }
 
 } // namespace endivetrestle
