Let restarted daemons get their lease with the first attempt

With the others known, the first renewal went to the daemon that renews for them, which may be down after a loss of power, and it named version 0 for a row that exists, so the whole batch failed.

Change: the list tells a daemon the version of its own row, and the first renewal waits for it. A daemon without a lease asks the store itself first and goes through the other daemon at once if the store refuses.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -82,7 +82,8 @@
         if (!this->fleetKnown)
             logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
         this->fleetKnown = true;
-        if (this->now() >= this->nextRenewal)
+        // The list of the leases, which is read side by side, tells the version of this daemon's row.
+        if (this->peersKnown() && this->now() >= this->nextRenewal)
             this->renew();
     });
 }
@@ -172,6 +173,8 @@
         std::vector<LeaseRow> alive;
         for (const auto& row : result.rows) {
             const auto lease = decodeLeaseRow(row);
+            if (lease && lease->daemon == this->identity.daemon && !this->renewing)
+                this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
             if (!lease || lease->daemon == this->identity.daemon || lease->untilStoreMs <= storeMs)
                 continue;
             this->peers[lease->daemon] = *lease;
@@ -180,6 +183,8 @@
         this->liveCount = alive.size() + 1;
         ++this->listings;
         this->hooks.onLiveDaemons(alive);
+        if (this->now() >= this->nextRenewal)
+            this->renew();
     });
 }
 
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -110,6 +110,8 @@
     LeaseBatch batch;
     // Time before which no other daemon is asked to renew the lease, because one did not answer.
     Time delegateNotBefore;
+    // Whether the store did not do the last renewal that this daemon asked for directly.
+    bool directFailed = false;
     std::uint64_t epochVersion = 0;
     // Version of this daemon's lease row.
     std::uint64_t leaseRowVersion = 0;
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -57,11 +57,13 @@
     const auto preparedAt = this->now();
     this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
     const auto delegate = this->leaseDelegate();
-    if (!delegate) {
+    const auto renewal = this->makeRenewal(preparedAt);
+    // A daemon without a lease asks the store itself first: after a loss of power the delegate may be down, and only a
+    // slow store, which refuses what is too much, makes it worth the wait for others.
+    if (!delegate || (renewal.urgent && !this->directFailed)) {
         this->renewDirectly();
         return;
     }
-    const auto renewal = this->makeRenewal(preparedAt);
     const auto answered = [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
@@ -86,8 +88,15 @@
     const auto preparedAt = this->now();
     this->store.change(renewalChange({ this->makeRenewal(preparedAt) }),
         [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-            if (!weak.expired())
-                this->onRenewed(preparedAt, result);
+            if (weak.expired())
+                return;
+            const bool failed = result.status == StoreStatus::Refused || result.status == StoreStatus::Unknown;
+            const bool firstFailure = failed && !this->directFailed;
+            this->directFailed = failed;
+            this->onRenewed(preparedAt, result);
+            // The next attempt goes through the delegate and need not wait.
+            if (firstFailure && !this->lease.isValid(this->now()))
+                this->nextRenewal = this->now();
         });
 }
 
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -153,6 +153,25 @@
     CHECK(world.daemons[3]->controller->peersKnown());
 }
 
+TEST_CASE("FleetController, serves again soon after a restart")
+{
+    // Guards against a first renewal that must fail because the version of the daemon's row is not known, and against
+    // one that waits for another daemon which is down.
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    for (std::size_t i = 0; i < 4; ++i)
+        world.kill(i);
+    world.daemons[0]->cutFromPeers = true;
+    for (std::size_t i = 1; i < 4; ++i)
+        world.startDaemon(i);
+    int changes = 0;
+    world.onCall = [&](std::size_t, const std::string& call) { changes += call == "change" ? 1 : 0; };
+    // Reading the tables and renewing take one round trip to the store each.
+    world.runFor(3 * world.storeLatency);
+    CHECK(world.usersOfLeader() == 3);
+    CHECK(changes == 3);
+}
+
 TEST_CASE("FleetController, renews the leases of the fleet with few calls to the store")
 {
     // Guards against calls in proportion to the number of daemons: 8 daemons that renew one by one make 32 in 10 s.
