Compute placements only when daemons or configuration change

Each change of one registry row computed the owners of all groups anew (86 groups, each a sort of 300 daemons) and looked through all registry rows for each group.

Change: placements are computed when the list of daemons or the configuration changes; the registry is passed over once for all groups.

--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -159,6 +159,7 @@
             { { "version", table->version }, { "routes", table->routes.size() } });
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
         this->updateGroups();
+        this->updatePlacements();
     }
 }
 
@@ -231,6 +232,10 @@
     if (!this->routes)
         return;
     const auto now = bootNow();
+    // One pass over the registry: with hundreds of groups a pass for each of them would cost more than all statements.
+    std::map<DatabaseId, std::vector<EndpointRecord>> registered;
+    for (const auto& [id, record] : this->directory.records())
+        registered[record.group].push_back(record);
     for (const auto& [id, declaration] : this->routes->groups) {
         auto found = this->groups.find(id);
         if (found == this->groups.end()) {
@@ -239,9 +244,8 @@
             if (primary != this->fleet->primaries().end() && !primary->second.replacing)
                 found->second.scheduler->setPrimary(primary->second.endpoint, primary->second.term, now);
         }
-        found->second.scheduler->setEndpoints(this->endpointsOf(id), now);
+        found->second.scheduler->setEndpoints(registered[id], now);
     }
-    this->updatePlacements();
 }
 
 GroupScheduler* SessionProxy::schedulerOf(const DatabaseId& group)
