Serve statements late that cannot be served in time, instead of refusing them

Ruled out: a longer wait in one queue, which makes all statements late. Change: a second class of waiting. What can be in time goes first, as before; the rest waits behind it, uses only what it leaves, and is refused at once if it cannot be served within its own time.

--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -157,13 +157,20 @@
 
 void GroupScheduler::submit(const ExecutionPtr& execution, Time now)
 {
-    this->armTimer(execution, std::min(execution->work.expiresAt, now + longestWait(execution->work.objective)));
-    if (this->queue.empty() && this->tryStart(execution, now))
+    const auto& work = execution->work;
+    if (this->queue.empty() && this->tryStart(execution, now)) {
+        if (!execution->finished)
+            this->armTimer(execution, work.expiresAt);
         return;
-    if (this->cannotBeServed(*execution, now)) {
+    }
+    const auto admission = this->admissionOf(*execution, now);
+    if (admission == Admission::Refused) {
         this->refuse(execution, ReplyCode::Busy, "no endpoint can serve this in time", "not_in_time");
         return;
     }
+    execution->late = admission == Admission::Late;
+    this->armTimer(
+        execution, execution->late ? work.expiresAt : std::min(work.expiresAt, now + longestWait(work.objective)));
     this->queue.push(execution);
     this->dispatch(now);
 }
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -6,6 +6,7 @@
 #include "request/scheduled_statement.h"
 #include "request/statement_queue.h"
 #include "request/statement_runner.h"
+#include "request/wait_policy.h"
 
 #include <functional>
 #include <map>
@@ -89,6 +90,8 @@
     // The endpoint refused the connection because it has too many.
     void onFull(ConnectionId connection, Time now);
 
+    // Whether there is no periodic work: nothing waits, no connection is open or wanted, and none failed to open.
+    [[nodiscard]] bool isDormant() const;
     // Periodic work: connections kept warm, silent endpoints, second sends of reads.
     void tick(Time now);
 
@@ -126,7 +129,7 @@
     [[nodiscard]] int connectionLimit(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] bool canOpen(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] bool hasRoomForTransaction(const EndpointState& endpoint, Time now) const;
-    [[nodiscard]] bool cannotBeServed(const Execution& execution, Time now) const;
+    [[nodiscard]] Admission admissionOf(const Execution& execution, Time now) const;
     bool tryStart(const ExecutionPtr& execution, Time now);
     void openConnection(EndpointState& endpoint, Time now);
     void dispatch(Time now);
@@ -151,6 +154,7 @@
     void eraseConnection(ConnectionId connection);
     void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason);
     void onTimer(const ExecutionPtr& execution, Time now);
+    bool waitOn(const ExecutionPtr& execution, Time now);
     void armTimer(const ExecutionPtr& execution, Time at);
     void checkDrained(bool force);
 
--- a/src/process/group_scheduler_choice.cc
+++ b/src/process/group_scheduler_choice.cc
@@ -151,17 +151,18 @@
     return best ? best : this->choosePrimary(execution, now);
 }
 
-bool GroupScheduler::cannotBeServed(const Execution& execution, Time now) const
+Admission GroupScheduler::admissionOf(const Execution& execution, Time now) const
 {
-    const bool needsPrimary = this->requirementOf(execution.work).needsPrimary;
-    const auto left = execution.work.expiresAt - now;
+    const auto& work = execution.work;
+    const bool needsPrimary = this->requirementOf(work).needsPrimary;
     if (needsPrimary && !this->primaryUsable(now)) {
-        if (this->suspended)
-            return now - this->suspendedAt > usualReplacement;
-        return !this->primaryId && now - this->startedAt >= startupGrace;
+        const bool hopeless = this->suspended ? now - this->suspendedAt > usualReplacement
+                                              : !this->primaryId && now - this->startedAt >= startupGrace;
+        return hopeless ? Admission::Refused : Admission::InTime;
     }
     WaitOutlook outlook;
-    outlook.ahead = this->queue.countAhead(execution.work, needsPrimary);
+    outlook.ahead = this->queue.countAhead(work, needsPrimary);
+    outlook.aheadIfLate = this->queue.countAhead(work, needsPrimary, true);
     for (const auto& [id, endpoint] : this->endpoints) {
         if (needsPrimary && id != *this->primaryId)
             continue;
@@ -169,7 +170,7 @@
         outlook.completionsPerSecond += places / std::max(toSeconds(endpoint.latency), shortestLatencySeconds);
         outlook.latency = std::max(outlook.latency, endpoint.latency);
     }
-    return shouldRefuse(outlook, execution.work.objective, left);
+    return admit(outlook, work.objective, work.expiresAt - now);
 }
 
 void GroupScheduler::openConnection(EndpointState& endpoint, Time now)
--- a/src/process/group_scheduler_endings.cc
+++ b/src/process/group_scheduler_endings.cc
@@ -126,8 +126,7 @@
                 holders.push_back(connectionId);
         }
     }
-    const bool primaryMissing = this->requirementOf(execution->work).needsPrimary && !this->primaryUsable(now);
-    if (now < execution->work.expiresAt && (!holders.empty() || primaryMissing)) {
+    if (now < execution->work.expiresAt && (!holders.empty() || this->waitOn(execution, now))) {
         this->armTimer(execution, execution->work.expiresAt);
         return;
     }
@@ -147,6 +146,19 @@
     this->dispatch(now);
 }
 
+// Whether a statement that could not start in time waits on: for a missing primary, or behind all that can be in time.
+bool GroupScheduler::waitOn(const ExecutionPtr& execution, Time now)
+{
+    if (this->requirementOf(execution->work).needsPrimary && !this->primaryUsable(now))
+        return true;
+    if (execution->late || this->admissionOf(*execution, now) == Admission::Refused)
+        return false;
+    this->queue.remove(execution);
+    execution->late = true;
+    this->queue.push(execution);
+    return true;
+}
+
 void GroupScheduler::armTimer(const ExecutionPtr& execution, Time at)
 {
     execution->timer = this->timers.subscribeAt(at, [this, execution](Time now) {
--- a/src/process/group_scheduler_upkeep.cc
+++ b/src/process/group_scheduler_upkeep.cc
@@ -25,6 +25,13 @@
 
 } // namespace
 
+bool GroupScheduler::isDormant() const
+{
+    const bool failing = std::any_of(this->endpoints.begin(), this->endpoints.end(),
+        [](const auto& entry) { return entry.second.openFailures > 0; });
+    return this->warmConnections == 0 && this->connectionOwners.empty() && this->queue.empty() && !failing;
+}
+
 void GroupScheduler::tick(Time now)
 {
     for (auto& [id, endpoint] : this->endpoints) {
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -78,6 +78,8 @@
     ScheduledStatement work;
     ResultCallback callback;
     bool finished = false;
+    // Whether it waits behind all statements that can still be in time. Fixed while it is in a queue.
+    bool late = false;
     // Sends so far.
     int attempts = 0;
     // Sends to endpoints that lacked the position.
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -4,7 +4,7 @@
 
 StatementQueue::Key StatementQueue::keyOf(const ExecutionPtr& execution)
 {
-    return { execution->work.priority, execution->work.arrivedAt, execution.get() };
+    return { execution->late, execution->work.priority, execution->work.arrivedAt, execution.get() };
 }
 
 void StatementQueue::push(ExecutionPtr execution) { this->waiting.emplace(keyOf(execution), std::move(execution)); }
@@ -40,11 +40,11 @@
     return removed;
 }
 
-std::size_t StatementQueue::countAhead(const ScheduledStatement& work, bool needsPrimary) const
+std::size_t StatementQueue::countAhead(const ScheduledStatement& work, bool needsPrimary, bool late) const
 {
     std::size_t count = 0;
     for (const auto& [key, execution] : this->waiting) {
-        if (std::get<0>(key) > work.priority)
+        if (std::make_pair(execution->late, execution->work.priority) > std::make_pair(late, work.priority))
             break;
         if (!needsPrimary || execution->work.needsPrimary)
             ++count;
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -8,7 +8,7 @@
 
 namespace endivetrestle {
 
-// Statements that wait for an endpoint, ordered by priority and then by arrival.
+// Statements that wait for an endpoint, ordered by priority and then by arrival. Late ones come after all others.
 //
 // Example:
 //     queue.push(execution);
@@ -31,13 +31,14 @@
     std::vector<ExecutionPtr> removeIf(const std::function<bool(const Execution&)>& matches);
 
     // Number of waiting statements that are served before or together with the given one.
-    [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary) const;
+    [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary, bool late = false) const;
 
     [[nodiscard]] std::size_t size() const { return this->waiting.size(); }
     [[nodiscard]] bool empty() const { return this->waiting.empty(); }
 
 private:
-    using Key = std::tuple<int, Time, const Execution*>;
+    // Whether it is late, priority, arrival.
+    using Key = std::tuple<bool, int, Time, const Execution*>;
     static Key keyOf(const ExecutionPtr& execution);
 
     std::map<Key, ExecutionPtr> waiting;
