Let a daemon's work for the fleet not grow with groups and daemons

Each of 86 adoptions changed the epoch, and each change of the epoch made every daemon fail its renewal twice and read the whole fleet table again; before the second list of the leases many daemons took themselves for the first one and adopted the same groups. Besides, each daemon passed over the whole registry for each group ten times a second, over all groups for each registry row, and over all groups for each forwarded answer.

--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -55,6 +55,7 @@
     const auto* statement = std::get_if<ForwardedStatement>(&message);
     if (link.leaving && statement != nullptr && !statement->connection)
         return false;
+    trackStatement(link, message);
     auto frame = encodeForward(message, now);
     if (!link.unansweredSince)
         link.unansweredSince = now;
@@ -65,6 +66,16 @@
     return true;
 }
 
+// Remembers the group of a statement until it is answered or abandoned, so that its answer is not offered to the
+// forwarders of all groups.
+void ForwardLinks::trackStatement(Outgoing& link, const ForwardMessage& message)
+{
+    if (const auto* statement = std::get_if<ForwardedStatement>(&message))
+        link.statementGroups[statement->number] = statement->group;
+    else if (const auto* abandon = std::get_if<ForwardedAbandon>(&message))
+        link.statementGroups.erase(abandon->number);
+}
+
 void ForwardLinks::open(const DaemonId& owner, const SocketAddress& address)
 {
     auto& link = this->outgoing[owner];
@@ -108,8 +119,11 @@
     found->second.probedAt.reset();
     if (std::holds_alternative<OwnerLeaving>(*message))
         found->second.leaving = true;
-    else if (const auto* outcome = std::get_if<ForwardedOutcome>(&*message))
-        this->hooks.outcome(owner, *outcome);
+    else if (const auto* outcome = std::get_if<ForwardedOutcome>(&*message)) {
+        // An outcome without a group answers a statement that was abandoned meanwhile.
+        if (const auto group = found->second.statementGroups.extract(outcome->number))
+            this->hooks.outcome(owner, group.mapped(), *outcome);
+    }
     return this->outgoing.count(owner) != 0;
 }
 
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -20,8 +20,8 @@
 // What the links ask of their surroundings.
 struct ForwardLinkHooks {
     std::function<Time()> now;
-    // An owner answered.
-    std::function<void(const DaemonId&, const ForwardedOutcome&)> outcome;
+    // An owner answered a statement of the group.
+    std::function<void(const DaemonId&, const DatabaseId&, const ForwardedOutcome&)> outcome;
     // The link to an owner is lost; `established` tells whether anything that was sent may have arrived.
     std::function<void(const DaemonId&, bool established)> lost;
     std::function<StatementRunner*(const DatabaseId&)> runner;
@@ -69,6 +69,8 @@
         std::shared_ptr<LineSocket> socket;
         bool established = false;
         bool leaving = false;
+        // Group of each statement under way, by its number.
+        std::unordered_map<std::uint64_t, DatabaseId> statementGroups;
         // Frames that wait for the link to be established.
         std::vector<std::string> waiting;
         // Since when something sent has gone without any message from the owner.
@@ -80,6 +82,7 @@
         std::unique_ptr<ForwardedStatements> statements;
     };
 
+    static void trackStatement(Outgoing& link, const ForwardMessage& message);
     void open(const DaemonId& owner, const SocketAddress& address);
     void onEstablished(const DaemonId& owner);
     bool onAnswer(const DaemonId& owner, std::string_view frame);
--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -20,7 +20,10 @@
         this->ownerLinks->listen({ "127.0.0.1", 0 });
         ForwardLinkHooks hooks;
         hooks.now = [this] { return this->world.now; };
-        hooks.outcome = [this](const DaemonId&, const ForwardedOutcome& outcome) { this->outcomes.push_back(outcome); };
+        hooks.outcome = [this](const DaemonId&, const DatabaseId& group, const ForwardedOutcome& outcome) {
+            this->outcomes.push_back(outcome);
+            this->outcomeGroups.push_back(group);
+        };
         hooks.lost = [this](const DaemonId&, bool established) { this->losses.push_back(established); };
         hooks.runner = [](const DatabaseId&) { return nullptr; };
         hooks.accepts = [](const ForwardedStatement&, Time) { return false; };
@@ -32,7 +35,7 @@
     {
         ForwardLinkHooks hooks;
         hooks.now = [this] { return this->world.now; };
-        hooks.outcome = [](const DaemonId&, const ForwardedOutcome&) {};
+        hooks.outcome = [](const DaemonId&, const DatabaseId&, const ForwardedOutcome&) {};
         hooks.lost = [](const DaemonId&, bool) {};
         hooks.runner = [this](const DatabaseId&) { return this->world.scheduler.get(); };
         hooks.accepts = [](const ForwardedStatement&, Time) { return true; };
@@ -68,6 +71,7 @@
     std::unique_ptr<ForwardLinks> ownerLinks;
     std::unique_ptr<ForwardLinks> sender;
     std::vector<ForwardedOutcome> outcomes;
+    std::vector<DatabaseId> outcomeGroups;
     std::vector<bool> losses;
 };
 
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -64,7 +64,8 @@
 std::string encodeMessage(const StoreResult& result)
 {
     return json {
-        { "done", result.status == StoreStatus::Done }, { "version", result.version }, { "clock", result.storeMs }
+        { "done", result.status == StoreStatus::Done }, { "version", result.version }, { "clock", result.storeMs },
+        { "epoch", epochIn(result) }
     }.dump();
 }
 
@@ -131,6 +132,9 @@
     result.status = value.value("done", json()) == json(true) ? StoreStatus::Done : StoreStatus::Refused;
     result.version = *version;
     result.storeMs = clock->get<std::int64_t>();
+    // Daemons of an earlier release send no epoch.
+    if (const auto epoch = number(value, "epoch").value_or(0); epoch != 0)
+        result.rows.push_back({ fleetTable, epochKey, "", epoch });
     return result;
 }
 
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -46,6 +46,20 @@
     CHECK(decodeRenewalAnswer(encodeMessage(result))->status == StoreStatus::Refused);
 }
 
+// Guards against a direct renewal of each daemon, which fails as well, whenever a primary changes.
+TEST_CASE("PeerCalls, tells the epoch that made a renewal fail")
+{
+    StoreResult result;
+    result.status = StoreStatus::Conflict;
+    result.version = 31;
+    result.rows.push_back({ fleetTable, epochKey, "{}", 30 });
+    const auto answer = decodeRenewalAnswer(encodeMessage(result));
+    REQUIRE(answer);
+    CHECK(epochIn(*answer) == 30);
+    result.rows.clear();
+    CHECK(epochIn(*decodeRenewalAnswer(encodeMessage(result))) == 0);
+}
+
 // Guards against a daemon that ends because another one sends rubbish.
 TEST_CASE("PeerCalls, finds no message in bodies that are none")
 {
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -179,17 +179,7 @@
     if (snapshot)
         this->directory.replaceAll(records, now);
     this->registryKnown = true;
-    this->updateGroups();
-}
-
-std::vector<EndpointRecord> SessionProxy::endpointsOf(const DatabaseId& group) const
-{
-    std::vector<EndpointRecord> result;
-    for (const auto& [id, record] : this->directory.records()) {
-        if (record.group == group)
-            result.push_back(record);
-    }
-    return result;
+    this->updateEndpoints();
 }
 
 SessionProxy::Group SessionProxy::makeGroup(const DatabaseId& id)
@@ -232,19 +222,25 @@
     if (!this->routes)
         return;
     const auto now = bootNow();
-    // One pass over the registry: with hundreds of groups a pass for each of them would cost more than all statements.
-    std::map<DatabaseId, std::vector<EndpointRecord>> registered;
-    for (const auto& [id, record] : this->directory.records())
-        registered[record.group].push_back(record);
     for (const auto& [id, declaration] : this->routes->groups) {
-        auto found = this->groups.find(id);
-        if (found == this->groups.end()) {
-            found = this->groups.emplace(id, this->makeGroup(id)).first;
-            const auto primary = this->fleet->primaries().find(id);
-            if (primary != this->fleet->primaries().end() && !primary->second.replacing)
-                found->second.scheduler->setPrimary(primary->second.endpoint, primary->second.term, now);
-        }
-        found->second.scheduler->setEndpoints(registered[id], now);
+        if (this->groups.count(id) != 0)
+            continue;
+        auto& scheduler = *this->groups.emplace(id, this->makeGroup(id)).first->second.scheduler;
+        const auto primary = this->fleet->primaries().find(id);
+        if (primary != this->fleet->primaries().end() && !primary->second.replacing)
+            scheduler.setPrimary(primary->second.endpoint, primary->second.term, now);
+        scheduler.setEndpoints(this->directory.recordsOf(id), now);
+    }
+}
+
+// Tells the schedulers of the groups whose registered endpoints have changed. Rows of the registry change often, and a
+// pass over all groups for each of them would cost more than all statements of a daemon.
+void SessionProxy::updateEndpoints()
+{
+    const auto now = bootNow();
+    for (const auto& id : this->directory.takeChangedGroups()) {
+        if (auto* scheduler = this->schedulerOf(id))
+            scheduler->setEndpoints(this->directory.recordsOf(id), now);
     }
 }
 
@@ -351,9 +347,11 @@
 void SessionProxy::tick(Time now)
 {
     if (this->directory.expire(now))
-        this->updateGroups();
-    for (auto& [id, group] : this->groups)
-        group.scheduler->tick(now);
+        this->updateEndpoints();
+    for (auto& [id, group] : this->groups) {
+        if (!group.scheduler->isDormant())
+            group.scheduler->tick(now);
+    }
     this->fleet->tick();
     const auto idleLimit = (this->routes ? this->routes->transactionIdleLimit : Duration::zero()) + forwardedIdleSlack;
     this->links->tick(now, idleLimit);
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -75,9 +75,9 @@
     GroupScheduler* schedulerOf(const DatabaseId& group);
     Group makeGroup(const DatabaseId& group);
     void record(const StatementRecord& statement);
+    void updateEndpoints();
     [[nodiscard]] std::string metricsPage();
     [[nodiscard]] bool isReady() const;
-    [[nodiscard]] std::vector<EndpointRecord> endpointsOf(const DatabaseId& group) const;
     void waitForSignal();
     void beginStop();
     void finishStop();
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -101,7 +101,15 @@
         else
             drained();
     };
-    hooks.endpointsOf = [this](const DatabaseId& group) { return this->endpointsOf(group); };
+    hooks.endpointsOf = [this](const DatabaseId& group) { return this->directory.recordsOf(group); };
+    hooks.watchedGroups = [this] {
+        std::vector<WatchedGroup> result;
+        for (const auto& [id, group] : this->groups) {
+            if (group.placement.ownedHere || !group.scheduler->isDormant())
+                result.push_back({ id, group.placement.ownedHere });
+        }
+        return result;
+    };
     hooks.groups = [this] {
         std::vector<DatabaseId> result;
         for (const auto& [id, group] : this->groups)
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -25,11 +25,10 @@
 {
     ForwardLinkHooks hooks;
     hooks.now = [] { return bootNow(); };
-    hooks.outcome = [this](const DaemonId& owner, const ForwardedOutcome& outcome) {
-        for (auto& [id, group] : this->groups) {
-            if (group.forwarder->onOutcome(owner, outcome, bootNow()))
-                return;
-        }
+    hooks.outcome = [this](const DaemonId& owner, const DatabaseId& group, const ForwardedOutcome& outcome) {
+        const auto found = this->groups.find(group);
+        if (found != this->groups.end())
+            found->second.forwarder->onOutcome(owner, outcome, bootNow());
     };
     hooks.lost = [this](const DaemonId& owner, bool established) {
         for (auto& [id, group] : this->groups)
--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -1,6 +1,6 @@
 #include "process/endpoint_directory.h"
 
-#include <set>
+#include <utility>
 
 namespace endivetrestle {
 
@@ -12,13 +12,44 @@
         return false;
     }
     this->vanished.erase(id);
-    auto& entry = this->current[id];
-    if (entry == *record)
+    const auto found = this->current.find(id);
+    if (found != this->current.end() && found->second == *record)
         return false;
-    entry = *record;
+    if (found != this->current.end())
+        this->leaveGroup(found->second);
+    this->put(*record);
     return true;
 }
 
+void EndpointDirectory::put(const EndpointRecord& record)
+{
+    this->current[record.id] = record;
+    this->members[record.group].insert(record.id);
+    this->changedGroups.insert(record.group);
+}
+
+void EndpointDirectory::leaveGroup(const EndpointRecord& record)
+{
+    this->changedGroups.insert(record.group);
+    const auto found = this->members.find(record.group);
+    found->second.erase(record.id);
+    if (found->second.empty())
+        this->members.erase(found);
+}
+
+std::vector<EndpointRecord> EndpointDirectory::recordsOf(const DatabaseId& group) const
+{
+    std::vector<EndpointRecord> result;
+    const auto found = this->members.find(group);
+    if (found == this->members.end())
+        return result;
+    for (const auto& id : found->second)
+        result.push_back(this->current.at(id));
+    return result;
+}
+
+std::set<DatabaseId> EndpointDirectory::takeChangedGroups() { return std::exchange(this->changedGroups, {}); }
+
 bool EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, Time now)
 {
     bool changed = false;
@@ -42,7 +73,8 @@
             ++entry;
             continue;
         }
-        this->current.erase(entry->first);
+        if (const auto record = this->current.extract(entry->first))
+            this->leaveGroup(record.mapped());
         entry = this->vanished.erase(entry);
         changed = true;
     }
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,11 +55,20 @@
     void restartGrace(Time now);
 
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const { return this->current; }
+    // Listed endpoints of one group, without a pass over those of the others.
+    [[nodiscard]] std::vector<EndpointRecord> recordsOf(const DatabaseId& group) const;
+    // Groups whose listed records have changed since the last call.
+    std::set<DatabaseId> takeChangedGroups();
     // Whether the entry has vanished and is only kept for its grace period.
     [[nodiscard]] bool isVanished(const EndpointId& id) const { return this->vanished.count(id) != 0; }
 
 private:
+    void put(const EndpointRecord& record);
+    void leaveGroup(const EndpointRecord& record);
+
     std::map<EndpointId, EndpointRecord> current;
+    std::map<DatabaseId, std::set<EndpointId>> members;
+    std::set<DatabaseId> changedGroups;
     // Start of the grace period by vanished endpoint.
     std::map<EndpointId, Time> vanished;
 };
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -12,6 +12,8 @@
 constexpr Duration storeRetry = std::chrono::milliseconds(300);
 // Interval at which the fleet table is read while a primary is being replaced.
 constexpr Duration replacingPoll = std::chrono::milliseconds(300);
+// Rows in the longest answer of a feed.
+constexpr std::size_t maxChangedRows = 500;
 // Time from the start to the second list of the leases.
 constexpr Duration secondListing = std::chrono::milliseconds(1500);
 // Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does
@@ -52,40 +54,65 @@
         this->renew();
     if (at >= this->nextListing)
         this->listLeases();
-    if (this->fleetKnown && !this->stopping)
-        this->watchGroups(at);
+    if (!this->fleetKnown || this->stopping || !this->lease.isValid(at))
+        return;
+    this->adoptGroups(at);
+    this->watchGroups(at);
 }
 
+// Reads what has changed in the fleet table since the last time, or the whole table the first time. A change of one
+// group's primary thus costs each daemon one row, however many groups there are.
 void FleetController::readFleet()
 {
     if (this->fleetReading || this->stopping)
         return;
     this->fleetReading = true;
     this->nextFleetRead = this->now() + replacingPoll;
-    this->store.readAll(fleetTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-        if (weak.expired())
-            return;
-        this->fleetReading = false;
-        if (result.status != StoreStatus::Done) {
-            this->nextFleetRead = this->now() + storeRetry;
-            return;
-        }
-        this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-        std::uint64_t epoch = 0;
-        for (const auto& row : result.rows) {
-            if (row.key == epochKey)
-                epoch = row.version;
-            else if (const auto primary = decodePrimaryRow(row))
-                this->applyRow(*primary);
-        }
-        this->epochVersion = std::max(this->epochVersion, epoch);
-        if (!this->fleetKnown)
-            logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
-        this->fleetKnown = true;
-        // The list of the leases, which is read side by side, tells the version of this daemon's row.
-        if (this->peersKnown() && this->now() >= this->nextRenewal)
-            this->renew();
-    });
+    const auto callback = [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+        if (!weak.expired())
+            this->onFleetRead(result);
+    };
+    if (this->fleetVersion == 0)
+        this->store.readAll(fleetTable, callback);
+    else
+        this->store.watch(fleetTable, this->fleetVersion, Duration::zero(), callback);
+}
+
+void FleetController::onFleetRead(const StoreResult& result)
+{
+    this->fleetReading = false;
+    const bool changesOnly = this->fleetVersion != 0;
+    // A full answer may lack rows of the last change, without which its epoch would prove too much.
+    const bool cut = changesOnly && result.rows.size() >= maxChangedRows;
+    if (result.status == StoreStatus::HistoryLost || (result.status == StoreStatus::Done && cut)) {
+        logEvent(LogLevel::Info, "fleet_read_again",
+            { { "version", this->fleetVersion }, { "reason", cut ? "many_changes" : "history_lost" } });
+        this->fleetVersion = 0;
+        this->readFleet();
+        return;
+    }
+    if (result.status != StoreStatus::Done) {
+        this->nextFleetRead = this->now() + storeRetry;
+        return;
+    }
+    this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+    std::uint64_t epoch = 0;
+    for (const auto& row : result.rows) {
+        if (row.removed)
+            logEvent(LogLevel::Warning, "fleet_row_removed", { { "key", row.key }, { "version", row.version } });
+        else if (row.key == epochKey)
+            epoch = row.version;
+        else if (const auto primary = decodePrimaryRow(row))
+            this->applyRow(*primary);
+    }
+    this->epochVersion = std::max(this->epochVersion, epoch);
+    this->fleetVersion = std::max(this->fleetVersion, result.version);
+    if (!this->fleetKnown)
+        logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
+    this->fleetKnown = true;
+    // The list of the leases, which is read side by side, tells the version of this daemon's row.
+    if (this->peersKnown() && this->now() >= this->nextRenewal)
+        this->renew();
 }
 
 void FleetController::applyRow(const PrimaryRow& row)
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -65,6 +65,11 @@
         bool drained = false;
         std::vector<std::function<void()>> waiting;
     };
+    // Primaries that are being adopted, with the queries that are outstanding.
+    struct Adoption {
+        std::size_t outstanding = 0;
+        std::vector<PrimaryRow> rows;
+    };
     // Evidence gathered about a doubted primary.
     struct Inquiry {
         std::size_t outstanding = 0;
@@ -84,11 +89,19 @@
     void onRenewed(Time preparedAt, const StoreResult& result);
     void onRenewalConflict(const StoreResult& result);
     void readFleet();
+    void onFleetRead(const StoreResult& result);
     void listLeases();
     void applyRow(const PrimaryRow& row);
     void suspend(const DatabaseId& group, std::function<void()> done);
+
+    // fleet_controller_adoption.cc
+    void adoptGroups(Time now);
+    [[nodiscard]] std::vector<std::pair<DatabaseId, EndpointId>> adoptable(Time now);
+    void onAdoptionReport(const DatabaseId& group, const EndpointId& endpoint, const EndpointReport* report);
+    void storeAdoption();
+
+    // fleet_controller_groups.cc
     void watchGroups(Time now);
-    void adopt(const DatabaseId& group);
     void inquire(const DatabaseId& group, const EndpointId& primary);
     [[nodiscard]] std::vector<LeaseRow> opinionHolders(const DatabaseId& group) const;
     void onInquiryAnswer(const DatabaseId& group);
@@ -97,6 +110,7 @@
     void promotionEnded(const DatabaseId& group);
     [[nodiscard]] std::string plannedReason(const PrimaryRow& row) const;
     [[nodiscard]] std::size_t ownRank() const;
+    [[nodiscard]] std::size_t ownRank(const WatchedGroup& group) const;
     [[nodiscard]] PromotionContext promotionContext();
 
     FleetIdentity identity;
@@ -113,6 +127,8 @@
     // Whether the store did not do the last renewal that this daemon asked for directly.
     bool directFailed = false;
     std::uint64_t epochVersion = 0;
+    // Version of the store up to which the fleet table has been read; 0 if it must be read as a whole.
+    std::uint64_t fleetVersion = 0;
     // Version of this daemon's lease row.
     std::uint64_t leaseRowVersion = 0;
     bool fleetKnown = false;
@@ -136,7 +152,8 @@
     // Time before which no new attempt is made for a group.
     std::map<DatabaseId, Time> attemptNotBefore;
     std::map<DatabaseId, Time> plannedSince;
-    std::map<DatabaseId, bool> adopting;
+    std::optional<Adoption> adoption;
+    Time nextAdoption;
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -13,26 +13,20 @@
 constexpr Duration attemptPause = std::chrono::milliseconds(300);
 // Time after which a replacement that another daemon began counts as unfinished, unless that daemon holds the duty.
 constexpr Duration takeOverAfter = std::chrono::milliseconds(2500);
-// Head start of each daemon over the next one for adoptions and planned replacements, which all daemons notice at the
-// same time.
+// Head start of each daemon over the next one for planned replacements, which all owners notice at the same time.
 constexpr Duration plannedHeadStart = std::chrono::milliseconds(600);
 
 } // namespace
 
 void FleetController::watchGroups(Time at)
 {
-    if (!this->lease.isValid(at))
-        return;
-    for (const auto& group : this->hooks.groups()) {
-        if (this->promotions.count(group) != 0 || at < this->attemptNotBefore[group])
-            continue;
+    for (const auto& watched : this->hooks.watchedGroups()) {
+        const auto& group = watched.id;
         const auto found = this->rows.find(group);
-        if (found == this->rows.end()) {
-            const auto since = this->plannedSince.try_emplace(group, at).first->second;
-            if (at - since >= plannedHeadStart * this->ownRank())
-                this->adopt(group);
+        const auto pause = this->attemptNotBefore.find(group);
+        const bool paused = pause != this->attemptNotBefore.end() && at < pause->second;
+        if (found == this->rows.end() || paused || this->promotions.count(group) != 0)
             continue;
-        }
         const auto& row = found->second;
         if (row.replacing) {
             if (at - this->replacingSince[group] > takeOverAfter)
@@ -47,7 +41,7 @@
             continue;
         }
         const auto since = this->plannedSince.try_emplace(group, at).first->second;
-        if (at - since >= plannedHeadStart * this->ownRank())
+        if (at - since >= plannedHeadStart * this->ownRank(watched))
             this->startPromotion(group, planned);
     }
 }
@@ -64,6 +58,7 @@
     return found->draining ? "draining" : "";
 }
 
+// Place of this daemon in the order of all daemons that are alive.
 std::size_t FleetController::ownRank() const
 {
     std::size_t rank = 0;
@@ -72,49 +67,16 @@
     return rank;
 }
 
-void FleetController::adopt(const DatabaseId& group)
+// Place among the daemons that watch a group: its owners come first, in the order of their names.
+std::size_t FleetController::ownRank(const WatchedGroup& group) const
 {
-    if (this->adopting[group])
-        return;
-    const auto records = this->hooks.endpointsOf(group);
-    std::vector<EndpointId> claimants;
-    for (const auto& record : records) {
-        if (record.claimsPrimary)
-            claimants.push_back(record.id);
-    }
-    if (claimants.size() != 1)
-        return;
-    this->adopting[group] = true;
-    const auto endpoint = claimants.front();
-    this->hooks.queryEndpoint(group, endpoint,
-        [this, group, endpoint, weak = std::weak_ptr<int>(this->lifetime)](
-            const std::optional<EndpointReport>& report) {
-            if (weak.expired())
-                return;
-            this->adopting[group] = false;
-            this->attemptNotBefore[group] = this->now() + attemptPause;
-            if (!report || !report->isPrimary)
-                return;
-            PrimaryRow row { group, false, endpoint, report->term, this->identity.daemon };
-            StoreChange change;
-            const auto encoded = encodeRow(row);
-            change.conditions.push_back({ fleetTable, encoded.key, 0 });
-            change.writes.push_back(encoded);
-            // Daemons that miss the announcement learn the row with the renewal of their lease.
-            change.writes.push_back({ fleetTable, epochKey, "{}" });
-            this->store.change(change, [this, row, weak](const StoreResult& result) mutable {
-                if (weak.expired())
-                    return;
-                if (result.status == StoreStatus::Done) {
-                    row.version = result.version;
-                    this->epochVersion = std::max(this->epochVersion, result.version);
-                    this->applyRow(row);
-                    for (const auto& [daemon, lease] : this->peers)
-                        this->hooks.announce(lease.address, row);
-                } else
-                    this->readFleet();
-            });
-        });
+    const auto owners = this->hooks.primaryUsers(group.id);
+    if (owners.empty())
+        return this->ownRank();
+    const auto before = std::count_if(owners.begin(), owners.end(), [&](const DaemonId& owner) {
+        return this->peers.count(owner) != 0 && (!group.ownedHere || owner < this->identity.daemon);
+    });
+    return static_cast<std::size_t>(before) + (group.ownedHere ? 0 : this->ownRank());
 }
 
 // Daemons that use the primary themselves. The others would have to open connections to it only to give an opinion.
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -73,6 +73,13 @@
             this->onRenewed(preparedAt, result);
             return;
         }
+        if (epochIn(result) > this->epochVersion) {
+            // A direct renewal would fail as well until the changed rows are known.
+            this->renewing = false;
+            this->nextRenewal = this->now();
+            this->readFleet();
+            return;
+        }
         if (result.status == StoreStatus::Unknown)
             this->delegateNotBefore = this->now() + delegatePause;
         this->renewDirectly();
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -35,6 +35,15 @@
 // How the platform answered to an order to promote.
 enum class PromotionOutcome { Accepted, Rejected, Unavailable, Unknown };
 
+// Group whose primary a daemon watches.
+struct WatchedGroup {
+    DatabaseId id;
+    // Whether the daemon owns the group's connections. Otherwise it only runs statements of the group at present.
+    bool ownedHere = true;
+
+    bool operator==(const WatchedGroup&) const = default;
+};
+
 // What the fleet controller asks of its surroundings. Every callback runs once, never from inside the call.
 struct FleetHooks {
     // Asks another daemon to stop using the primary of a group, because of the claim with the given row version. Done
@@ -68,6 +77,8 @@
     std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
     // Groups of the present configuration.
     std::function<std::vector<DatabaseId>()> groups;
+    // Groups whose primary this daemon watches. In a large fleet a daemon owns or uses few of all groups.
+    std::function<std::vector<WatchedGroup>()> watchedGroups;
     // Whether statements to the primary of a group go unanswered or are refused.
     std::function<bool(const DatabaseId&)> doubtsPrimary;
     // Daemons whose opinion on the primary of a group counts; empty if all daemons use it themselves.
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -142,4 +142,13 @@
     return reader.complete() ? std::optional(result) : std::nullopt;
 }
 
+std::uint64_t epochIn(const StoreResult& result)
+{
+    for (const auto& row : result.rows) {
+        if (row.table == fleetTable && row.key == epochKey)
+            return row.version;
+    }
+    return 0;
+}
+
 } // namespace endivetrestle
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -70,4 +70,7 @@
 std::optional<LeaseRow> decodeLeaseRow(const StoreRow& row);
 std::optional<DutyRow> decodeDutyRow(const StoreRow& row);
 
+// Version of the epoch row among the rows of an answer; 0 if the answer does not show it.
+std::uint64_t epochIn(const StoreResult& result);
+
 } // namespace endivetrestle
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -2,6 +2,7 @@
 
 #include "process/fleet_controller.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,8 +18,11 @@
 // after every event and collects violations instead of asserting, so that a test can show the seed and the step.
 class FleetSimulation {
 public:
-    explicit FleetSimulation(std::size_t daemonCount, std::uint64_t seed = 1)
+    // With more groups than one, the others have the same endpoints as the first; the safety rules are checked for the
+    // first group only.
+    explicit FleetSimulation(std::size_t daemonCount, std::uint64_t seed = 1, std::size_t groupCount = 1)
         : random(seed)
+        , groupCount(groupCount)
     {
         for (std::size_t i = 0; i < daemonCount; ++i)
             this->daemons.push_back(std::make_unique<Daemon>());
@@ -69,6 +73,12 @@
     // Called before each call of a daemon to the outside; kills, freezes or cuts at a given step are set here.
     std::function<void(std::size_t daemon, const std::string& call)> onCall;
     std::vector<std::string> violations;
+    // Calls of all daemons to the outside, by name.
+    std::map<std::string, std::size_t> calls;
+    // Rows of the fleet table that were handed to daemons.
+    std::size_t fleetRowsRead = 0;
+    // The store has forgotten which rows changed before now.
+    bool historyLost = false;
     int promotions = 0;
     std::uint64_t highestToken = 0;
 
@@ -193,7 +203,13 @@
                 this->index, "change", [&shared = this->world, change] { return shared.apply(change); },
                 std::move(callback));
         }
-        void watch(const std::string&, std::uint64_t, Duration, Callback) override { }
+        // Answers at once, also when nothing has changed.
+        void watch(const std::string& table, std::uint64_t after, Duration, Callback callback) override
+        {
+            this->world.storeCall(
+                this->index, "watch", [&shared = this->world, table, after] { return shared.changes(table, after); },
+                std::move(callback));
+        }
 
     private:
         FleetSimulation& world;
@@ -264,6 +280,7 @@
 
     void announce(std::size_t index, const std::string& call)
     {
+        ++this->calls[call];
         if (this->onCall)
             this->onCall(index, call);
     }
@@ -321,6 +338,25 @@
             if (key.first == table)
                 result.rows.push_back(row);
         }
+        this->fleetRowsRead += table == fleetTable ? result.rows.size() : 0;
+        return result;
+    }
+
+    StoreResult changes(const std::string& table, std::uint64_t after)
+    {
+        auto result = this->read(table);
+        this->fleetRowsRead -= table == fleetTable ? result.rows.size() : 0;
+        if (this->historyLost) {
+            result.status = StoreStatus::HistoryLost;
+            result.rows.clear();
+            return result;
+        }
+        result.rows.erase(std::remove_if(result.rows.begin(), result.rows.end(),
+                              [after](const StoreRow& row) { return row.version <= after; }),
+            result.rows.end());
+        std::stable_sort(result.rows.begin(), result.rows.end(),
+            [](const StoreRow& left, const StoreRow& right) { return left.version < right.version; });
+        this->fleetRowsRead += table == fleetTable ? result.rows.size() : 0;
         return result;
     }
 
@@ -475,19 +511,25 @@
             this->daemons[index]->suspended = true;
             this->after(index, hop, drained);
         };
-        hooks.endpointsOf = [this](const DatabaseId&) {
+        hooks.endpointsOf = [this](const DatabaseId& id) {
             std::vector<EndpointRecord> records;
-            for (const auto& [id, endpoint] : this->endpoints) {
+            for (const auto& [endpointId, endpoint] : this->endpoints) {
                 EndpointRecord record;
-                record.id = id;
-                record.group = group();
+                record.id = endpointId;
+                record.group = id;
                 record.draining = endpoint.draining;
                 record.claimsPrimary = endpoint.primary;
                 records.push_back(record);
             }
             return records;
         };
-        hooks.groups = [] { return std::vector<DatabaseId> { group() }; };
+        hooks.groups = [this] { return this->groups(); };
+        hooks.watchedGroups = [this] {
+            std::vector<WatchedGroup> watched;
+            for (const auto& id : this->groups())
+                watched.push_back({ id, true });
+            return watched;
+        };
         hooks.doubtsPrimary = [this, index](const DatabaseId&) {
             const auto& daemon = *this->daemons[index];
             if (!daemon.usedPrimary || daemon.suspended)
@@ -500,6 +542,14 @@
         return hooks;
     }
 
+    [[nodiscard]] std::vector<DatabaseId> groups() const
+    {
+        std::vector<DatabaseId> result { group() };
+        for (std::size_t i = 1; i < this->groupCount; ++i)
+            result.emplace_back("shop-" + std::to_string(i));
+        return result;
+    }
+
     // The promotion of an endpoint takes effect.
     void lead(const EndpointId& id)
     {
@@ -538,6 +588,7 @@
     static constexpr std::size_t maxViolations = 5;
 
     std::mt19937_64 random;
+    std::size_t groupCount;
     Time clock { std::chrono::seconds(1000) };
     std::multimap<Time, Event> events;
     std::map<std::pair<std::string, std::string>, StoreRow> rows;
