--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -67,6 +67,17 @@
         this->queue.clear();
     }
 
+    void setServer(SocketAddress next)
+    {
+        if (next == this->server)
+            return;
+        this->server = std::move(next);
+        if (this->active)
+            this->serverChanged = true;
+        else
+            this->closeSocket();
+    }
+
     [[nodiscard]] const SocketAddress& serverAddress() const { return this->server; }
     [[nodiscard]] std::uint64_t opened() const { return this->connectionCount; }
 
@@ -122,6 +133,7 @@
                     return;
                 }
                 asio::error_code ignored;
+                self->socket.non_blocking(true, ignored);
                 self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
                 enableKeepAlive(self->socket.native_handle());
                 const auto& pending = self->queue.front();
@@ -150,24 +162,34 @@
 
     void read(std::uint64_t sequence)
     {
-        this->socket.async_read_some(asio::buffer(this->incoming),
-            [self = this->shared_from_this(), sequence](const asio::error_code& error, std::size_t length) {
-                if (sequence != self->callSequence || !self->active)
-                    return;
-                self->onBytes(error, length, sequence);
+        // Waiting for input first lets all clients of a loop share one buffer; a large fleet keeps hundreds of them.
+        this->socket.async_wait(asio::ip::tcp::socket::wait_read,
+            [self = this->shared_from_this(), sequence](const asio::error_code& error) {
+                if (sequence == self->callSequence && self->active)
+                    self->readAvailable(error, sequence);
             });
     }
 
-    void onBytes(const asio::error_code& error, std::size_t length, std::uint64_t sequence)
+    void readAvailable(asio::error_code error, std::uint64_t sequence)
+    {
+        static std::array<char, readBufferBytes> buffer;
+        const auto length = error ? 0 : this->socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block)
+            this->read(sequence);
+        else
+            this->onBytes(error, { buffer.data(), length }, sequence);
+    }
+
+    void onBytes(const asio::error_code& error, std::string_view bytes, std::uint64_t sequence)
     {
         if (error) {
             this->fail(false);
             return;
         }
-        const auto parsed = http_parser_execute(&this->parser, &this->parserSettings, this->incoming.data(), length);
+        const auto parsed = http_parser_execute(&this->parser, &this->parserSettings, bytes.data(), bytes.size());
         if (this->complete) {
             this->answer.status = static_cast<int>(this->parser.status_code);
-            this->finish(this->keepAlive && parsed == length);
+            this->finish(this->keepAlive && parsed == bytes.size());
             return;
         }
         if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
@@ -189,7 +211,7 @@
     {
         ++this->callSequence;
         this->timer.cancel();
-        if (!keepConnection)
+        if (std::exchange(this->serverChanged, false) || !keepConnection)
             this->closeSocket();
         this->answer.answeredAt = bootNow();
         auto callback = std::move(this->queue.front().callback);
@@ -217,13 +239,14 @@
     std::deque<Pending> queue;
     bool active = false;
     bool stopped = false;
+    // Whether the call under way is the last one on this connection.
+    bool serverChanged = false;
     bool written = false;
     bool complete = false;
     bool keepAlive = false;
     std::uint64_t callSequence = 0;
     std::uint64_t connectionCount = 0;
     std::string outgoing;
-    std::array<char, readBufferBytes> incoming {};
     http_parser parser {};
     http_parser_settings parserSettings {};
     HttpAnswer answer;
@@ -241,6 +264,8 @@
     this->state->send(std::move(call), timeout, std::move(callback));
 }
 
+void LoopHttpClient::setServer(SocketAddress server) { this->state->setServer(std::move(server)); }
+
 const SocketAddress& LoopHttpClient::server() const { return this->state->serverAddress(); }
 
 std::uint64_t LoopHttpClient::connectionsOpened() const { return this->state->opened(); }
--- a/src/edge/loop_http_client.h
+++ b/src/edge/loop_http_client.h
@@ -52,6 +52,8 @@
     // the time in the queue.
     void send(HttpCall call, Duration timeout, Callback callback);
 
+    // Sends later requests to another address. The request under way is finished first.
+    void setServer(SocketAddress server);
     [[nodiscard]] const SocketAddress& server() const;
 
     // Connections opened so far.
--- /dev/null
+++ b/src/process/settings_reload.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "process/proxy_settings.h"
+
+#include <string>
+#include <vector>
+
+namespace endivetrestle {
+
+// What a daemon does with settings that were read again while it runs.
+struct SettingsReload {
+    // Settings in force from now on.
+    ProxySettings settings;
+    // Names of the settings that took effect.
+    std::vector<std::string> changed;
+    // Names of settings that differ and take effect only with a restart.
+    std::vector<std::string> needRestart;
+
+    bool operator==(const SettingsReload&) const = default;
+};
+
+// Decides which of the new settings a running daemon takes over. Its name, its places and the addresses on which it
+// listens are known to others and stay as they are.
+SettingsReload planReload(const ProxySettings& present, const ProxySettings& next);
+
+} // namespace endivetrestle
--- /dev/null
+++ b/src/process/settings_reload_test.cc
@@ -0,0 +1,46 @@
+#include "process/settings_reload.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+
+namespace {
+
+ProxySettings sample()
+{
+    ProxySettings settings;
+    settings.daemon = DaemonId("d1");
+    settings.storeAddress = { "10.0.0.1", 80 };
+    settings.clientAddress = { "10.0.0.2", 81 };
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("planReload, takes over what may change while the daemon runs")
+{
+    auto next = sample();
+    next.storeAddress = { "10.0.0.9", 80 };
+    next.stopGrace = std::chrono::seconds(20);
+    const auto reload = planReload(sample(), next);
+    CHECK(reload.settings == next);
+    CHECK(reload.changed == std::vector<std::string> { "store_address", "stop_grace" });
+    CHECK(reload.needRestart.empty());
+}
+
+// Guards against a daemon that answers to another name than the one that its lease carries.
+TEST_CASE("planReload, keeps what others know of the daemon and names it")
+{
+    auto next = sample();
+    next.daemon = DaemonId("d2");
+    next.clientAddress = { "10.0.0.3", 81 };
+    const auto reload = planReload(sample(), next);
+    CHECK(reload.settings == sample());
+    CHECK(reload.changed.empty());
+    CHECK(reload.needRestart == std::vector<std::string> { "daemon", "client_address" });
+}
+
+TEST_CASE("planReload, changes nothing when the file is the same")
+{
+    CHECK(planReload(sample(), sample()) == SettingsReload { sample(), {}, {} });
+}
