End sessions without cutting requests; read settings again; log how sessions end

Sessions that started on a stopping daemon were closed at once. After a loss of all daemons with the store away, session starts were refused within 15 ms each until clients had spent their retries. SIGHUP changed nothing, a changed file was not noticed, and sessions that were cut left no line. Ruled out: closing for writing first: the answer could not be sent any more. Change: a session ends with an error line that answers no statement, on which the client closes it; a statement that crosses the line has its answer in it and did not run. A session that starts while the daemon stops is served for one operation. Settings are read on SIGHUP and when the file differs (looked at every 2 s); a bad file changes nothing. Each cut session leaves a line and is counted by reason. The soak's client closes a session on a line that answers nothing, as the platform's clients do, and reports any such line that is no error.

--- a/src/cli/proxy_command.cc
+++ b/src/cli/proxy_command.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace endivetrestle {
@@ -33,22 +34,61 @@
     return path == nullptr ? "" : path;
 }
 
-std::optional<ProxySettings> readSettings(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << (path.empty() ? "no settings file is named" : path + ": cannot be read") << "\n";
-        return std::nullopt;
+// The settings file of a running daemon, with the text that was read last.
+class SettingsFile {
+public:
+    explicit SettingsFile(std::string path)
+        : path(std::move(path))
+    {
+    }
+
+    // Parses the file; no value if there are problems, which are returned as lines.
+    std::optional<ProxySettings> read(std::vector<std::string>& problems)
+    {
+        auto present = this->text();
+        if (!present) {
+            problems.push_back(this->path.empty() ? "no settings file is named" : this->path + ": cannot be read");
+            return std::nullopt;
+        }
+        this->lastText = std::move(*present);
+        auto result = platform::parseSettingsFile(this->lastText, this->path);
+        problems = std::move(result.problems);
+        return problems.empty() ? std::optional(std::move(result.settings)) : std::nullopt;
+    }
+
+    // Reads the file again and logs all problems in one line.
+    std::optional<ProxySettings> readAgain()
+    {
+        std::vector<std::string> problems;
+        auto settings = this->read(problems);
+        std::string text;
+        for (const auto& problem : problems)
+            text += (text.empty() ? "" : "; ") + problem;
+        if (!problems.empty())
+            logEvent(LogLevel::Error, "settings_unusable", { { "problems", text } });
+        return settings;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    const auto result = platform::parseSettingsFile(text.str(), path);
-    for (const auto& problem : result.problems)
-        std::cerr << problem << "\n";
-    if (!result.problems.empty())
-        return std::nullopt;
-    return result.settings;
-}
+
+    [[nodiscard]] bool hasChanged() const
+    {
+        const auto present = this->text();
+        return present && *present != this->lastText;
+    }
+
+private:
+    [[nodiscard]] std::optional<std::string> text() const
+    {
+        std::ifstream file(this->path);
+        if (!file)
+            return std::nullopt;
+        std::stringstream content;
+        content << file.rdbuf();
+        return content.str();
+    }
+
+    std::string path;
+    std::string lastText;
+};
 
 } // namespace
 
@@ -58,7 +98,11 @@
     if (const auto code = parseArguments(parsed.line, arguments))
         return *code;
     const auto path = settingsPath(parsed);
-    const auto settings = readSettings(path);
+    SettingsFile file(path);
+    std::vector<std::string> problems;
+    const auto settings = file.read(problems);
+    for (const auto& problem : problems)
+        std::cerr << problem << "\n";
     if (!settings)
         return ExitUsage;
     if (parsed.check.getValue()) {
@@ -68,6 +112,8 @@
     configureNonblockingLogging(parsed.level.getValue());
     try {
         SessionProxy proxy(*settings);
+        proxy.readSettings = [&file] { return file.readAgain(); };
+        proxy.settingsChanged = [&file] { return file.hasChanged(); };
         return proxy.run();
     } catch (const std::system_error& error) {
         logEvent(LogLevel::Error, "start_failed", { { "error", error.what() } });
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -78,12 +78,16 @@
     void onDisconnected(Time now);
     // Ends the session as soon as no statement is under way and no transaction is open.
     void closeWhenIdle();
+    // Ends the session when its next statement, or the transaction that it begins, has been answered.
+    void closeAfterStatement() { this->closing = true; }
     // Rolls an open transaction back; the client learns it with its next statement.
     void abortTransaction(Time now, const std::string& reason);
 
     [[nodiscard]] bool isIdle() const { return !this->busy && this->transaction == TransactionPhase::None; }
     [[nodiscard]] bool isBusy() const { return this->busy; }
     [[nodiscard]] const std::string& database() const { return this->databaseName; }
+    // Identifier of the statement under way; empty if there is none.
+    [[nodiscard]] std::string requestUnderWay() const { return this->busy ? this->current.id : std::string(); }
 
     // Statements that may wait behind the one under way.
     static constexpr std::size_t maxPipelined = 64;
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -3,6 +3,8 @@
 #include "base/boot_clock.h"
 #include "base/log.h"
 #include "platform/store_rows.h"
+#include "process/settings_reload.h"
+#include "request/start_hold.h"
 
 #include <algorithm>
 #include <csignal>
@@ -19,6 +21,8 @@
 constexpr Duration sessionEndDelay = std::chrono::milliseconds(2200);
 // Part of the grace period that is kept for giving the lease back.
 constexpr Duration stopReserve = std::chrono::milliseconds(500);
+// Interval at which the settings file is looked at, because it may change without a signal.
+constexpr Duration settingsInterval = std::chrono::seconds(2);
 // Descriptors kept for files, the store, other daemons and endpoints.
 constexpr int reservedDescriptors = 500;
 constexpr std::size_t httpBodyLimit = 65536;
@@ -33,13 +37,13 @@
 
 } // namespace
 
-SessionProxy::SessionProxy(const ProxySettings& settings)
-    : settings(settings)
+SessionProxy::SessionProxy(ProxySettings initial)
+    : settings(std::move(initial))
     , context(1)
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , incarnation(makeIncarnation())
-    , store(this->context, settings.storeAddress)
-    , promotions(this->context, settings.promotionAddress)
+    , store(this->context, this->settings.storeAddress)
+    , promotions(this->context, this->settings.promotionAddress)
     , peers(this->context)
 {
 }
@@ -61,7 +65,12 @@
     this->fleet->start();
     this->waitForSignal();
     this->timers.subscribeEvery(bootNow(), tickInterval, [this](Time now) { this->tick(now); });
+    this->timers.subscribeEvery(bootNow() + settingsInterval, settingsInterval, [this](Time) {
+        if (this->settingsChanged && this->settingsChanged())
+            this->reloadSettings("file_changed");
+    });
     this->runLoop();
+    this->sessions->closeAll();
     logEvent(LogLevel::Info, "daemon_stopped", { { "sessions", this->sessions->sessions() } });
     return 0;
 }
@@ -114,9 +123,10 @@
     hooks.routes = [this] { return this->routes; };
     hooks.runner = [this](const DatabaseId& group) { return this->runnerOf(group); };
     hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
-    const auto maxSessions = std::max(64, this->settings.descriptorLimit - reservedDescriptors);
-    this->sessions = std::make_unique<SessionServer>(
-        this->context, this->timers, std::move(hooks), static_cast<std::size_t>(maxSessions));
+    hooks.ended = [this](const SessionEnd& end) { this->recordEnd(end); };
+    hooks.startHold = [startedAt = bootNow()] { return startHold(bootNow() - startedAt); };
+    this->sessions
+        = std::make_unique<SessionServer>(this->context, this->timers, std::move(hooks), this->sessionLimit());
     this->sessions->listen(this->settings.clientAddress);
 }
 
@@ -160,6 +170,7 @@
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
         this->updateGroups();
         this->updatePlacements();
+        this->sessions->startHeldSessions();
     }
 }
 
@@ -306,21 +317,62 @@
             { "detail", statement.reply.errorText } });
 }
 
+void SessionProxy::recordEnd(const SessionEnd& end)
+{
+    this->metrics.sessionEnd(end);
+    if (!end.isCut())
+        return;
+    const auto reason = sessionEndName(end.reason);
+    const auto decision = this->logLimiter.decide("session/" + std::string(reason), bootNow());
+    if (!decision.write)
+        return;
+    logEvent(LogLevel::Info, "session_ended",
+        { { "reason", reason }, { "peer", end.peer }, { "database", end.database }, { "request", end.request },
+            { "in_transaction", end.inTransaction ? 1 : 0 }, { "sessions", this->sessions->sessions() },
+            { "stopping", this->stopping ? 1 : 0 }, { "left_out", decision.leftOut } });
+}
+
 void SessionProxy::waitForSignal()
 {
     this->signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (signal == SIGHUP) {
-            logEvent(LogLevel::Info, "settings_reload", {});
-            if (this->onReload)
-                this->onReload();
-        } else if (!this->stopping)
+        if (signal == SIGHUP)
+            this->reloadSettings("signal");
+        else if (!this->stopping)
             this->beginStop();
         this->waitForSignal();
     });
 }
 
+std::size_t SessionProxy::sessionLimit() const
+{
+    constexpr int fewestSessions = 64;
+    return static_cast<std::size_t>(std::max(fewestSessions, this->settings.descriptorLimit - reservedDescriptors));
+}
+
+void SessionProxy::reloadSettings(const std::string& cause)
+{
+    const auto next = this->readSettings ? this->readSettings() : std::nullopt;
+    if (!next) {
+        logEvent(LogLevel::Warning, "settings_kept", { { "cause", cause } });
+        return;
+    }
+    const auto join = [](const std::vector<std::string>& names) {
+        std::string text;
+        for (const auto& name : names)
+            text += (text.empty() ? "" : ",") + name;
+        return text;
+    };
+    const auto reload = planReload(this->settings, *next);
+    this->settings = reload.settings;
+    this->store.setServer(this->settings.storeAddress);
+    this->promotions.setServer(this->settings.promotionAddress);
+    this->sessions->setMaxSessions(this->sessionLimit());
+    logEvent(LogLevel::Info, "settings_reloaded",
+        { { "cause", cause }, { "changed", join(reload.changed) }, { "need_restart", join(reload.needRestart) } });
+}
+
 void SessionProxy::beginStop()
 {
     const auto now = bootNow();
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -33,7 +33,7 @@
 //     return proxy.run();
 class SessionProxy {
 public:
-    explicit SessionProxy(const ProxySettings& settings);
+    explicit SessionProxy(ProxySettings settings);
     ~SessionProxy();
     SessionProxy(const SessionProxy&) = delete;
     SessionProxy& operator=(const SessionProxy&) = delete;
@@ -41,8 +41,11 @@
     // Serves until SIGTERM or SIGINT and returns the exit code. Throws std::system_error if a port cannot be opened.
     int run();
 
-    // Called on SIGHUP, to read the settings again.
-    std::function<void()> onReload;
+    // Reads the settings again, on SIGHUP and when the look at the file shows a change. No value if they cannot be
+    // used; the reader has logged why. Null if the settings do not come from a file.
+    std::function<std::optional<ProxySettings>()> readSettings;
+    // Whether the settings file differs from the one that was read last.
+    std::function<bool()> settingsChanged;
 
 private:
     struct Group {
@@ -72,13 +75,16 @@
     void onConfigurationRows(const std::vector<StoreRow>& rows);
     void onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot);
     void updateGroups();
+    void updateEndpoints();
     GroupScheduler* schedulerOf(const DatabaseId& group);
     Group makeGroup(const DatabaseId& group);
     void record(const StatementRecord& statement);
-    void updateEndpoints();
+    void recordEnd(const SessionEnd& end);
     [[nodiscard]] std::string metricsPage();
     [[nodiscard]] bool isReady() const;
     void waitForSignal();
+    void reloadSettings(const std::string& cause);
+    [[nodiscard]] std::size_t sessionLimit() const;
     void beginStop();
     void finishStop();
     void tick(Time now);
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <vector>
+
 namespace endivetrestle {
 
 namespace {
@@ -41,15 +43,19 @@
 
 void SessionServer::add(asio::ip::tcp::socket socket)
 {
-    if (this->links.size() >= this->maxSessions) {
-        logEvent(LogLevel::Warning, "session_limit", { { "sessions", this->links.size() } });
+    asio::error_code error;
+    const auto address = socket.remote_endpoint(error);
+    const auto peer = error ? std::string() : address.address().to_string() + ":" + std::to_string(address.port());
+    if (this->links.size() >= this->maxSessions + refusalRoom) {
+        this->hooks.ended({ SessionEndReason::SessionLimit, peer, "", "", false });
         return;
     }
     const auto id = ++this->lastId;
     auto& link = this->links[id];
+    link.peer = peer;
     link.socket = std::make_shared<LineSocket>(std::move(socket), platform::maxLineBytes);
-    link.socket->start(
-        [this, id](std::string_view line) { return this->onLine(id, line); }, [this, id] { this->remove(id, false); });
+    link.socket->start([this, id](std::string_view line) { return this->onLine(id, line); },
+        [this, id] { this->remove(id, SessionEndReason::ClientLeft, false); });
 }
 
 bool SessionServer::onLine(std::uint64_t id, std::string_view line)
@@ -59,9 +65,11 @@
         return false;
     auto& link = found->second;
     auto decoded = platform::parseClientLine(line);
+    if (link.ending)
+        return this->onLineAfterEnd(id, link, decoded);
     switch (decoded.kind) {
     case platform::ClientLineKind::Terminate:
-        this->remove(id, true);
+        this->remove(id, SessionEndReason::ClientLeft, true);
         return false;
     case platform::ClientLineKind::Startup:
         if (!link.session)
@@ -77,32 +85,48 @@
         break;
     }
     logEvent(LogLevel::Info, "client_line_unreadable", { { "bytes", line.size() } });
-    if (!link.session) {
-        link.socket->write(platform::encodeStartupError(ReplyCode::Malformed, "a session start is expected"));
-        this->remove(id, true);
-        return false;
-    }
+    if (!link.session)
+        return this->refuseStart(
+            id, link, ReplyCode::Malformed, "a session start is expected", SessionEndReason::Unreadable);
     Statement unknown;
     link.session->onStatement(unknown, this->hooks.now());
     return this->links.count(id) != 0;
 }
 
+// A statement that crossed the line which ended the session: the line is its answer.
+bool SessionServer::onLineAfterEnd(std::uint64_t id, Link& link, const platform::ClientLine& line)
+{
+    if (line.kind == platform::ClientLineKind::Query)
+        link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
+    this->remove(id, SessionEndReason::Stopping, true);
+    return false;
+}
+
+bool SessionServer::refuseStart(
+    std::uint64_t id, Link& link, ReplyCode code, const std::string& text, SessionEndReason reason)
+{
+    link.socket->write(platform::encodeErrorLine(code, text));
+    this->remove(id, reason, true);
+    return false;
+}
+
 bool SessionServer::startSession(std::uint64_t id, Link& link, const std::string& databaseName)
 {
     const auto table = this->hooks.routes();
-    if (!table || table->find(databaseName) == nullptr) {
-        const auto code = table ? ReplyCode::UnknownDatabase : ReplyCode::Busy;
-        link.socket->write(
-            platform::encodeStartupError(code, table ? "no such database" : "no configuration is known yet"));
-        this->remove(id, true);
-        return false;
-    }
+    if (!table)
+        return this->holdStart(id, link, databaseName);
+    if (table->find(databaseName) == nullptr)
+        return this->refuseStart(
+            id, link, ReplyCode::UnknownDatabase, "no such database", SessionEndReason::StartRefused);
+    if (this->links.size() > this->maxSessions)
+        return this->refuseStart(
+            id, link, ReplyCode::Busy, "the daemon has no room for a session", SessionEndReason::SessionLimit);
     SessionHooks sessionHooks;
     sessionHooks.now = this->hooks.now;
     sessionHooks.reply = [socket = link.socket.get()](const SessionReply& reply) { socket->write(encodeReply(reply)); };
     sessionHooks.close = [this, id] {
         // The session is on the stack of this call.
-        asio::post(this->context, [this, id] { this->remove(id, true); });
+        asio::post(this->context, [this, id] { this->endSession(id); });
     };
     sessionHooks.routes = this->hooks.routes;
     sessionHooks.runner = this->hooks.runner;
@@ -110,25 +134,91 @@
     link.session = std::make_unique<ClientSession>(databaseName, this->timers, std::move(sessionHooks));
     link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
     if (this->closing)
-        link.session->closeWhenIdle();
+        link.session->closeAfterStatement();
+    return true;
+}
+
+bool SessionServer::holdStart(std::uint64_t id, Link& link, const std::string& databaseName)
+{
+    const auto refuse = [this, id](Link& held) {
+        return this->refuseStart(
+            id, held, ReplyCode::Busy, "no configuration is known yet", SessionEndReason::StartRefused);
+    };
+    const auto hold = this->hooks.startHold();
+    if (hold <= Duration::zero() || link.heldStart)
+        return refuse(link);
+    link.heldStart = databaseName;
+    this->timers.subscribeAt(this->hooks.now() + hold, [this, id, refuse](Time) {
+        const auto found = this->links.find(id);
+        if (found != this->links.end() && found->second.heldStart)
+            refuse(found->second);
+    });
     return true;
 }
 
-void SessionServer::remove(std::uint64_t id, bool afterWrites)
+void SessionServer::startHeldSessions()
+{
+    std::vector<std::uint64_t> held;
+    for (const auto& [id, link] : this->links) {
+        if (link.heldStart)
+            held.push_back(id);
+    }
+    for (const auto id : held) {
+        auto& link = this->links.at(id);
+        const auto databaseName = *std::exchange(link.heldStart, std::nullopt);
+        this->startSession(id, link, databaseName);
+    }
+}
+
+// Ends a session of which nothing is under way, unless a statement has arrived meanwhile.
+void SessionServer::endSession(std::uint64_t id)
+{
+    const auto found = this->links.find(id);
+    if (found == this->links.end() || found->second.ending)
+        return;
+    auto& link = found->second;
+    if (!this->closing) {
+        this->remove(id, SessionEndReason::TooManyWaiting, true);
+        return;
+    }
+    if (!link.session->isIdle())
+        return;
+    link.ending = true;
+    link.socket->write(platform::encodeErrorLine(ReplyCode::Busy, "the daemon is stopping; connect again"));
+    this->timers.subscribeAt(
+        this->hooks.now() + endLimit, [this, id](Time) { this->remove(id, SessionEndReason::Stopping, true); });
+}
+
+void SessionServer::remove(std::uint64_t id, SessionEndReason reason, bool afterWrites)
 {
     const auto found = this->links.find(id);
     if (found == this->links.end())
         return;
     auto link = std::move(found->second);
     this->links.erase(found);
-    if (link.session)
+    SessionEnd end { reason, link.peer, "", "", false };
+    if (link.session) {
+        end.database = link.session->database();
+        end.request = link.session->requestUnderWay();
+        end.inTransaction = !link.session->isIdle() && end.request.empty();
         link.session->onDisconnected(this->hooks.now());
+    }
+    this->hooks.ended(end);
     if (afterWrites)
         link.socket->closeAfterWrites();
     else
         link.socket->close();
 }
 
+void SessionServer::closeAll()
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, link] : this->links)
+        ids.push_back(id);
+    for (const auto id : ids)
+        this->remove(id, SessionEndReason::StopDeadline, true);
+}
+
 void SessionServer::closeIdleSessions()
 {
     this->closing = true;
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -2,6 +2,7 @@
 
 #include "base/socket_address.h"
 #include "connection/client_session.h"
+#include "connection/session_end.h"
 #include "edge/line_socket.h"
 #include "edge/socket_listener.h"
 #include "platform/line_codec.h"
@@ -18,6 +19,9 @@
     std::function<std::shared_ptr<const RouteTable>()> routes;
     std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<void(const StatementRecord&)> record;
+    std::function<void(const SessionEnd&)> ended;
+    // How long a session start may wait for the first configuration.
+    std::function<Duration()> startHold;
 };
 
 // Accepts client connections and connects their lines to client sessions.
@@ -30,26 +34,53 @@
 
     // Opens the port. Throws std::system_error if it cannot be opened.
     void listen(const SocketAddress& address);
-    // Ends sessions as they become idle. Connections that still arrive are served, since the balancer needs time to
-    // notice that this daemon is not ready.
+    // Ends sessions as they become idle. Connections that still arrive are served for one operation, since the balancer
+    // needs time to notice that this daemon is not ready.
+    //
+    // A session ends with an error line that answers no statement, after which the client closes it. A statement that
+    // crosses the line has its answer in it, did not run, and is completed by a ready line. Closing the connection
+    // instead would cut statements that are on their way.
     void closeIdleSessions();
     // Rolls back transactions that wait for their client's next statement.
     void abortTransactions(const std::string& reason);
+    // Starts the sessions that wait for the first configuration.
+    void startHeldSessions();
+    // Sets how many sessions may be open. Sessions beyond the limit go on.
+    void setMaxSessions(std::size_t limit) { this->maxSessions = limit; }
     // Stops accepting connections.
     void stopAccepting();
 
+    // Ends what is left because the process ends.
+    void closeAll();
+
     [[nodiscard]] std::size_t sessions() const { return this->links.size(); }
+    // Port that was opened.
+    [[nodiscard]] std::uint16_t port() const { return this->listener.port(); }
+
+    // Time that a client has to close a session that was ended.
+    static constexpr Duration endLimit = std::chrono::milliseconds(1000);
+    // Connections beyond the limit of sessions that are accepted only to be told so.
+    static constexpr std::size_t refusalRoom = 64;
 
 private:
     struct Link {
         std::shared_ptr<LineSocket> socket;
         std::unique_ptr<ClientSession> session;
+        std::string peer;
+        // Database whose session start waits for the first configuration.
+        std::optional<std::string> heldStart;
+        // Whether the client has been told that the session ends.
+        bool ending = false;
     };
 
     void add(asio::ip::tcp::socket socket);
     bool onLine(std::uint64_t id, std::string_view line);
     bool startSession(std::uint64_t id, Link& link, const std::string& databaseName);
-    void remove(std::uint64_t id, bool afterWrites);
+    bool onLineAfterEnd(std::uint64_t id, Link& link, const platform::ClientLine& line);
+    bool holdStart(std::uint64_t id, Link& link, const std::string& databaseName);
+    bool refuseStart(std::uint64_t id, Link& link, ReplyCode code, const std::string& text, SessionEndReason reason);
+    void endSession(std::uint64_t id);
+    void remove(std::uint64_t id, SessionEndReason reason, bool afterWrites);
 
     asio::io_context& context;
     TimerService& timers;
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -26,9 +26,23 @@
                     .Name("endivetrestle_statement_seconds")
                     .Help("Time from the arrival of a statement to its reply.")
                     .Register(this->registry))
+    , sessionEnds(prometheus::BuildCounter()
+                      .Name("endivetrestle_session_ends_total")
+                      .Help("Client connections that have ended, by reason; cut is 1 if the client may miss something.")
+                      .Register(this->registry))
 {
 }
 
+void ProxyMetrics::sessionEnd(const SessionEnd& end)
+{
+    auto& counter = this->endCounters[{ end.reason, end.isCut() }];
+    if (counter == nullptr) {
+        counter = &this->sessionEnds.Add(
+            { { "reason", std::string(sessionEndName(end.reason)) }, { "cut", end.isCut() ? "1" : "0" } });
+    }
+    counter->Increment();
+}
+
 void ProxyMetrics::statement(const StatementRecord& record)
 {
     const std::string consistency(record.route == nullptr ? "local" : consistencyName(record.route->consistency));
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/identifier.h"
 #include "connection/client_session.h"
+#include "connection/session_end.h"
 #include "process/group_scheduler.h"
 #include "process/statement_forwarder.h"
 
@@ -37,6 +38,8 @@
 
     // Counts an ended statement with its outcome and latency.
     void statement(const StatementRecord& record);
+    // Counts a client connection that has ended, by reason and by whether something of the client's was cut off.
+    void sessionEnd(const SessionEnd& end);
     // Sets the gauges of a group.
     void group(const DatabaseId& group, const SchedulerFigures& figures, std::uint64_t term, bool primaryUsable);
     // Sets the gauges of the exchange of a group's statements with other daemons.
@@ -55,7 +58,9 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& statements;
     prometheus::Family<prometheus::Histogram>& latencies;
+    prometheus::Family<prometheus::Counter>& sessionEnds;
     std::map<OutcomeKey, prometheus::Counter*> outcomes;
+    std::map<std::pair<SessionEndReason, bool>, prometheus::Counter*> endCounters;
     std::map<std::string, prometheus::Histogram*> latencyByConsistency;
     std::map<std::pair<std::string, DatabaseId>, prometheus::Gauge*> gauges;
 };
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -54,6 +54,7 @@
     this->values.clear();
     this->ownWrite.reset();
     this->expected = Expect::Startup;
+    this->outstanding = true;
     this->socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
     this->socket->connect(
         this->pickDaemon(),
@@ -92,6 +93,13 @@
     const auto blank = text.find(' ');
     const auto word = text.substr(0, blank);
     const auto rest = blank == std::string::npos ? "" : text.substr(blank + 1);
+    if (!this->outstanding) {
+        // An error that answers nothing ends the session; the client closes it.
+        if (word != "ERROR")
+            this->audit.violate("client without a statement got the line " + text);
+        this->reconnectLater();
+        return false;
+    }
     if (word == "DATAROW")
         this->row = rest;
     else if (word == "COMPLETE")
@@ -119,6 +127,7 @@
 void SoakClient::onReady(const std::string& state)
 {
     this->timeout.cancel();
+    this->outstanding = false;
     if (this->expected != Expect::Startup && !this->errorCode.empty()) {
         this->onFailure(state);
         return;
@@ -211,6 +220,7 @@
 void SoakClient::send(Expect kind, const std::string& text)
 {
     this->expected = kind;
+    this->outstanding = true;
     this->currentId = this->name + "." + std::to_string(++this->statements);
     this->row.clear();
     this->signature.clear();
--- a/src/soak/soak_client.h
+++ b/src/soak/soak_client.h
@@ -67,6 +67,8 @@
     asio::steady_timer timeout;
     bool stopped = false;
     Expect expected = Expect::Startup;
+    // Whether the daemon owes an answer.
+    bool outstanding = false;
     std::string currentId;
     std::uint64_t statements = 0;
     // Parts of the answer that have arrived.
