Adopt without a new epoch; forward from daemons without a lease; fewer calls

Change: an adoption leaves the epoch as it is, since nobody uses a primary without a row; the other daemons are told all rows at once, or read the table after 3 s. A daemon without a lease declines what needs the primary, and forwards its own such statements to owners, or to any daemon where all own everything. The second list of the leases is left out when the first one shows the fleet of before; a watch waits 28 s instead of 20 s. Rows of daemons that have been gone for ten minutes are removed; they stayed for ever. Tests: announcements, complete and incomplete first lists, removal of rows.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -33,6 +33,23 @@
     return found->get<std::uint64_t>();
 }
 
+std::optional<PrimaryRow> decodePrimary(const json& value)
+{
+    if (!value.is_object())
+        return std::nullopt;
+    const auto term = number(value, "term");
+    const auto version = number(value, "version");
+    if (!term || !version || text(value, "group").empty() || text(value, "endpoint").empty())
+        return std::nullopt;
+    PrimaryRow row;
+    row.group = DatabaseId(text(value, "group"));
+    row.endpoint = EndpointId(text(value, "endpoint"));
+    row.term = *term;
+    row.writer = DaemonId(text(value, "writer"));
+    row.version = *version;
+    return row;
+}
+
 } // namespace
 
 std::string encodeMessage(const SuspendMessage& message)
@@ -45,12 +62,14 @@
     return json { { "group", question.group.value }, { "endpoint", question.endpoint.value } }.dump();
 }
 
-std::string encodeMessage(const PrimaryRow& row)
+std::string encodeMessage(const std::vector<PrimaryRow>& rows)
 {
-    return json {
-        { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
-        { "version", row.version }, { "writer", row.writer.value }
-    }.dump();
+    json list = json::array();
+    for (const auto& row : rows) {
+        list.push_back({ { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
+            { "version", row.version }, { "writer", row.writer.value } });
+    }
+    return json { { "rows", list } }.dump();
 }
 
 std::string encodeMessage(const LeaseRenewal& renewal)
@@ -89,22 +108,22 @@
     return ReachableQuestion { DatabaseId(text(value, "group")), EndpointId(text(value, "endpoint")) };
 }
 
-std::optional<PrimaryRow> decodePrimaryMessage(const std::string& body)
+std::optional<std::vector<PrimaryRow>> decodePrimaryMessage(const std::string& body)
 {
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object())
         return std::nullopt;
-    const auto term = number(value, "term");
-    const auto version = number(value, "version");
-    if (!term || !version || text(value, "group").empty() || text(value, "endpoint").empty())
+    const auto list = value.find("rows");
+    if (list == value.end() || !list->is_array())
         return std::nullopt;
-    PrimaryRow row;
-    row.group = DatabaseId(text(value, "group"));
-    row.endpoint = EndpointId(text(value, "endpoint"));
-    row.term = *term;
-    row.writer = DaemonId(text(value, "writer"));
-    row.version = *version;
-    return row;
+    std::vector<PrimaryRow> rows;
+    for (const auto& entry : *list) {
+        const auto row = decodePrimary(entry);
+        if (!row)
+            return std::nullopt;
+        rows.push_back(*row);
+    }
+    return rows;
 }
 
 std::optional<LeaseRenewal> decodeRenewalMessage(const std::string& body)
@@ -164,10 +183,10 @@
         });
 }
 
-void PeerCalls::announce(const SocketAddress& address, const PrimaryRow& row)
+void PeerCalls::announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows)
 {
     this->clientFor(address).send(
-        makeCall(peerPrimaryPath, encodeMessage(row)), suspendTimeout, [](const HttpAnswer&) {});
+        makeCall(peerPrimaryPath, encodeMessage(rows)), suspendTimeout, [](const HttpAnswer&) {});
 }
 
 void PeerCalls::renew(
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -34,14 +34,14 @@
 
 std::string encodeMessage(const SuspendMessage& message);
 std::string encodeMessage(const ReachableQuestion& question);
-std::string encodeMessage(const PrimaryRow& row);
+std::string encodeMessage(const std::vector<PrimaryRow>& rows);
 std::string encodeMessage(const LeaseRenewal& renewal);
 // Answer to a renewal: how the call to the store ended, its version and its clock.
 std::string encodeMessage(const StoreResult& result);
 // The decoders return no value for a body that is not such a message.
 std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body);
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body);
-std::optional<PrimaryRow> decodePrimaryMessage(const std::string& body);
+std::optional<std::vector<PrimaryRow>> decodePrimaryMessage(const std::string& body);
 std::optional<LeaseRenewal> decodeRenewalMessage(const std::string& body);
 std::optional<StoreResult> decodeRenewalAnswer(const std::string& body);
 
@@ -51,7 +51,7 @@
     explicit PeerCalls(asio::io_context& context);
 
     void suspend(const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
-    void announce(const SocketAddress& address, const PrimaryRow& row);
+    void announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows);
     void renew(const SocketAddress& address, const LeaseRenewal& renewal, std::function<Time()> now,
         TableStore::Callback callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -81,3 +81,19 @@
         return true;
     });
 }
+
+TEST_CASE("PeerCalls, keeps announced primaries")
+{
+    const PrimaryRow first { DatabaseId("a"), false, EndpointId("e1"), 3, DaemonId("d1"), 9 };
+    const PrimaryRow second { DatabaseId("b"), false, EndpointId("e2"), 1, DaemonId("d1"), 9 };
+    CHECK(decodePrimaryMessage(encodeMessage({ first, second })) == std::vector<PrimaryRow> { first, second });
+}
+
+// Guards against a daemon that takes part of a damaged announcement for the whole.
+TEST_CASE("PeerCalls, finds no announcement in damaged bodies")
+{
+    for (const char* body : { "", "[]", "{}", "{\"rows\":5}", "{\"rows\":[5]}", "{\"rows\":[{\"group\":\"a\"}]}" }) {
+        CAPTURE(body);
+        CHECK_FALSE(decodePrimaryMessage(body));
+    }
+}
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -68,6 +68,8 @@
     void updatePlacements();
     [[nodiscard]] bool othersKnown() const;
     [[nodiscard]] std::vector<DaemonId> otherOwners(const DatabaseId& group) const;
+    [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
+    [[nodiscard]] bool lacksLease(const GroupScheduler& scheduler, const ScheduledStatement& work) const;
     StatementRunner* runnerOf(const DatabaseId& group);
 
     void listen();
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -58,8 +58,9 @@
                           std::function<void(PeerStatus)> callback) {
         this->peers.suspend(address, { group, claimVersion }, std::move(callback));
     };
-    hooks.announce
-        = [this](const SocketAddress& address, const PrimaryRow& row) { this->peers.announce(address, row); };
+    hooks.announce = [this](const SocketAddress& address, const std::vector<PrimaryRow>& rows) {
+        this->peers.announce(address, rows);
+    };
     hooks.renewAt = [this](const SocketAddress& address, const LeaseRenewal& renewal, TableStore::Callback callback) {
         this->peers.renew(
             address, renewal, [] { return bootNow(); }, std::move(callback));
@@ -137,8 +138,8 @@
             return;
         }
     } else if (request.path == peerPrimaryPath) {
-        if (const auto row = decodePrimaryMessage(request.body)) {
-            this->fleet->onAnnouncement(*row);
+        if (const auto rows = decodePrimaryMessage(request.body)) {
+            this->fleet->onAnnouncement(*rows);
             answer(HttpResponse { 200, "application/json", "{}" });
             return;
         }
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -9,10 +9,15 @@
 std::unique_ptr<StatementForwarder> SessionProxy::makeForwarder(const DatabaseId& id, GroupScheduler& scheduler)
 {
     ForwarderHooks hooks;
-    hooks.owners = [this](const DatabaseId& group) {
+    hooks.owners = [this](const DatabaseId& group, const ScheduledStatement& work) {
         const auto found = this->groups.find(group);
-        const bool remote = found != this->groups.end() && !found->second.placement.ownedHere;
-        return remote ? found->second.placement.owners : std::vector<DaemonId> {};
+        if (found == this->groups.end())
+            return std::vector<DaemonId> {};
+        const auto& placement = found->second.placement;
+        if (placement.ownedHere && !this->lacksLease(*found->second.scheduler, work))
+            return std::vector<DaemonId> {};
+        // Where every daemon owns every group, the others are asked only by a daemon without a lease.
+        return placement.owners.empty() ? this->otherDaemons() : placement.owners;
     };
     hooks.send
         = [this](const DaemonId& owner, const ForwardMessage& message) { return this->links->send(owner, message); };
@@ -35,13 +40,33 @@
             group.forwarder->onLinkLost(owner, established, bootNow());
     };
     hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
-    hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
-        // Without a lease this daemon cannot use the primary; another owner may.
-        return !this->stopping && (!statement.work.needsPrimary || this->fleet->leaseValid(now));
+    hooks.accepts = [this](const ForwardedStatement& statement, Time) {
+        const auto* scheduler = this->schedulerOf(statement.group);
+        return !this->stopping && scheduler != nullptr && !this->lacksLease(*scheduler, statement.work);
     };
     return hooks;
 }
 
+// Whether this daemon cannot run the statement until it has a lease, while another daemon may. This is so for a daemon
+// that has started while the store is slow or away.
+bool SessionProxy::lacksLease(const GroupScheduler& scheduler, const ScheduledStatement& work) const
+{
+    return !this->fleet->leaseValid(bootNow()) && scheduler.needsPrimary(work);
+}
+
+// All other live daemons, those of this data centre first.
+std::vector<DaemonId> SessionProxy::otherDaemons() const
+{
+    std::vector<DaemonId> near;
+    std::vector<DaemonId> far;
+    for (const auto& daemon : this->alive) {
+        if (daemon.id != this->settings.daemon)
+            (daemon.dataCentre == this->settings.dataCentre ? near : far).push_back(daemon.id);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
 StatementRunner* SessionProxy::runnerOf(const DatabaseId& group)
 {
     const auto found = this->groups.find(group);
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -19,6 +19,9 @@
 // Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does
 // not load the store with listings.
 constexpr Duration listingInterval = std::chrono::seconds(4);
+// Time for which the lease row of a daemon that has gone is kept, and rows that are removed at once.
+constexpr std::int64_t lapsedLeaseKeptMs = 600'000;
+constexpr std::size_t maxLapsedRemoved = 40;
 constexpr Duration listingIntervalPerDaemon = std::chrono::milliseconds(250);
 
 } // namespace
@@ -179,17 +182,20 @@
     this->suspend(group, std::move(done));
 }
 
-void FleetController::onAnnouncement(const PrimaryRow& row) { this->applyRow(row); }
+void FleetController::onAnnouncement(const std::vector<PrimaryRow>& rows)
+{
+    for (const auto& row : rows)
+        this->applyRow(row);
+}
 
 void FleetController::listLeases()
 {
-    const Duration usual = listingInterval + listingIntervalPerDaemon * static_cast<int>(this->liveCount);
-    this->nextListing = this->now() + (this->peersKnown() ? usual : secondListing);
+    this->nextListing = this->now() + secondListing;
     this->store.readAll(leaseTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
         if (result.status != StoreStatus::Done) {
-            this->nextListing = std::min(this->nextListing, this->now() + storeRetry);
+            this->nextListing = this->now() + storeRetry;
             return;
         }
         this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
@@ -198,23 +204,59 @@
         // A daemon counts as alive until its lease has ended: renewals come late while the store is slow, and then a
         // shorter limit would take most daemons for dead.
         std::vector<LeaseRow> alive;
+        std::vector<StoreCondition> lapsed;
+        bool ownListed = false;
+        bool othersLapsed = false;
         for (const auto& row : result.rows) {
             const auto lease = decodeLeaseRow(row);
-            if (lease && lease->daemon == this->identity.daemon && !this->renewing)
-                this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
-            if (!lease || lease->daemon == this->identity.daemon || lease->untilStoreMs <= storeMs)
+            if (!lease)
+                continue;
+            if (lease->daemon == this->identity.daemon) {
+                ownListed = true;
+                if (!this->renewing)
+                    this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
                 continue;
+            }
+            if (lease->untilStoreMs <= storeMs) {
+                othersLapsed = true;
+                if (storeMs - lease->untilStoreMs > lapsedLeaseKeptMs && lapsed.size() < maxLapsedRemoved)
+                    lapsed.push_back({ leaseTable, row.key, row.version });
+                continue;
+            }
             this->peers[lease->daemon] = *lease;
             alive.push_back(*lease);
         }
         this->liveCount = alive.size() + 1;
-        ++this->listings;
+        // A daemon that starts again beside others, or after a short loss of all, finds the fleet of before.
+        if (++this->listings == 1)
+            this->firstListComplete = ownListed && !othersLapsed && !alive.empty();
+        if (this->peersSettled()) {
+            const Duration usual = listingInterval + listingIntervalPerDaemon * static_cast<int>(this->liveCount);
+            this->nextListing = this->now() + usual;
+        }
         this->hooks.onLiveDaemons(alive);
+        if (!lapsed.empty() && this->peersSettled() && this->ownRank() == 0)
+            this->removeLapsedLeases(std::move(lapsed));
         if (this->now() >= this->nextRenewal)
             this->renew();
     });
 }
 
+// Removes the rows of daemons that have been gone for long, which would otherwise stay for ever: hosts are replaced
+// under new names every day. A daemon that comes back after all stores a new row.
+void FleetController::removeLapsedLeases(std::vector<StoreCondition> rows)
+{
+    logEvent(LogLevel::Info, "lapsed_leases_removed", { { "count", rows.size() } });
+    StoreChange change;
+    change.conditions = rows;
+    change.removals = std::move(rows);
+    this->store.change(change, [](const StoreResult& result) {
+        // The next listing finds what is left.
+        if (result.status != StoreStatus::Done)
+            logEvent(LogLevel::Info, "lapsed_leases_kept", { { "store_status", static_cast<int>(result.status) } });
+    });
+}
+
 void FleetController::stop(std::function<void()> done)
 {
     this->stopping = true;
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -47,16 +47,16 @@
     void onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done);
     // Request of another daemon to renew its lease together with this daemon's.
     void onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done);
-    // Announcement of a new primary.
-    void onAnnouncement(const PrimaryRow& row);
+    // Announcement of new primaries.
+    void onAnnouncement(const std::vector<PrimaryRow>& rows);
 
     [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
     [[nodiscard]] Time leaseEnd() const { return this->lease.end(); }
     // Whether the leases of the other daemons have been listed.
     [[nodiscard]] bool peersKnown() const { return this->listings > 0; }
-    // Whether they have been listed again since the start. Where all daemons start together, the first list shows those
-    // whose lease was stored a moment earlier only.
-    [[nodiscard]] bool peersSettled() const { return this->listings > 1; }
+    // Whether a list shows the whole fleet. Where all daemons start together for the first time, or after all leases
+    // have ended, the first list shows only those whose lease was stored a moment earlier.
+    [[nodiscard]] bool peersSettled() const { return this->listings > 1 || this->firstListComplete; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
 
@@ -91,6 +91,7 @@
     void readFleet();
     void onFleetRead(const StoreResult& result);
     void listLeases();
+    void removeLapsedLeases(std::vector<StoreCondition> rows);
     void applyRow(const PrimaryRow& row);
     void suspend(const DatabaseId& group, std::function<void()> done);
 
@@ -135,6 +136,7 @@
     bool fleetReading = false;
     bool renewing = false;
     int listings = 0;
+    bool firstListComplete = false;
     bool storeReachable = true;
     bool stopping = false;
     Time nextRenewal;
--- a/src/process/fleet_controller_adoption.cc
+++ b/src/process/fleet_controller_adoption.cc
@@ -7,12 +7,14 @@
 
 namespace {
 
-// Groups adopted by one change of the store. A change holds 100 entries, two for each group and one for the epoch.
+// Groups adopted by one change of the store. A change holds 100 entries, two for each group.
 constexpr std::size_t maxAdoptions = 40;
 // Interval at which groups without a primary are looked for.
 constexpr Duration adoptionInterval = std::chrono::milliseconds(300);
 // Head start of each daemon over the next one, since all daemons notice a new group at the same time.
 constexpr Duration adoptionHeadStart = std::chrono::milliseconds(600);
+// Time without a primary after which a daemon reads the table, and interval at which it does so.
+constexpr Duration missedAnnouncement = std::chrono::seconds(3);
 
 // The endpoint that alone considers itself the primary; no value if there are several or none.
 std::optional<EndpointId> onlyClaimant(const std::vector<EndpointRecord>& records)
@@ -38,17 +40,22 @@
     for (const auto& group : this->hooks.groups()) {
         if (this->rows.count(group) != 0)
             continue;
-        const auto since = this->plannedSince.try_emplace(group, at).first->second;
-        if (at - since < headStart || result.size() >= maxAdoptions)
+        const auto claimant = onlyClaimant(this->hooks.endpointsOf(group));
+        if (!claimant)
             continue;
-        if (const auto claimant = onlyClaimant(this->hooks.endpointsOf(group)))
+        const auto since = this->plannedSince.try_emplace(group, at).first->second;
+        // An announcement may have been lost.
+        if (at - since >= missedAnnouncement && at >= this->nextFleetRead + missedAnnouncement)
+            this->readFleet();
+        if (at - since >= headStart && result.size() < maxAdoptions)
             result.emplace_back(group, *claimant);
     }
     return result;
 }
 
-// Adopts many groups with one change. Each change of the epoch makes every daemon read the fleet table before it can
-// renew its lease, so one change for each group would keep a large fleet from its leases while it starts.
+// Adopts many groups with one change. The epoch stays as it is, since nobody uses a primary that has no row yet: a new
+// epoch makes every daemon read the table before it can renew its lease, which would keep a large fleet from its leases
+// while it starts. The other daemons are told, or read the table when they miss a primary for long.
 void FleetController::adoptGroups(Time at)
 {
     // Before the second list of the leases most daemons would take themselves for the first one.
@@ -90,12 +97,10 @@
         change.conditions.push_back({ fleetTable, encoded.key, 0 });
         change.writes.push_back(encoded);
     }
-    // The other daemons learn the rows with the renewal of their lease.
-    change.writes.push_back({ fleetTable, epochKey, "{}" });
     this->store.change(change, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
-        const auto adopted = std::move(this->adoption->rows);
+        auto adopted = std::move(this->adoption->rows);
         this->adoption.reset();
         this->nextAdoption = this->now();
         if (result.status != StoreStatus::Done) {
@@ -104,13 +109,14 @@
             this->readFleet();
             return;
         }
-        logEvent(LogLevel::Info, "primaries_adopted", { { "groups", adopted.size() }, { "epoch", result.version } });
-        this->epochVersion = std::max(this->epochVersion, result.version);
-        for (auto row : adopted) {
+        logEvent(LogLevel::Info, "primaries_adopted", { { "groups", adopted.size() }, { "version", result.version } });
+        for (auto& row : adopted) {
             row.version = result.version;
             this->plannedSince.erase(row.group);
             this->applyRow(row);
         }
+        for (const auto& [daemon, lease] : this->peers)
+            this->hooks.announce(lease.address, adopted);
     });
 }
 
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -346,3 +346,49 @@
         CHECK(world.usersOfLeader() == 4);
     }
 }
+
+// Guards against rows of replaced hosts that every daemon reads with each list for ever.
+TEST_CASE("FleetController, removes the lease of a daemon that has been gone for long")
+{
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    world.kill(3);
+    world.runFor(60s);
+    CHECK(world.hasRow(leaseTable, "d3"));
+    world.runFor(660s);
+    CHECK_FALSE(world.hasRow(leaseTable, "d3"));
+    CHECK(world.usersOfLeader() == 3);
+    // It serves again if it comes back after all.
+    world.startDaemon(3);
+    world.runFor(4s);
+    CHECK(world.usersOfLeader() == 4);
+}
+
+// Guards against a second list of all leases by every daemon that restarts.
+TEST_CASE("FleetController, takes the first list for complete when it restarts beside others")
+{
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    world.kill(2);
+    world.startDaemon(2);
+    world.runFor(200ms);
+    CHECK(world.daemons[2]->controller->peersSettled());
+    CHECK(world.daemons[2]->controller->liveDaemons() == 4);
+}
+
+TEST_CASE("FleetController, lists the daemons twice when leases have ended while all were down")
+{
+    // Guards against a daemon that starts first after a long loss of all and takes itself for the only one.
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    for (std::size_t i = 0; i < 4; ++i)
+        world.kill(i);
+    world.runFor(20s);
+    for (std::size_t i = 0; i < 4; ++i)
+        world.startDaemon(i);
+    world.runFor(100ms);
+    CHECK_FALSE(world.daemons[0]->controller->peersSettled());
+    world.runFor(2s);
+    for (const auto& daemon : world.daemons)
+        CHECK(daemon->controller->liveDaemons() == 4);
+}
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -51,8 +51,8 @@
     std::function<void(
         const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion, std::function<void(PeerStatus)>)>
         suspendAt;
-    // Tells another daemon the state of a group's primary. Lost messages are made up for by the store.
-    std::function<void(const SocketAddress&, const PrimaryRow&)> announce;
+    // Tells another daemon the primaries of some groups. Lost messages are made up for by the store.
+    std::function<void(const SocketAddress&, const std::vector<PrimaryRow>&)> announce;
     // Asks another daemon to renew this daemon's lease together with those of others. Refused means that it did not do
     // so, Unknown that it did not answer.
     std::function<void(const SocketAddress&, const LeaseRenewal&, TableStore::Callback)> renewAt;
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -167,6 +167,11 @@
         return best;
     }
 
+    [[nodiscard]] bool hasRow(const std::string& table, const std::string& key) const
+    {
+        return this->rows.count({ table, key }) != 0;
+    }
+
     // Running daemons that use the present leader.
     [[nodiscard]] std::size_t usersOfLeader() const
     {
@@ -451,11 +456,11 @@
                     });
             });
         };
-        hooks.announce = [this, index](const SocketAddress& address, const PrimaryRow& row) {
+        hooks.announce = [this, index](const SocketAddress& address, const std::vector<PrimaryRow>& rows) {
             this->announce(index, "announce");
             const auto peer = indexOf(address);
             if (this->peerReachable(index, peer) && this->daemons[peer]->running)
-                this->after(peer, hop, [this, peer, row] { this->daemons[peer]->controller->onAnnouncement(row); });
+                this->after(peer, hop, [this, peer, rows] { this->daemons[peer]->controller->onAnnouncement(rows); });
         };
         hooks.askReachable = [this, index](const SocketAddress& address, const DatabaseId&, const EndpointId& id,
                                  const std::function<void(std::optional<bool>)>& callback) {
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -103,6 +103,12 @@
     [[nodiscard]] SchedulerFigures figures() const;
     [[nodiscard]] const std::optional<EndpointId>& primary() const { return this->primaryId; }
     [[nodiscard]] bool primaryUsable(Time now) const;
+    // Whether only the primary can run the statement, be it for its kind or because no position is known that a
+    // replica would have to hold.
+    [[nodiscard]] bool needsPrimary(const ScheduledStatement& work) const
+    {
+        return this->requirementOf(work).needsPrimary;
+    }
 
     // Sends of one statement, the first included.
     static constexpr int maxAttempts = 4;
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -369,7 +369,7 @@
             row.version = result.version;
             this->context.applyOwnRow(row, result.version);
             for (const auto& peer : this->peers)
-                this->context.hooks.announce(peer, row);
+                this->context.hooks.announce(peer, { row });
             this->end(true);
         } else if (result.status == StoreStatus::Conflict) {
             // An earlier attempt whose answer was lost took effect, or another daemon has claimed the row.
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -48,7 +48,7 @@
 // Sends the statement to the first owner that has not been tried and is reachable, or runs it here.
 void StatementForwarder::offer(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now)
 {
-    for (const auto& owner : this->hooks.owners(this->group)) {
+    for (const auto& owner : this->hooks.owners(this->group, execution->work)) {
         if (tried.size() >= maxOwnersTried)
             break;
         if (std::find(tried.begin(), tried.end(), owner) != tried.end())
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -13,8 +13,8 @@
 
 // What a forwarder asks of its surroundings.
 struct ForwarderHooks {
-    // Daemons that may run the group's statements, the preferred one first. Empty if this daemon runs them itself.
-    std::function<std::vector<DaemonId>(const DatabaseId&)> owners;
+    // Daemons that may run the statement, the preferred one first. Empty if this daemon runs it itself.
+    std::function<std::vector<DaemonId>(const DatabaseId&, const ScheduledStatement&)> owners;
     // Sends a message to a daemon. False if there is no link to it now; nothing was sent then.
     std::function<bool(const DaemonId&, const ForwardMessage&)> send;
     // Returns an identifier that no other connection or statement of the process has.
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -36,7 +36,7 @@
     Fixture()
     {
         ForwarderHooks hooks;
-        hooks.owners = [this](const DatabaseId&) { return this->owners; };
+        hooks.owners = [this](const DatabaseId&, const ScheduledStatement&) { return this->owners; };
         hooks.send = [this](const DaemonId& owner, const ForwardMessage& message) {
             if (this->unreachable.count(owner) != 0)
                 return false;
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -26,7 +26,7 @@
 class TableFeed {
 public:
     // Time that a watch waits for a change. A connection that went silent is noticed earlier, by keep-alive probes.
-    static constexpr Duration watchTime = std::chrono::seconds(20);
+    static constexpr Duration watchTime = std::chrono::seconds(28);
     // Shortest time between two watches. Changes that come in quick succession are read together.
     static constexpr Duration watchSpacing = std::chrono::milliseconds(250);
     // Pause after a call that the store refused or did not answer.
