--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -46,6 +46,20 @@
     CHECK(decodeRenewalAnswer(encodeMessage(result))->status == StoreStatus::Refused);
 }
 
+// Guards against a direct renewal of each daemon, which fails as well, whenever a primary changes.
+TEST_CASE("PeerCalls, tells the epoch that made a renewal fail")
+{
+    StoreResult result;
+    result.status = StoreStatus::Conflict;
+    result.version = 31;
+    result.rows.push_back({ fleetTable, epochKey, "{}", 30 });
+    const auto answer = decodeRenewalAnswer(encodeMessage(result));
+    REQUIRE(answer);
+    CHECK(epochIn(*answer) == 30);
+    result.rows.clear();
+    CHECK(epochIn(*decodeRenewalAnswer(encodeMessage(result))) == 0);
+}
+
 // Guards against a daemon that ends because another one sends rubbish.
 TEST_CASE("PeerCalls, finds no message in bodies that are none")
 {
@@ -67,3 +81,19 @@
         return true;
     });
 }
+
+TEST_CASE("PeerCalls, keeps announced primaries")
+{
+    const PrimaryRow first { DatabaseId("a"), false, EndpointId("e1"), 3, DaemonId("d1"), 9 };
+    const PrimaryRow second { DatabaseId("b"), false, EndpointId("e2"), 1, DaemonId("d1"), 9 };
+    CHECK(decodePrimaryMessage(encodeMessage({ first, second })) == std::vector<PrimaryRow> { first, second });
+}
+
+// Guards against a daemon that takes part of a damaged announcement for the whole.
+TEST_CASE("PeerCalls, finds no announcement in damaged bodies")
+{
+    for (const char* body : { "", "[]", "{}", "{\"rows\":5}", "{\"rows\":[5]}", "{\"rows\":[{\"group\":\"a\"}]}" }) {
+        CAPTURE(body);
+        CHECK_FALSE(decodePrimaryMessage(body));
+    }
+}
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -58,8 +58,9 @@
                           std::function<void(PeerStatus)> callback) {
         this->peers.suspend(address, { group, claimVersion }, std::move(callback));
     };
-    hooks.announce
-        = [this](const SocketAddress& address, const PrimaryRow& row) { this->peers.announce(address, row); };
+    hooks.announce = [this](const SocketAddress& address, const std::vector<PrimaryRow>& rows) {
+        this->peers.announce(address, rows);
+    };
     hooks.renewAt = [this](const SocketAddress& address, const LeaseRenewal& renewal, TableStore::Callback callback) {
         this->peers.renew(
             address, renewal, [] { return bootNow(); }, std::move(callback));
@@ -101,7 +102,15 @@
         else
             drained();
     };
-    hooks.endpointsOf = [this](const DatabaseId& group) { return this->endpointsOf(group); };
+    hooks.endpointsOf = [this](const DatabaseId& group) { return this->directory.recordsOf(group); };
+    hooks.watchedGroups = [this] {
+        std::vector<WatchedGroup> result;
+        for (const auto& [id, group] : this->groups) {
+            if (group.placement.ownedHere || !group.scheduler->isDormant())
+                result.push_back({ id, group.placement.ownedHere });
+        }
+        return result;
+    };
     hooks.groups = [this] {
         std::vector<DatabaseId> result;
         for (const auto& [id, group] : this->groups)
@@ -129,8 +138,8 @@
             return;
         }
     } else if (request.path == peerPrimaryPath) {
-        if (const auto row = decodePrimaryMessage(request.body)) {
-            this->fleet->onAnnouncement(*row);
+        if (const auto rows = decodePrimaryMessage(request.body)) {
+            this->fleet->onAnnouncement(*rows);
             answer(HttpResponse { 200, "application/json", "{}" });
             return;
         }
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -47,16 +47,16 @@
     void onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done);
     // Request of another daemon to renew its lease together with this daemon's.
     void onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done);
-    // Announcement of a new primary.
-    void onAnnouncement(const PrimaryRow& row);
+    // Announcement of new primaries.
+    void onAnnouncement(const std::vector<PrimaryRow>& rows);
 
     [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
     [[nodiscard]] Time leaseEnd() const { return this->lease.end(); }
     // Whether the leases of the other daemons have been listed.
     [[nodiscard]] bool peersKnown() const { return this->listings > 0; }
-    // Whether they have been listed again since the start. Where all daemons start together, the first list shows those
-    // whose lease was stored a moment earlier only.
-    [[nodiscard]] bool peersSettled() const { return this->listings > 1; }
+    // Whether a list shows the whole fleet. Where all daemons start together for the first time, or after all leases
+    // have ended, the first list shows only those whose lease was stored a moment earlier.
+    [[nodiscard]] bool peersSettled() const { return this->listings > 1 || this->firstListComplete; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
 
@@ -65,6 +65,11 @@
         bool drained = false;
         std::vector<std::function<void()>> waiting;
     };
+    // Primaries that are being adopted, with the queries that are outstanding.
+    struct Adoption {
+        std::size_t outstanding = 0;
+        std::vector<PrimaryRow> rows;
+    };
     // Evidence gathered about a doubted primary.
     struct Inquiry {
         std::size_t outstanding = 0;
@@ -84,11 +89,20 @@
     void onRenewed(Time preparedAt, const StoreResult& result);
     void onRenewalConflict(const StoreResult& result);
     void readFleet();
+    void onFleetRead(const StoreResult& result);
     void listLeases();
+    void removeLapsedLeases(std::vector<StoreCondition> rows);
     void applyRow(const PrimaryRow& row);
     void suspend(const DatabaseId& group, std::function<void()> done);
+
+    // fleet_controller_adoption.cc
+    void adoptGroups(Time now);
+    [[nodiscard]] std::vector<std::pair<DatabaseId, EndpointId>> adoptable(Time now);
+    void onAdoptionReport(const DatabaseId& group, const EndpointId& endpoint, const EndpointReport* report);
+    void storeAdoption();
+
+    // fleet_controller_groups.cc
     void watchGroups(Time now);
-    void adopt(const DatabaseId& group);
     void inquire(const DatabaseId& group, const EndpointId& primary);
     [[nodiscard]] std::vector<LeaseRow> opinionHolders(const DatabaseId& group) const;
     void onInquiryAnswer(const DatabaseId& group);
@@ -97,6 +111,7 @@
     void promotionEnded(const DatabaseId& group);
     [[nodiscard]] std::string plannedReason(const PrimaryRow& row) const;
     [[nodiscard]] std::size_t ownRank() const;
+    [[nodiscard]] std::size_t ownRank(const WatchedGroup& group) const;
     [[nodiscard]] PromotionContext promotionContext();
 
     FleetIdentity identity;
@@ -113,12 +128,15 @@
     // Whether the store did not do the last renewal that this daemon asked for directly.
     bool directFailed = false;
     std::uint64_t epochVersion = 0;
+    // Version of the store up to which the fleet table has been read; 0 if it must be read as a whole.
+    std::uint64_t fleetVersion = 0;
     // Version of this daemon's lease row.
     std::uint64_t leaseRowVersion = 0;
     bool fleetKnown = false;
     bool fleetReading = false;
     bool renewing = false;
     int listings = 0;
+    bool firstListComplete = false;
     bool storeReachable = true;
     bool stopping = false;
     Time nextRenewal;
@@ -136,7 +154,8 @@
     // Time before which no new attempt is made for a group.
     std::map<DatabaseId, Time> attemptNotBefore;
     std::map<DatabaseId, Time> plannedSince;
-    std::map<DatabaseId, bool> adopting;
+    std::optional<Adoption> adoption;
+    Time nextAdoption;
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -35,6 +35,15 @@
 // How the platform answered to an order to promote.
 enum class PromotionOutcome { Accepted, Rejected, Unavailable, Unknown };
 
+// Group whose primary a daemon watches.
+struct WatchedGroup {
+    DatabaseId id;
+    // Whether the daemon owns the group's connections. Otherwise it only runs statements of the group at present.
+    bool ownedHere = true;
+
+    bool operator==(const WatchedGroup&) const = default;
+};
+
 // What the fleet controller asks of its surroundings. Every callback runs once, never from inside the call.
 struct FleetHooks {
     // Asks another daemon to stop using the primary of a group, because of the claim with the given row version. Done
@@ -42,8 +51,8 @@
     std::function<void(
         const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion, std::function<void(PeerStatus)>)>
         suspendAt;
-    // Tells another daemon the state of a group's primary. Lost messages are made up for by the store.
-    std::function<void(const SocketAddress&, const PrimaryRow&)> announce;
+    // Tells another daemon the primaries of some groups. Lost messages are made up for by the store.
+    std::function<void(const SocketAddress&, const std::vector<PrimaryRow>&)> announce;
     // Asks another daemon to renew this daemon's lease together with those of others. Refused means that it did not do
     // so, Unknown that it did not answer.
     std::function<void(const SocketAddress&, const LeaseRenewal&, TableStore::Callback)> renewAt;
@@ -68,6 +77,8 @@
     std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
     // Groups of the present configuration.
     std::function<std::vector<DatabaseId>()> groups;
+    // Groups whose primary this daemon watches. In a large fleet a daemon owns or uses few of all groups.
+    std::function<std::vector<WatchedGroup>()> watchedGroups;
     // Whether statements to the primary of a group go unanswered or are refused.
     std::function<bool(const DatabaseId&)> doubtsPrimary;
     // Daemons whose opinion on the primary of a group counts; empty if all daemons use it themselves.
