Give a large fleet its leases together after a loss of all

A daemon without a lease asked the store itself first. Ruled out: leases in parts of their own, since a renewal is conditional on the epoch row and a change keeps to one part. Change: in a fleet of more than 16 a daemon without a lease asks the daemon that renews for its part first, for 400 ms at most; a refused connection leads to a direct call at once. Renewals gather while the store works on the call before. Each daemon logs when it has its lease and how long it waited.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -189,11 +189,11 @@
         makeCall(peerPrimaryPath, encodeMessage(rows)), suspendTimeout, [](const HttpAnswer&) {});
 }
 
-void PeerCalls::renew(
-    const SocketAddress& address, const LeaseRenewal& renewal, std::function<Time()> now, TableStore::Callback callback)
+void PeerCalls::renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout,
+    std::function<Time()> now, TableStore::Callback callback)
 {
     const auto sentAt = now();
-    this->clientFor(address).send(makeCall(peerRenewPath, encodeMessage(renewal)), renewTimeout,
+    this->clientFor(address).send(makeCall(peerRenewPath, encodeMessage(renewal)), timeout,
         [callback = std::move(callback), now = std::move(now), sentAt](const HttpAnswer& answer) {
             auto result = decodeRenewalAnswer(answer.body).value_or(StoreResult());
             if (answer.connectionRefused)
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -52,7 +52,7 @@
 
     void suspend(const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
     void announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows);
-    void renew(const SocketAddress& address, const LeaseRenewal& renewal, std::function<Time()> now,
+    void renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout, std::function<Time()> now,
         TableStore::Callback callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
@@ -60,8 +60,6 @@
 private:
     // Longest wait for a daemon. It exceeds the time that another daemon may need to drain its statements.
     static constexpr Duration suspendTimeout = std::chrono::milliseconds(450);
-    // Longest wait for a renewal. It exceeds the time for which renewals wait for each other and that of a slow store.
-    static constexpr Duration renewTimeout = std::chrono::milliseconds(1500);
     // Longest wait for an opinion. It exceeds the time that the other daemon gives the endpoint.
     static constexpr Duration reachableTimeout = std::chrono::milliseconds(500);
 
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -61,9 +61,10 @@
     hooks.announce = [this](const SocketAddress& address, const std::vector<PrimaryRow>& rows) {
         this->peers.announce(address, rows);
     };
-    hooks.renewAt = [this](const SocketAddress& address, const LeaseRenewal& renewal, TableStore::Callback callback) {
+    hooks.renewAt = [this](const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout,
+                        TableStore::Callback callback) {
         this->peers.renew(
-            address, renewal, [] { return bootNow(); }, std::move(callback));
+            address, renewal, timeout, [] { return bootNow(); }, std::move(callback));
     };
     hooks.askReachable = [this](const SocketAddress& address, const DatabaseId& group, const EndpointId& endpoint,
                              std::function<void(std::optional<bool>)> callback) {
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -42,6 +42,7 @@
 
 void FleetController::start()
 {
+    this->leaseWantedSince = this->now();
     this->readFleet();
     this->listLeases();
 }
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -130,6 +130,8 @@
     std::uint64_t epochVersion = 0;
     // Version of the store up to which the fleet table has been read; 0 if it must be read as a whole.
     std::uint64_t fleetVersion = 0;
+    // Start of the controller, or end of the last lease.
+    Time leaseWantedSince;
     // Version of this daemon's lease row.
     std::uint64_t leaseRowVersion = 0;
     bool fleetKnown = false;
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -11,6 +11,12 @@
 
 // Pause before a failed renewal is repeated.
 constexpr Duration renewalRetry = std::chrono::milliseconds(300);
+// Daemons that may all ask the store for their lease at once.
+constexpr std::size_t largestDirectFleet = 16;
+// Longest wait for the delegate. It exceeds the time for which renewals wait for each other and that of a slow store.
+constexpr Duration renewTimeout = std::chrono::milliseconds(1500);
+// The same for a daemon without a lease, as long as the store is not known to be slow: the delegate's host may be down.
+constexpr Duration urgentRenewTimeout = std::chrono::milliseconds(400);
 // Time for which no other daemon is asked to renew the lease after one did not answer.
 constexpr Duration delegatePause = std::chrono::seconds(10);
 
@@ -58,9 +64,11 @@
     this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
     const auto delegate = this->leaseDelegate();
     const auto renewal = this->makeRenewal(preparedAt);
-    // A daemon without a lease asks the store itself first: after a loss of power the delegate may be down, and only a
-    // slow store, which refuses what is too much, makes it worth the wait for others.
-    if (!delegate || (renewal.urgent && !this->directFailed)) {
+    // A daemon without a lease asks the store itself first in a small fleet: after a loss of power the delegate may be
+    // down, and only a slow store makes it worth the wait for others. The leases of a large fleet, one by one, would
+    // take longer than that: the store makes 200 changes a second in one part.
+    const bool mayAskDirectly = this->liveCount <= largestDirectFleet && !this->directFailed;
+    if (!delegate || (renewal.urgent && mayAskDirectly)) {
         this->renewDirectly();
         return;
     }
@@ -87,7 +95,8 @@
     if (*delegate == this->identity.daemon)
         this->batch.add(renewal, preparedAt, answered);
     else
-        this->hooks.renewAt(this->peers.at(*delegate).address, renewal, answered);
+        this->hooks.renewAt(this->peers.at(*delegate).address, renewal,
+            renewal.urgent && !this->directFailed ? urgentRenewTimeout : renewTimeout, answered);
 }
 
 void FleetController::renewDirectly()
@@ -127,8 +136,13 @@
     if (reached)
         this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
     if (result.status == StoreStatus::Done) {
+        if (!this->lease.isValid(this->now()))
+            logEvent(LogLevel::Info, "lease_acquired",
+                { { "epoch", this->epochVersion },
+                    { "waited_ms", toMilliseconds(this->now() - this->leaseWantedSince) } });
         this->lease.onRenewed(preparedAt);
         this->leaseRowVersion = result.version;
+        this->leaseWantedSince = this->lease.end();
         return;
     }
     this->nextRenewal = this->now();
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -392,3 +392,37 @@
     for (const auto& daemon : world.daemons)
         CHECK(daemon->controller->liveDaemons() == 4);
 }
+
+// Guards against a large fleet whose daemons get their leases one after the other when all have lost power: the store
+// makes 200 changes a second in one part, so that the last of 78 daemons waited for 400 ms.
+TEST_CASE("FleetController, gives many daemons their leases with few changes after a loss of all")
+{
+    constexpr std::size_t daemonCount = 78;
+    FleetSimulation world(daemonCount);
+    world.runFor(warmUp);
+    for (std::size_t i = 0; i < daemonCount; ++i)
+        world.kill(i);
+    world.runFor(2s);
+    const auto before = world.calls["change"];
+    for (std::size_t i = 0; i < daemonCount; ++i)
+        world.startDaemon(i);
+    world.runFor(300ms);
+    CHECK(world.usersOfLeader() == daemonCount);
+    CHECK(world.calls["change"] - before <= daemonCount / 10);
+}
+
+// Guards against daemons that wait for a delegate whose host stays down.
+TEST_CASE("FleetController, serves soon after a loss of all although the daemon that renews for others is gone")
+{
+    constexpr std::size_t daemonCount = 30;
+    FleetSimulation world(daemonCount);
+    world.runFor(warmUp);
+    for (std::size_t i = 0; i < daemonCount; ++i)
+        world.kill(i);
+    world.runFor(2s);
+    world.daemons[0]->cutFromPeers = true;
+    for (std::size_t i = 1; i < daemonCount; ++i)
+        world.startDaemon(i);
+    world.runFor(600ms);
+    CHECK(world.usersOfLeader() == daemonCount - 1);
+}
--- a/src/process/fleet_link.h
+++ b/src/process/fleet_link.h
@@ -54,8 +54,8 @@
     // Tells another daemon the primaries of some groups. Lost messages are made up for by the store.
     std::function<void(const SocketAddress&, const std::vector<PrimaryRow>&)> announce;
     // Asks another daemon to renew this daemon's lease together with those of others. Refused means that it did not do
-    // so, Unknown that it did not answer.
-    std::function<void(const SocketAddress&, const LeaseRenewal&, TableStore::Callback)> renewAt;
+    // so, Unknown that it did not answer in the given time.
+    std::function<void(const SocketAddress&, const LeaseRenewal&, Duration timeout, TableStore::Callback)> renewAt;
     // Asks another daemon whether it reaches an endpoint; no value if the daemon does not answer.
     std::function<void(
         const SocketAddress&, const DatabaseId&, const EndpointId&, std::function<void(std::optional<bool>)>)>
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -429,7 +429,7 @@
                 });
             });
         };
-        hooks.renewAt = [this, index](const SocketAddress& address, const LeaseRenewal& renewal,
+        hooks.renewAt = [this, index](const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout,
                             const TableStore::Callback& callback) {
             this->announce(index, "renew");
             const auto peer = indexOf(address);
@@ -446,7 +446,7 @@
                 this->after(index, hop, [answer] { answer({ StoreStatus::Refused }); });
                 return;
             }
-            this->after(index, renewTimeout, [answer] { answer({ StoreStatus::Unknown }); });
+            this->after(index, timeout, [answer] { answer({ StoreStatus::Unknown }); });
             if (!this->peerReachable(index, peer))
                 return;
             this->after(peer, hop, [this, index, peer, renewal, answer] {
@@ -587,7 +587,6 @@
     // Time for a message between two processes, and longest wait for another daemon.
     static constexpr Duration hop = std::chrono::milliseconds(1);
     static constexpr Duration peerTimeout = std::chrono::milliseconds(450);
-    static constexpr Duration renewTimeout = std::chrono::milliseconds(1500);
     static constexpr std::size_t noDaemon = SIZE_MAX;
     // Violations that are kept; one fault causes many.
     static constexpr std::size_t maxViolations = 5;
--- a/src/process/lease_batch.cc
+++ b/src/process/lease_batch.cc
@@ -49,7 +49,19 @@
     if (this->timer != 0)
         this->timers.cancel(this->timer);
     this->due = latest;
-    this->timer = this->timers.subscribeAt(latest, [this](Time) {
+    this->timer = this->timers.subscribeAt(latest, [this](Time at) {
+        this->timer = 0;
+        this->onDue(at);
+    });
+}
+
+void LeaseBatch::onDue(Time now)
+{
+    if (this->underWay == 0 || now >= this->due + busyWait) {
+        this->flush();
+        return;
+    }
+    this->timer = this->timers.subscribeAt(this->due + busyWait, [this](Time) {
         this->timer = 0;
         this->flush();
     });
@@ -65,10 +77,18 @@
         renewals.push_back(entry.renewal);
         callbacks.push_back(std::move(entry.callback));
     }
-    this->store.change(renewalChange(renewals), [callbacks = std::move(callbacks)](const StoreResult& result) {
-        for (const auto& callback : callbacks)
-            callback(result);
-    });
+    ++this->underWay;
+    this->store.change(renewalChange(renewals),
+        [this, weak = std::weak_ptr<int>(this->lifetime), callbacks = std::move(callbacks)](const StoreResult& result) {
+            if (weak.expired())
+                return;
+            --this->underWay;
+            for (const auto& callback : callbacks)
+                callback(result);
+            // What became due meanwhile has waited for this answer.
+            if (!weak.expired() && !this->waiting.empty() && result.answeredAt >= this->due)
+                this->flush();
+        });
 }
 
 } // namespace endivetrestle
--- a/src/process/lease_batch.h
+++ b/src/process/lease_batch.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace endivetrestle {
@@ -38,6 +39,9 @@
     // Longest time that a renewal waits for others, if its daemon has a valid lease and if it has none.
     static constexpr Duration window = std::chrono::milliseconds(300);
     static constexpr Duration urgentWindow = std::chrono::milliseconds(20);
+    // Longest time that renewals wait beyond that for the answer to the call before. Where many daemons start at once,
+    // the calls grow with the time that the store takes.
+    static constexpr Duration busyWait = std::chrono::milliseconds(100);
 
     LeaseBatch(TableStore& store, TimerService& timers);
     ~LeaseBatch();
@@ -54,6 +58,7 @@
         Callback callback;
     };
 
+    void onDue(Time now);
     void flush();
 
     TableStore& store;
@@ -61,6 +66,9 @@
     std::vector<Entry> waiting;
     Time due;
     std::uint64_t timer = 0;
+    // Calls without an answer.
+    int underWay = 0;
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
 } // namespace endivetrestle
--- a/src/process/lease_batch_test.cc
+++ b/src/process/lease_batch_test.cc
@@ -105,3 +105,33 @@
     constexpr std::size_t storeLimit = 100;
     CHECK(change.conditions.size() + change.writes.size() <= storeLimit);
 }
+
+// Guards against one call for each twenty milliseconds in which daemons of a large fleet start, which the store does
+// one after the other.
+TEST_CASE("LeaseBatch, gathers what comes while the store works on the call before")
+{
+    Fixture fixture;
+    fixture.add(Fixture::renewalOf("a", 5, true));
+    fixture.advance(LeaseBatch::urgentWindow);
+    REQUIRE(fixture.store.changes.size() == 1);
+    fixture.add(Fixture::renewalOf("b", 5, true));
+    fixture.advance(LeaseBatch::urgentWindow + 10ms);
+    fixture.add(Fixture::renewalOf("c", 5, true));
+    CHECK(fixture.store.changes.size() == 1);
+    StoreResult done { StoreStatus::Done };
+    done.answeredAt = fixture.now;
+    fixture.store.callbacks.front()(done);
+    REQUIRE(fixture.store.changes.size() == 2);
+    CHECK(fixture.store.changes.back().writes.size() == 2);
+}
+
+// Guards against leases that wait for an answer which was lost.
+TEST_CASE("LeaseBatch, does not wait long for an answer that does not come")
+{
+    Fixture fixture;
+    fixture.add(Fixture::renewalOf("a", 5, true));
+    fixture.advance(LeaseBatch::urgentWindow);
+    fixture.add(Fixture::renewalOf("b", 5, true));
+    fixture.advance(LeaseBatch::urgentWindow + LeaseBatch::busyWait);
+    CHECK(fixture.store.changes.size() == 2);
+}
