Wait less long for the connection to the daemon that renews for others

Change: the connection is waited for 40 ms; what was not sent counts as not done and is asked of the store directly.

--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -105,7 +105,7 @@
             this->write(sequence);
             return;
         }
-        this->failAfter(std::min(left, connectTimeout), sequence);
+        this->failAfter(std::min(left, pending.call.connectLimit.value_or(connectTimeout)), sequence);
         this->connect(sequence);
     }
 
--- a/src/edge/loop_http_client.h
+++ b/src/edge/loop_http_client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +21,8 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    // Longest wait for the connection, if it is shorter than usual.
+    std::optional<Duration> connectLimit;
 };
 
 // Answer to an outgoing request.
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -193,10 +193,14 @@
     std::function<Time()> now, TableStore::Callback callback)
 {
     const auto sentAt = now();
-    this->clientFor(address).send(makeCall(peerRenewPath, encodeMessage(renewal)), timeout,
+    auto call = makeCall(peerRenewPath, encodeMessage(renewal));
+    if (renewal.urgent)
+        call.connectLimit = urgentConnectLimit;
+    this->clientFor(address).send(std::move(call), timeout,
         [callback = std::move(callback), now = std::move(now), sentAt](const HttpAnswer& answer) {
             auto result = decodeRenewalAnswer(answer.body).value_or(StoreResult());
-            if (answer.connectionRefused)
+            // What was not sent has not been done.
+            if (answer.status == 0 && !answer.mayHaveRun)
                 result.status = StoreStatus::Refused;
             result.sentAt = sentAt;
             result.answeredAt = now();
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -60,6 +60,9 @@
 private:
     // Longest wait for a daemon. It exceeds the time that another daemon may need to drain its statements.
     static constexpr Duration suspendTimeout = std::chrono::milliseconds(450);
+    // Longest wait for the connection when a daemon without a lease asks another one to renew it: a host without power
+    // lets connections hang, one that runs accepts them within some milliseconds.
+    static constexpr Duration urgentConnectLimit = std::chrono::milliseconds(40);
     // Longest wait for an opinion. It exceeds the time that the other daemon gives the endpoint.
     static constexpr Duration reachableTimeout = std::chrono::milliseconds(500);
 
