Do not replace a primary that has just been replaced; use one that leads at once

The reason was not checked again once the duty was held. (2) A crashed primary came back under a new name with its log and its lead; the replacement waited 2.5 s to see whether its order would change anything. Ruled out for (1): a race at the store, whose conditions hold; the claim named the version of the new row. Change: a replacement begins only if the row still has the version on which it was decided. An endpoint that leads already is used at once if all registered endpoints have answered and no earlier order can have made another one lead. Tests, failing before: 40 moments at which another daemon misses the announcement (two replacements in each); a successor with the lead (nobody uses it after 1.5 s).

--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -72,6 +72,8 @@
     };
     // Evidence gathered about a doubted primary.
     struct Inquiry {
+        // The row whose primary is doubted.
+        PrimaryRow row;
         std::size_t outstanding = 0;
         int reachable = 0;
         int unreachable = 0;
@@ -103,11 +105,11 @@
 
     // fleet_controller_groups.cc
     void watchGroups(Time now);
-    void inquire(const DatabaseId& group, const EndpointId& primary);
+    void inquire(const PrimaryRow& row);
     [[nodiscard]] std::vector<LeaseRow> opinionHolders(const DatabaseId& group) const;
     void onInquiryAnswer(const DatabaseId& group);
-    void startPromotion(const DatabaseId& group, const std::string& reason);
-    void runPromotion(const DatabaseId& group, const std::string& reason);
+    void startPromotion(const PrimaryRow& decidedOn, const std::string& reason);
+    void runPromotion(const PrimaryRow& decidedOn, const std::string& reason);
     void promotionEnded(const DatabaseId& group);
     [[nodiscard]] std::string plannedReason(const PrimaryRow& row) const;
     [[nodiscard]] std::size_t ownRank() const;
--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -30,19 +30,19 @@
         const auto& row = found->second;
         if (row.replacing) {
             if (at - this->replacingSince[group] > takeOverAfter)
-                this->startPromotion(group, "unfinished");
+                this->startPromotion(row, "unfinished");
             continue;
         }
         const auto planned = this->plannedReason(row);
         if (planned.empty()) {
             this->plannedSince.erase(group);
             if (this->hooks.doubtsPrimary(group))
-                this->inquire(group, row.endpoint);
+                this->inquire(row);
             continue;
         }
         const auto since = this->plannedSince.try_emplace(group, at).first->second;
         if (at - since >= plannedHeadStart * this->ownRank(watched))
-            this->startPromotion(group, planned);
+            this->startPromotion(row, planned);
     }
 }
 
@@ -91,12 +91,15 @@
     return holders;
 }
 
-void FleetController::inquire(const DatabaseId& group, const EndpointId& primary)
+void FleetController::inquire(const PrimaryRow& row)
 {
+    const auto group = row.group;
+    const auto primary = row.endpoint;
     if (this->inquiries.count(group) != 0)
         return;
     const auto records = this->hooks.endpointsOf(group);
     auto& inquiry = this->inquiries[group];
+    inquiry.row = row;
     const auto asked = this->opinionHolders(group);
     inquiry.outstanding = asked.size() + records.size();
     const std::weak_ptr<int> weak = this->lifetime;
@@ -143,20 +146,20 @@
             { "unreachable_votes", result.unreachable }, { "silent_daemons", result.silent },
             { "replicas_reached", result.replicas }, { "replace", replace ? 1 : 0 } });
     if (replace)
-        this->startPromotion(group, "unreachable");
+        this->startPromotion(result.row, "unreachable");
     else
         this->attemptNotBefore[group] = this->now() + attemptPause;
 }
 
-void FleetController::startPromotion(const DatabaseId& group, const std::string& reason)
+void FleetController::startPromotion(const PrimaryRow& decidedOn, const std::string& reason)
 {
-    this->attemptNotBefore[group] = this->now() + attemptPause;
+    this->attemptNotBefore[decidedOn.group] = this->now() + attemptPause;
     if (this->duty.isHeld(this->now())) {
-        this->runPromotion(group, reason);
+        this->runPromotion(decidedOn, reason);
         return;
     }
     this->store.readAll(
-        leaseTable, [this, group, reason, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+        leaseTable, [this, decidedOn, reason, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
             if (weak.expired() || result.status != StoreStatus::Done)
                 return;
             this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
@@ -165,18 +168,28 @@
                 if (const auto decoded = decodeDutyRow(row))
                     present = *decoded;
             }
-            this->duty.acquire(present, this->clock, this->now(), [this, group, reason, weak](bool held) {
+            this->duty.acquire(present, this->clock, this->now(), [this, decidedOn, reason, weak](bool held) {
                 if (!weak.expired() && held)
-                    this->runPromotion(group, reason);
+                    this->runPromotion(decidedOn, reason);
             });
         });
 }
 
-void FleetController::runPromotion(const DatabaseId& group, const std::string& reason)
+// Begins a replacement if the row is still the one on which it was decided. While this daemon asked for the duty,
+// another one may have replaced the primary, and replacing the new one would roll acknowledged writes back.
+void FleetController::runPromotion(const PrimaryRow& decidedOn, const std::string& reason)
 {
+    const auto& group = decidedOn.group;
     const auto found = this->rows.find(group);
-    if (this->stopping || found == this->rows.end() || this->promotions.count(group) != 0)
+    const bool same = found != this->rows.end() && found->second.version == decidedOn.version;
+    if (this->stopping || !same || this->promotions.count(group) != 0) {
+        logEvent(LogLevel::Info, "promotion_not_needed",
+            { { "group", group.value }, { "reason", reason }, { "decided_on", decidedOn.version },
+                { "present", found == this->rows.end() ? 0 : found->second.version } });
+        if (this->promotions.empty())
+            this->duty.giveBack();
         return;
+    }
     auto promotion = std::make_unique<Promotion>(
         this->promotionContext(), found->second, reason, [this, group](bool) { this->promotionEnded(group); });
     auto& running = this->promotions[group] = std::move(promotion);
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -426,3 +426,39 @@
     world.runFor(600ms);
     CHECK(world.usersOfLeader() == daemonCount - 1);
 }
+
+// Guards against a second replacement, which rolls acknowledged writes back: a daemon that found the first one
+// unfinished got the duty just after it had ended, and replaced the new primary (qpvsa-gasket-grown inc-63b0).
+TEST_CASE("FleetController, does not replace a primary again that was replaced while it asked for the duty")
+{
+    constexpr int cases = 40;
+    for (int i = 0; i < cases; ++i) {
+        FleetSimulation world(4);
+        world.runFor(warmUp);
+        world.storeLatency = 150ms;
+        // The replacement ends at a different moment of the others' attempts in each case.
+        world.promoteDelay = 2600ms + i * 20ms;
+        world.endpoints[e1].draining = true;
+        // One daemon misses the announcement and learns the new primary from the store a moment later.
+        world.onCall = [&world](std::size_t, const std::string& call) {
+            world.daemons[3]->cutFromPeers = world.daemons[3]->cutFromPeers || call == "announce";
+        };
+        world.runFor(15s);
+        CAPTURE(i);
+        CHECK(world.leader() != e1);
+        CHECK(world.promotions == 1);
+    }
+}
+
+// Guards against 2.5 s without writes after a crashed primary has come back under a new name with its log and its lead.
+TEST_CASE("FleetController, uses an endpoint at once that leads already when all endpoints have answered")
+{
+    FleetSimulation world(4);
+    world.runFor(warmUp);
+    const EndpointId successor("e4");
+    world.endpoints[successor] = world.endpoints[e1];
+    world.endpoints.erase(e1);
+    world.runFor(1500ms);
+    CHECK(world.usersOfLeader() == 4);
+    CHECK(world.violations.empty());
+}
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -237,6 +237,8 @@
         return;
     }
     this->highestTerm = this->base.term;
+    const bool allAnswered = this->reports.size() == this->context.hooks.endpointsOf(this->base.group).size();
+    this->leadIsCertain = allAnswered && !this->base.replacing && this->ordered.empty();
     const EndpointReport* best = nullptr;
     for (const auto& [id, report] : this->reports) {
         this->highestTerm = std::max(this->highestTerm, report.term);
@@ -334,9 +336,10 @@
         this->base.group, this->candidate, this->guarded([this](const std::optional<EndpointReport>& report) {
             const auto waited = this->context.now() - this->stepStartedAt;
             const bool leadsAnew = report && report->isPrimary && report->term > this->highestTerm;
-            // An order for the endpoint that leads already changes nothing, unless an unreachable endpoint leads a
-            // higher term; then the effect comes after a while.
-            const bool leadsStill = report && report->isPrimary && this->alreadyLeads && waited > settleTime;
+            // An order for the endpoint that leads already changes nothing, unless an endpoint that did not answer
+            // leads a higher term; then the effect comes after a while.
+            const bool leadsStill
+                = report && report->isPrimary && this->alreadyLeads && (this->leadIsCertain || waited > settleTime);
             if (leadsAnew || leadsStill) {
                 this->record(report->term);
                 return;
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -110,6 +110,8 @@
     EndpointId candidate;
     // Highest term that an endpoint reported, and whether the candidate leads it already.
     std::uint64_t highestTerm = 0;
+    // Whether every registered endpoint has answered the last query.
+    bool allAnswered = false;
     bool alreadyLeads = false;
 };
 
