Tie the certain lead of a candidate to the attempt's own orders

Change: the missing members, and the wait is left out only in an attempt that has found a steady row and has ordered no endpoint yet.

--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -310,6 +310,7 @@
         this->later(orderRetry, [this] { this->order(); });
         return;
     }
+    this->ordered.insert(this->candidate);
     this->context.hooks.promote(
         this->base.group, this->candidate, this->context.duty.token(), this->guarded([this](PromotionOutcome outcome) {
             switch (outcome) {
@@ -336,8 +337,8 @@
         this->base.group, this->candidate, this->guarded([this](const std::optional<EndpointReport>& report) {
             const auto waited = this->context.now() - this->stepStartedAt;
             const bool leadsAnew = report && report->isPrimary && report->term > this->highestTerm;
-            // An order for the endpoint that leads already changes nothing, unless an endpoint that did not answer
-            // leads a higher term; then the effect comes after a while.
+            // An order for the endpoint that leads already changes nothing, unless an earlier order has made another
+            // endpoint lead a higher term; then the effect comes after a while.
             const bool leadsStill
                 = report && report->isPrimary && this->alreadyLeads && (this->leadIsCertain || waited > settleTime);
             if (leadsAnew || leadsStill) {
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -107,11 +107,13 @@
     std::size_t queriesOutstanding = 0;
     std::map<EndpointId, EndpointReport> reports;
     std::set<EndpointId> rejected;
+    // Endpoints that this attempt has ordered to lead.
+    std::set<EndpointId> ordered;
     EndpointId candidate;
     // Highest term that an endpoint reported, and whether the candidate leads it already.
     std::uint64_t highestTerm = 0;
-    // Whether every registered endpoint has answered the last query.
-    bool allAnswered = false;
+    // Whether no other endpoint can lead a higher term: all have answered and none has been ordered to lead.
+    bool leadIsCertain = false;
     bool alreadyLeads = false;
 };
 
