Let a silent daemon delay a replacement for 6 s instead of 13 s

Ruled out: a shorter lease for all, with which an outage of the store of 9 s stops all writes; opinions of any one daemon, which two cut-off daemons could give each other. Change: a renewal holds for 6 s by itself, and for 13 s as long as half of the other daemons, 16 at most, witness every 2 s that they know of no newer claim. The number is stored with the lease. The replacing daemon passes silent daemons over when their leases are older than 6 s, the others have confirmed 2 s ago, and the silent ones are too few to be each other's witnesses; otherwise it waits as before. A stopping daemon stops using primaries before its lease row goes (before, it could acknowledge for some milliseconds after).

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -208,6 +208,15 @@
         });
 }
 
+void PeerCalls::askWitness(const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback)
+{
+    this->clientFor(address).send(
+        makeCall(peerWitnessPath, "{}"), suspendTimeout, [callback = std::move(callback)](const HttpAnswer& answer) {
+            const auto body = json::parse(answer.body, nullptr, false);
+            callback(body.is_object() ? number(body, "claim") : std::nullopt);
+        });
+}
+
 void PeerCalls::askReachable(
     const SocketAddress& address, const ReachableQuestion& question, std::function<void(std::optional<bool>)> callback)
 {
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -13,6 +13,7 @@
 // Paths of the calls between daemons.
 inline constexpr const char* peerSuspendPath = "/peer/suspend";
 inline constexpr const char* peerPrimaryPath = "/peer/primary";
+inline constexpr const char* peerWitnessPath = "/peer/witness";
 inline constexpr const char* peerReachablePath = "/peer/reachable";
 inline constexpr const char* peerRenewPath = "/peer/renew";
 
@@ -54,6 +55,7 @@
     void announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows);
     void renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout, std::function<Time()> now,
         TableStore::Callback callback);
+    void askWitness(const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
 
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -66,6 +66,10 @@
         this->peers.renew(
             address, renewal, timeout, [] { return bootNow(); }, std::move(callback));
     };
+    hooks.askWitness
+        = [this](const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback) {
+              this->peers.askWitness(address, std::move(callback));
+          };
     hooks.askReachable = [this](const SocketAddress& address, const DatabaseId& group, const EndpointId& endpoint,
                              std::function<void(std::optional<bool>)> callback) {
         this->peers.askReachable(address, { group, endpoint }, std::move(callback));
@@ -151,6 +155,11 @@
             });
             return;
         }
+    } else if (request.path == peerWitnessPath) {
+        const auto claim = this->fleet->witnessClaims();
+        answer(HttpResponse {
+            200, "application/json", claim ? "{\"claim\":" + std::to_string(*claim) + "}" : std::string("{}") });
+        return;
     } else if (request.path == peerReachablePath) {
         if (const auto question = decodeReachableQuestion(request.body)) {
             this->queryEndpoint(question->group, question->endpoint,
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -14,6 +14,8 @@
 constexpr Duration replacingPoll = std::chrono::milliseconds(300);
 // Rows in the longest answer of a feed.
 constexpr std::size_t maxChangedRows = 500;
+// Time beyond that after which a daemon reads it that neither owns nor uses the group.
+constexpr Duration unwatchedPoll = std::chrono::milliseconds(1700);
 // Time from the start to the second list of the leases.
 constexpr Duration secondListing = std::chrono::milliseconds(1500);
 // Interval at which the leases of all daemons are listed, and its increase for each daemon, so that a large fleet does
@@ -50,20 +52,33 @@
 void FleetController::tick()
 {
     const auto at = this->now();
-    const bool replacing
-        = std::any_of(this->rows.begin(), this->rows.end(), [](const auto& entry) { return entry.second.replacing; });
-    if ((!this->fleetKnown || replacing) && at >= this->nextFleetRead)
+    if (!this->fleetKnown && at >= this->nextFleetRead)
         this->readFleet();
+    // Announcements tell of new primaries; the table makes up for lost ones, soon where statements wait for them.
+    if (!this->suspensions.empty() && at >= this->nextFleetRead) {
+        const bool soon = this->waitsForReplacement();
+        if (soon || at >= this->nextFleetRead + unwatchedPoll)
+            this->readFleet();
+    }
     if (at >= this->nextRenewal)
         this->renew();
     if (at >= this->nextListing)
         this->listLeases();
+    this->askWitnesses(at);
     if (!this->fleetKnown || this->stopping || !this->lease.isValid(at))
         return;
     this->adoptGroups(at);
     this->watchGroups(at);
 }
 
+// Whether a primary is being replaced that this daemon watches.
+bool FleetController::waitsForReplacement() const
+{
+    const auto watched = this->hooks.watchedGroups();
+    return std::any_of(watched.begin(), watched.end(),
+        [&](const WatchedGroup& group) { return this->suspensions.count(group.id) != 0; });
+}
+
 // Reads what has changed in the fleet table since the last time, or the whole table the first time. A change of one
 // group's primary thus costs each daemon one row, however many groups there are.
 void FleetController::readFleet()
@@ -110,6 +125,7 @@
             this->applyRow(*primary);
     }
     this->epochVersion = std::max(this->epochVersion, epoch);
+    this->noteClaim(epoch);
     this->fleetVersion = std::max(this->fleetVersion, result.version);
     if (!this->fleetKnown)
         logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
@@ -126,6 +142,7 @@
         return;
     this->rows[row.group] = row;
     if (row.replacing) {
+        this->noteClaim(row.version);
         this->replacingSince.try_emplace(row.group, this->now());
         this->suspend(row.group, nullptr);
         return;
@@ -178,6 +195,7 @@
         row.group = group;
         row.replacing = true;
         row.version = claimVersion;
+        this->noteClaim(claimVersion);
         this->replacingSince.try_emplace(group, this->now());
     }
     this->suspend(group, std::move(done));
@@ -264,6 +282,8 @@
     // A replacement in progress is taken over by another daemon.
     this->promotions.clear();
     this->duty.giveBack();
+    // Once the row is gone nobody waits for this daemon, so it stops using primaries before that.
+    this->lease = PrimaryLease();
     StoreChange change;
     change.removals.push_back({ leaseTable, this->identity.daemon.value });
     this->store.change(change, [done = std::move(done)](const StoreResult&) { done(); });
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -47,6 +47,9 @@
     void onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done);
     // Request of another daemon to renew its lease together with this daemon's.
     void onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done);
+    // Version of the newest claim that this daemon knows, for a daemon that needs witnesses. No value without a lease:
+    // only daemons with a lease are told of claims.
+    [[nodiscard]] std::optional<std::uint64_t> witnessClaims() const;
     // Announcement of new primaries.
     void onAnnouncement(const std::vector<PrimaryRow>& rows);
 
@@ -88,10 +91,14 @@
     void renewDirectly();
     [[nodiscard]] LeaseRenewal makeRenewal(Time preparedAt) const;
     [[nodiscard]] std::optional<DaemonId> leaseDelegate() const;
-    void onRenewed(Time preparedAt, const StoreResult& result);
+    void onRenewed(Time preparedAt, int witnesses, const StoreResult& result);
     void onRenewalConflict(const StoreResult& result);
+    void askWitnesses(Time now);
+    void onWitness(Time askedAt, std::optional<std::uint64_t> claim);
+    void noteClaim(std::uint64_t version);
     void readFleet();
     void onFleetRead(const StoreResult& result);
+    [[nodiscard]] bool waitsForReplacement() const;
     void listLeases();
     void removeLapsedLeases(std::vector<StoreCondition> rows);
     void applyRow(const PrimaryRow& row);
@@ -132,6 +139,12 @@
     std::uint64_t epochVersion = 0;
     // Version of the store up to which the fleet table has been read; 0 if it must be read as a whole.
     std::uint64_t fleetVersion = 0;
+    // Version of the newest claim or epoch that is known.
+    std::uint64_t newestClaim = 0;
+    // When witnesses were asked last, and how many have answered that.
+    Time witnessesAskedAt;
+    int witnessesHeard = 0;
+    std::size_t nextWitness = 0;
     // Start of the controller, or end of the last lease.
     Time leaseWantedSince;
     // Version of this daemon's lease row.
--- a/src/process/fleet_controller_groups.cc
+++ b/src/process/fleet_controller_groups.cc
@@ -222,6 +222,7 @@
         [this] { return this->epochVersion; },
         [this](const PrimaryRow& row, std::uint64_t epoch) {
             this->epochVersion = std::max(this->epochVersion, epoch);
+            this->noteClaim(epoch);
             this->applyRow(row);
         },
         [this](const DatabaseId& group) {
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -32,7 +32,8 @@
     LeaseRenewal renewal;
     renewal.row = { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
         this->identity.forwardAddress, this->identity.dataCentre,
-        this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion };
+        this->clock.latestMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion,
+        PrimaryLease::witnessesFor(this->liveCount) };
     renewal.rowVersion = this->leaseRowVersion;
     renewal.urgent = !this->lease.isValid(preparedAt);
     return renewal;
@@ -64,6 +65,8 @@
     this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
     const auto delegate = this->leaseDelegate();
     const auto renewal = this->makeRenewal(preparedAt);
+    const int witnesses = renewal.row.witnesses;
+    this->lease.onRenewalSent(witnesses);
     // A daemon without a lease asks the store itself first in a small fleet: after a loss of power the delegate may be
     // down, and only a slow store makes it worth the wait for others. The leases of a large fleet, one by one, would
     // take longer than that: the store makes 200 changes a second in one part.
@@ -72,26 +75,27 @@
         this->renewDirectly();
         return;
     }
-    const auto answered = [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-        if (weak.expired())
-            return;
-        if (result.status == StoreStatus::Done) {
-            // Daemons that were renewed together stay together.
-            this->nextRenewal = this->now() + PrimaryLease::renewalInterval;
-            this->onRenewed(preparedAt, result);
-            return;
-        }
-        if (epochIn(result) > this->epochVersion) {
-            // A direct renewal would fail as well until the changed rows are known.
-            this->renewing = false;
-            this->nextRenewal = this->now();
-            this->readFleet();
-            return;
-        }
-        if (result.status == StoreStatus::Unknown)
-            this->delegateNotBefore = this->now() + delegatePause;
-        this->renewDirectly();
-    };
+    const auto answered
+        = [this, preparedAt, witnesses, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+              if (weak.expired())
+                  return;
+              if (result.status == StoreStatus::Done) {
+                  // Daemons that were renewed together stay together.
+                  this->nextRenewal = this->now() + PrimaryLease::renewalInterval;
+                  this->onRenewed(preparedAt, witnesses, result);
+                  return;
+              }
+              if (epochIn(result) > this->epochVersion) {
+                  // A direct renewal would fail as well until the changed rows are known.
+                  this->renewing = false;
+                  this->nextRenewal = this->now();
+                  this->readFleet();
+                  return;
+              }
+              if (result.status == StoreStatus::Unknown)
+                  this->delegateNotBefore = this->now() + delegatePause;
+              this->renewDirectly();
+          };
     if (*delegate == this->identity.daemon)
         this->batch.add(renewal, preparedAt, answered);
     else
@@ -102,14 +106,17 @@
 void FleetController::renewDirectly()
 {
     const auto preparedAt = this->now();
-    this->store.change(renewalChange({ this->makeRenewal(preparedAt) }),
-        [this, preparedAt, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+    const auto renewal = this->makeRenewal(preparedAt);
+    const int witnesses = renewal.row.witnesses;
+    this->lease.onRenewalSent(witnesses);
+    this->store.change(renewalChange({ renewal }),
+        [this, preparedAt, witnesses, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
             if (weak.expired())
                 return;
             const bool failed = result.status == StoreStatus::Refused || result.status == StoreStatus::Unknown;
             const bool firstFailure = failed && !this->directFailed;
             this->directFailed = failed;
-            this->onRenewed(preparedAt, result);
+            this->onRenewed(preparedAt, witnesses, result);
             // The next attempt goes through the delegate and need not wait.
             if (firstFailure && !this->lease.isValid(this->now()))
                 this->nextRenewal = this->now();
@@ -124,7 +131,7 @@
         this->batch.add(renewal, this->now(), std::move(done));
 }
 
-void FleetController::onRenewed(Time preparedAt, const StoreResult& result)
+void FleetController::onRenewed(Time preparedAt, int witnesses, const StoreResult& result)
 {
     this->renewing = false;
     const bool reached = result.status == StoreStatus::Done || result.status == StoreStatus::Conflict;
@@ -140,7 +147,7 @@
             logEvent(LogLevel::Info, "lease_acquired",
                 { { "epoch", this->epochVersion },
                     { "waited_ms", toMilliseconds(this->now() - this->leaseWantedSince) } });
-        this->lease.onRenewed(preparedAt);
+        this->lease.onRenewed(preparedAt, witnesses);
         this->leaseRowVersion = result.version;
         this->leaseWantedSince = this->lease.end();
         return;
@@ -163,4 +170,42 @@
     this->readFleet();
 }
 
+void FleetController::noteClaim(std::uint64_t version) { this->newestClaim = std::max(this->newestClaim, version); }
+
+std::optional<std::uint64_t> FleetController::witnessClaims() const
+{
+    return this->lease.isValid(this->now()) ? std::optional(this->newestClaim) : std::nullopt;
+}
+
+// Asks other daemons to witness this daemon's lease while it cannot be renewed. A few more are asked than are needed,
+// others each time, so that some may be silent.
+void FleetController::askWitnesses(Time at)
+{
+    const bool needed = this->lease.needsWitnesses(at) && this->lease.witnessesNeeded() > 0;
+    if (this->stopping || !needed || at < this->witnessesAskedAt + PrimaryLease::witnessInterval)
+        return;
+    this->witnessesAskedAt = at;
+    this->witnessesHeard = 0;
+    std::vector<SocketAddress> addresses;
+    for (const auto& [daemon, peer] : this->peers)
+        addresses.push_back(peer.address);
+    const auto asked = std::min(addresses.size(), static_cast<std::size_t>(this->lease.witnessesNeeded()) * 2);
+    for (std::size_t i = 0; i < asked; ++i) {
+        this->hooks.askWitness(addresses[this->nextWitness++ % addresses.size()],
+            [this, at, weak = std::weak_ptr<int>(this->lifetime)](std::optional<std::uint64_t> claim) {
+                if (!weak.expired())
+                    this->onWitness(at, claim);
+            });
+    }
+}
+
+void FleetController::onWitness(Time askedAt, std::optional<std::uint64_t> claim)
+{
+    // A witness that knows of a newer claim is none; this daemon may have to obey it.
+    if (askedAt != this->witnessesAskedAt || !claim || *claim > this->newestClaim)
+        return;
+    if (++this->witnessesHeard >= this->lease.witnessesNeeded())
+        this->lease.onWitnessed(askedAt);
+}
+
 } // namespace endivetrestle
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -86,7 +86,7 @@
 {
     const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
         { "forward", toString(row.forwardAddress) }, { "data_centre", row.dataCentre.value },
-        { "until", row.untilStoreMs }, { "epoch", row.epochVersion } };
+        { "until", row.untilStoreMs }, { "epoch", row.epochVersion }, { "witnesses", row.witnesses } };
     return { leaseTable, row.daemon.value, value.dump() };
 }
 
@@ -125,6 +125,7 @@
     result.dataCentre = DataCentre(reader.text("data_centre"));
     result.untilStoreMs = reader.integer("until");
     result.epochVersion = static_cast<std::uint64_t>(reader.integer("epoch"));
+    result.witnesses = static_cast<int>(reader.integer("witnesses"));
     return reader.complete() ? std::optional(result) : std::nullopt;
 }
 
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -47,6 +47,8 @@
     std::int64_t untilStoreMs = 0;
     // Version of the epoch row that the daemon has taken into account.
     std::uint64_t epochVersion = 0;
+    // Witnesses without which the lease ends early; 0 if it never does.
+    int witnesses = 0;
 
     bool operator==(const LeaseRow&) const = default;
 };
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -462,6 +462,27 @@
             if (this->peerReachable(index, peer) && this->daemons[peer]->running)
                 this->after(peer, hop, [this, peer, rows] { this->daemons[peer]->controller->onAnnouncement(rows); });
         };
+        hooks.askWitness = [this, index](const SocketAddress& address,
+                               const std::function<void(std::optional<std::uint64_t>)>& callback) {
+            this->announce(index, "witness");
+            const auto peer = indexOf(address);
+            if (!this->peerReachable(index, peer) || !this->daemons[peer]->running) {
+                this->after(index, peerTimeout, [callback] { callback(std::nullopt); });
+                return;
+            }
+            const auto answered = std::make_shared<bool>(false);
+            this->after(index, peerTimeout, [callback, answered] {
+                if (!std::exchange(*answered, true))
+                    callback(std::nullopt);
+            });
+            this->after(peer, hop, [this, index, peer, callback, answered] {
+                const auto claim = this->daemons[peer]->controller->witnessClaims();
+                this->after(index, hop, [callback, answered, claim] {
+                    if (!std::exchange(*answered, true))
+                        callback(claim);
+                });
+            });
+        };
         hooks.askReachable = [this, index](const SocketAddress& address, const DatabaseId&, const EndpointId& id,
                                  const std::function<void(std::optional<bool>)>& callback) {
             const auto peer = indexOf(address);
--- /dev/null
+++ b/src/process/primary_lease_test.cc
@@ -0,0 +1,55 @@
+#include "process/primary_lease.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time start { 1000s };
+
+} // namespace
+
+TEST_CASE("PrimaryLease, is not valid before the first renewal") { CHECK_FALSE(PrimaryLease().isValid(start)); }
+
+TEST_CASE("PrimaryLease, ends early without witnesses and late with them")
+{
+    PrimaryLease lease;
+    lease.onRenewed(start, 2);
+    CHECK(lease.isValid(start + 5800ms));
+    CHECK_FALSE(lease.isValid(start + 6s));
+    lease.onWitnessed(start + 5500ms);
+    CHECK(lease.isValid(start + 7300ms));
+    CHECK_FALSE(lease.isValid(start + 7500ms));
+    // Witnesses do not prolong it beyond what the store shows.
+    lease.onWitnessed(start + 12500ms);
+    CHECK_FALSE(lease.isValid(start + 13s));
+}
+
+TEST_CASE("PrimaryLease, needs no witnesses in a fleet of one")
+{
+    PrimaryLease lease;
+    lease.onRenewed(start, PrimaryLease::witnessesFor(1));
+    CHECK(lease.isValid(start + 12800ms));
+}
+
+// Guards against a daemon that relies on fewer witnesses than its row in the store names.
+TEST_CASE("PrimaryLease, needs the witnesses of a renewal whose answer was lost")
+{
+    PrimaryLease lease;
+    lease.onRenewed(start, 0);
+    lease.onRenewalSent(3);
+    CHECK(lease.witnessesNeeded() == 3);
+    CHECK_FALSE(lease.isValid(start + 6s));
+    lease.onRenewed(start + 1s, 1);
+    CHECK(lease.witnessesNeeded() == 1);
+}
+
+TEST_CASE("PrimaryLease, asks half of the fleet for witnesses, within a limit")
+{
+    CHECK(PrimaryLease::witnessesFor(1) == 0);
+    CHECK(PrimaryLease::witnessesFor(2) == 1);
+    CHECK(PrimaryLease::witnessesFor(4) == 2);
+    CHECK(PrimaryLease::witnessesFor(1600) == PrimaryLease::mostWitnesses);
+}
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -1,6 +1,7 @@
 #include "process/promotion.h"
 
 #include "base/log.h"
+#include "process/primary_lease.h"
 
 #include <algorithm>
 #include <tuple>
@@ -124,6 +125,7 @@
             if (lease->epochVersion < this->claimEpoch)
                 this->holders[lease->daemon.value].lease = *lease;
         }
+        this->lastConfirmedAt = this->context.now();
         this->askHolders();
         this->later(holderRefresh, [this] { this->refreshHolders(); });
         this->checkSuspended();
@@ -156,10 +158,28 @@
                 return;
             }
             this->holders.erase(holder);
+            this->lastConfirmedAt = this->context.now();
             this->checkSuspended();
         }));
 }
 
+// Whether the daemons that do not answer have stopped using the primary by themselves: their leases are too old to hold
+// without witnesses, and there are too few of them to witness each other's. All others know of the claim, and what they
+// witnessed before they did has lapsed.
+bool Promotion::maySkipSilent(Time now) const
+{
+    if (now < this->lastConfirmedAt + PrimaryLease::witnessValidity)
+        return false;
+    constexpr auto early = PrimaryLease::validity - PrimaryLease::unwitnessedValidity;
+    const auto earlyMs = std::chrono::duration_cast<std::chrono::milliseconds>(early).count();
+    const auto storeMs = this->context.clock.earliestMs(now);
+    const auto others = static_cast<int>(this->holders.size()) - 1;
+    return std::all_of(this->holders.begin(), this->holders.end(), [&](const auto& entry) {
+        const auto& lease = entry.second.lease;
+        return others < lease.witnesses && lease.untilStoreMs - earlyMs <= storeMs;
+    });
+}
+
 void Promotion::refreshHolders()
 {
     if (this->context.duty.needsExtension(this->context.now()))
@@ -179,11 +199,18 @@
         const auto storeMs = this->context.clock.earliestMs(now);
         for (auto holder = this->holders.begin(); holder != this->holders.end();) {
             const auto& lease = holder->second.lease;
-            if (lease.untilStoreMs <= storeMs || lease.epochVersion >= this->claimEpoch)
+            if (lease.untilStoreMs <= storeMs || lease.epochVersion >= this->claimEpoch) {
                 holder = this->holders.erase(holder);
-            else
+                this->lastConfirmedAt = now;
+            } else
                 ++holder;
         }
+        if (!this->holders.empty() && this->maySkipSilent(now)) {
+            logEvent(LogLevel::Info, "silent_daemons_skipped",
+                { { "group", this->base.group.value }, { "count", this->holders.size() },
+                    { "first", this->holders.begin()->first } });
+            this->holders.clear();
+        }
         this->later(holderRefresh, [this] { this->refreshHolders(); });
         this->checkSuspended();
     }));
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -64,6 +64,7 @@
     void askHolder(const std::string& name);
     void refreshHolders();
     void checkSuspended();
+    [[nodiscard]] bool maySkipSilent(Time now) const;
     void queryEndpoints();
     void chooseCandidate();
     void catchUp(const EndpointId& old);
@@ -102,6 +103,8 @@
     std::uint64_t claimEpoch = 0;
     // Daemons that may still use the old primary.
     std::map<std::string, Holder> holders;
+    // When the last daemon confirmed, or its lease was known to have ended. What it witnessed before lasts a while.
+    Time lastConfirmedAt;
     // All daemons with a lease, to be told about the new primary.
     std::vector<SocketAddress> peers;
     std::size_t queriesOutstanding = 0;
