--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -3,7 +3,6 @@
 #include "base/boot_clock.h"
 #include "base/log.h"
 #include "platform/store_rows.h"
-#include "process/settings_reload.h"
 #include "request/start_hold.h"
 
 #include <algorithm>
@@ -16,15 +15,6 @@
 
 // Interval of periodic work: connections, silent endpoints, doubts about primaries, the lease.
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
-// Time between SIGTERM and the first sessions that are ended. The balancer needs it to notice that this daemon is not
-// ready, so that the clients reconnect to others.
-constexpr Duration sessionEndDelay = std::chrono::milliseconds(2200);
-// Part of the grace period that is kept for giving the lease back.
-constexpr Duration stopReserve = std::chrono::milliseconds(500);
-// Interval at which the settings file is looked at, because it may change without a signal.
-constexpr Duration settingsInterval = std::chrono::seconds(2);
-// Descriptors kept for files, the store, other daemons and endpoints.
-constexpr int reservedDescriptors = 500;
 constexpr std::size_t httpBodyLimit = 65536;
 // Time beyond the idle limit of transactions that the forwarding daemon has to end an idle one itself.
 constexpr Duration forwardedIdleSlack = std::chrono::milliseconds(500);
@@ -65,10 +55,7 @@
     this->fleet->start();
     this->waitForSignal();
     this->timers.subscribeEvery(bootNow(), tickInterval, [this](Time now) { this->tick(now); });
-    this->timers.subscribeEvery(bootNow() + settingsInterval, settingsInterval, [this](Time) {
-        if (this->settingsChanged && this->settingsChanged())
-            this->reloadSettings("file_changed");
-    });
+    this->watchSettings();
     this->runLoop();
     this->sessions->closeAll();
     logEvent(LogLevel::Info, "daemon_stopped", { { "sessions", this->sessions->sessions() } });
@@ -332,70 +319,6 @@
             { "stopping", this->stopping ? 1 : 0 }, { "left_out", decision.leftOut } });
 }
 
-void SessionProxy::waitForSignal()
-{
-    this->signals.async_wait([this](const asio::error_code& error, int signal) {
-        if (error)
-            return;
-        if (signal == SIGHUP)
-            this->reloadSettings("signal");
-        else if (!this->stopping)
-            this->beginStop();
-        this->waitForSignal();
-    });
-}
-
-std::size_t SessionProxy::sessionLimit() const
-{
-    constexpr int fewestSessions = 64;
-    return static_cast<std::size_t>(std::max(fewestSessions, this->settings.descriptorLimit - reservedDescriptors));
-}
-
-void SessionProxy::reloadSettings(const std::string& cause)
-{
-    const auto next = this->readSettings ? this->readSettings() : std::nullopt;
-    if (!next) {
-        logEvent(LogLevel::Warning, "settings_kept", { { "cause", cause } });
-        return;
-    }
-    const auto join = [](const std::vector<std::string>& names) {
-        std::string text;
-        for (const auto& name : names)
-            text += (text.empty() ? "" : ",") + name;
-        return text;
-    };
-    const auto reload = planReload(this->settings, *next);
-    this->settings = reload.settings;
-    this->store.setServer(this->settings.storeAddress);
-    this->promotions.setServer(this->settings.promotionAddress);
-    this->sessions->setMaxSessions(this->sessionLimit());
-    logEvent(LogLevel::Info, "settings_reloaded",
-        { { "cause", cause }, { "changed", join(reload.changed) }, { "need_restart", join(reload.needRestart) } });
-}
-
-void SessionProxy::beginStop()
-{
-    const auto now = bootNow();
-    this->stopping = true;
-    this->stopAt = now + this->settings.stopGrace - stopReserve;
-    logEvent(LogLevel::Info, "stop_requested",
-        { { "sessions", this->sessions->sessions() }, { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
-    this->links->announceLeaving();
-    const auto firstEnd = std::min<Duration>(sessionEndDelay, this->settings.stopGrace / 3);
-    this->timers.subscribeAt(now + firstEnd, [this](Time) { this->sessions->closeIdleSessions(); });
-    this->timers.subscribeAt(now + this->settings.stopGrace / 2,
-        [this](Time) { this->sessions->abortTransactions("the daemon is stopping"); });
-}
-
-void SessionProxy::finishStop()
-{
-    this->sessions->stopAccepting();
-    constexpr Duration storeLimit = std::chrono::milliseconds(300);
-    this->stopAt = Time::max();
-    this->fleet->stop([this] { this->finished = true; });
-    this->timers.subscribeAt(bootNow() + storeLimit, [this](Time) { this->finished = true; });
-}
-
 void SessionProxy::tick(Time now)
 {
     if (this->directory.expire(now))
@@ -407,12 +330,7 @@
     this->fleet->tick();
     const auto idleLimit = (this->routes ? this->routes->transactionIdleLimit : Duration::zero()) + forwardedIdleSlack;
     this->links->tick(now, idleLimit);
-    if (!this->stopping || this->stopAt == Time::max())
-        return;
-    const bool sessionsEnded
-        = this->sessions->sessions() == 0 && this->links->idle() && now + stopReserve > this->stopAt - sessionEndDelay;
-    if (sessionsEnded || now >= this->stopAt)
-        this->finishStop();
+    this->checkStop(now);
 }
 
 } // namespace endivetrestle
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -84,11 +84,15 @@
     void recordEnd(const SessionEnd& end);
     [[nodiscard]] std::string metricsPage();
     [[nodiscard]] bool isReady() const;
+
+    // session_proxy_lifecycle.cc
     void waitForSignal();
+    void watchSettings();
     void reloadSettings(const std::string& cause);
     [[nodiscard]] std::size_t sessionLimit() const;
     void beginStop();
     void finishStop();
+    void checkStop(Time now);
     void tick(Time now);
     void runLoop();
 
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -457,3 +457,15 @@
     CHECK(sent.command.kind == CommandKind::Forward);
     CHECK(fixture.endpointName(sent.connection) == "e1");
 }
+
+// Guards against a daemon that accepts forwarded reads after a restart, holds them and refuses them, although it has no
+// lease and knows no position that a replica would have to hold (namkhaeng-host-large trouble-2).
+TEST_CASE("GroupScheduler, needs the primary for a bounded read while no position is known")
+{
+    SchedulerFixture fixture;
+    CHECK(fixture.scheduler->needsPrimary(SchedulerFixture::read(false)));
+    fixture.learnPosition();
+    fixture.advance(50ms);
+    CHECK_FALSE(fixture.scheduler->needsPrimary(SchedulerFixture::read(false)));
+    CHECK(fixture.scheduler->needsPrimary(SchedulerFixture::write()));
+}
