Keep a stopped daemon's lease down; count every new row as knowledge of a claim

Cause, found while reading the change: (1) a renewal that was answered after the daemon had given its lease back made it valid again for the rest of the stop; (2) a daemon that learned a new primary by an announcement only did not count its claim among those that it knows, and could have witnessed the lease of one that does not know it (bounded by the number of silent daemons, so that no rule was at stake). Change: answers to renewals are passed over during the stop; the version of every row counts. Test, failing before: a renewal under way when the daemon stops.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -141,8 +141,9 @@
     if (known != this->rows.end() && row.version <= known->second.version)
         return;
     this->rows[row.group] = row;
+    // A row of a replacement that has ended tells of its claim as well.
+    this->noteClaim(row.version);
     if (row.replacing) {
-        this->noteClaim(row.version);
         this->replacingSince.try_emplace(row.group, this->now());
         this->suspend(row.group, nullptr);
         return;
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -134,6 +134,8 @@
 void FleetController::onRenewed(Time preparedAt, int witnesses, const StoreResult& result)
 {
     this->renewing = false;
+    if (this->stopping)
+        return;
     const bool reached = result.status == StoreStatus::Done || result.status == StoreStatus::Conflict;
     if (reached != this->storeReachable) {
         logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_regained" : "store_lost",
--- a/src/process/fleet_controller_lease_test.cc
+++ b/src/process/fleet_controller_lease_test.cc
@@ -236,3 +236,18 @@
     CHECK_FALSE(world.uses(2, e1));
     CHECK_FALSE(world.daemons[2]->controller->witnessClaims());
 }
+
+// Guards against a renewal that is answered after the daemon has given its lease back, and makes it valid again.
+TEST_CASE("FleetController, does not take its lease up again when a renewal is answered during the stop")
+{
+    FleetSimulation world(1);
+    world.runFor(warmUp);
+    world.storeLatency = 200ms;
+    bool renewing = false;
+    world.onCall = [&renewing](std::size_t, const std::string& call) { renewing = renewing || call == "change"; };
+    while (!renewing)
+        world.runFor(10ms);
+    world.daemons[0]->controller->stop([] {});
+    world.runFor(300ms);
+    CHECK_FALSE(world.uses(0, e1));
+}
