Queue statements by expiry and keep those of a full primary apart

Within a priority the queue went by arrival, so lookups with seconds left went before statements that were about to expire. Hypothesis: a lane of its own for what only the primary can run lets replicas work on; order by expiry serves more before they expire. Change: StatementQueue has two lanes and stops offering the first once the primary is full; the order within a priority is expiry, then arrival. The place of a queued statement is recorded, because a refusal of a second replica may change its lane.

--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -161,7 +161,7 @@
     this->arrivals.add(now);
     if (this->needsPrimary(work))
         this->primaryArrivals.add(now);
-    if (this->queue.empty() && this->tryStart(execution, now)) {
+    if (this->queue.empty() && this->tryStart(execution, now) == StartResult::Started) {
         if (!execution->finished)
             this->armTimer(execution, work.expiresAt);
         return;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -147,7 +147,7 @@
     [[nodiscard]] bool canOpen(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] bool hasRoomForTransaction(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] AdmissionDecision admissionOf(const Execution& execution, Time now) const;
-    bool tryStart(const ExecutionPtr& execution, Time now);
+    StartResult tryStart(const ExecutionPtr& execution, Time now);
     void openConnection(EndpointState& endpoint, Time now);
     void dispatch(Time now);
 
--- a/src/process/group_scheduler_dispatch.cc
+++ b/src/process/group_scheduler_dispatch.cc
@@ -17,8 +17,6 @@
 constexpr int primaryReadFactor = 2;
 // Extra cost of an endpoint without an idle connection.
 constexpr Duration openPenalty = std::chrono::milliseconds(15);
-// Number of lagging replicas that may refuse a read before it is sent to the primary.
-constexpr int maxLaggingReplicas = 2;
 // Limit of simultaneous attempts to open a connection to one endpoint. Each attempt occupies a slot of the endpoint.
 constexpr int maxConcurrentOpens = 2;
 // Time after the start of the daemon for which statements wait for a primary that is not known yet, as they do for one
@@ -121,7 +119,7 @@
 std::optional<GroupScheduler::Target> GroupScheduler::chooseEndpoint(const Execution& execution, Time now)
 {
     const auto requirement = this->requirementOf(execution.work);
-    if (requirement.needsPrimary || execution.laggingAttempts >= maxLaggingReplicas)
+    if (requirement.needsPrimary || execution.needsPrimary())
         return this->choosePrimary(execution, now);
     const bool primaryUsable = this->primaryUsable(now);
     std::optional<Target> best;
@@ -191,22 +189,25 @@
     this->hooks.open(id, endpoint.record);
 }
 
-bool GroupScheduler::tryStart(const ExecutionPtr& execution, Time now)
+StartResult GroupScheduler::tryStart(const ExecutionPtr& execution, Time now)
 {
     if (execution->notBefore > now)
-        return false;
+        return StartResult::Waiting;
     const auto target = this->chooseEndpoint(*execution, now);
-    if (!target)
-        return false;
+    if (!target) {
+        // A transaction may lack a connection where a single statement finds one.
+        const bool single = execution->work.start == TransactionStart::None;
+        return single && execution->needsPrimary() ? StartResult::PrimaryFull : StartResult::Waiting;
+    }
     auto* connection = target->endpoint->findIdle(*execution->work.session);
     if (connection == nullptr) {
         // The statement stays in the queue and starts on the first connection that becomes free.
         if (target->endpoint->opening == 0 || target->endpoint->opening < static_cast<int>(this->queue.size()))
             this->openConnection(*target->endpoint, now);
-        return false;
+        return StartResult::Waiting;
     }
     this->start(*connection, *target, execution, now);
-    return true;
+    return StartResult::Started;
 }
 
 void GroupScheduler::dispatch(Time now)
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -75,6 +75,15 @@
 // A statement in progress together with its callback. Several connections may hold the same execution when a read is
 // sent to a second endpoint; the first answer finishes it.
 struct Execution {
+    // Number of lagging replicas that may refuse a read before only the primary may run it.
+    static constexpr int maxLaggingReplicas = 2;
+
+    // Whether only the primary may run it, by its kind or because replicas have refused it.
+    [[nodiscard]] bool needsPrimary() const
+    {
+        return this->work.needsPrimary || this->laggingAttempts >= maxLaggingReplicas;
+    }
+
     ScheduledStatement work;
     ResultCallback callback;
     bool finished = false;
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -4,52 +4,82 @@
 
 StatementQueue::Key StatementQueue::keyOf(const ExecutionPtr& execution)
 {
-    return { execution->late, execution->work.priority, execution->work.arrivedAt, execution.get() };
+    const auto& work = execution->work;
+    return { execution->late, work.priority, work.expiresAt, work.arrivedAt, execution.get() };
 }
 
-void StatementQueue::push(ExecutionPtr execution) { this->waiting.emplace(keyOf(execution), std::move(execution)); }
+void StatementQueue::push(const ExecutionPtr& execution)
+{
+    this->remove(execution);
+    auto& lane = execution->needsPrimary() ? this->primaryLane : this->anyLane;
+    const auto key = keyOf(execution);
+    lane.emplace(key, execution);
+    this->places[execution.get()] = { &lane, key };
+}
 
-void StatementQueue::remove(const ExecutionPtr& execution) { this->waiting.erase(keyOf(execution)); }
+void StatementQueue::remove(const ExecutionPtr& execution)
+{
+    const auto place = this->places.find(execution.get());
+    if (place == this->places.end())
+        return;
+    place->second.lane->erase(place->second.key);
+    this->places.erase(place);
+}
 
-void StatementQueue::offer(const std::function<bool(const ExecutionPtr&)>& start)
+std::vector<ExecutionPtr> StatementQueue::firstInOrder() const
 {
-    // The candidates are copied because starting one may push others.
-    std::vector<ExecutionPtr> candidates;
-    for (const auto& [key, execution] : this->waiting) {
-        if (candidates.size() >= scanLimit)
-            break;
-        candidates.push_back(execution);
-    }
-    for (const auto& execution : candidates) {
-        if (execution->finished || start(execution))
-            this->remove(execution);
+    std::vector<ExecutionPtr> result;
+    auto primary = this->primaryLane.begin();
+    auto any = this->anyLane.begin();
+    std::size_t fromPrimary = 0;
+    std::size_t fromAny = 0;
+    while (true) {
+        const bool hasPrimary = primary != this->primaryLane.end() && fromPrimary < scanLimit;
+        const bool hasAny = any != this->anyLane.end() && fromAny < scanLimit;
+        if (!hasPrimary && !hasAny)
+            return result;
+        if (hasPrimary && (!hasAny || primary->first < any->first)) {
+            result.push_back((primary++)->second);
+            ++fromPrimary;
+        } else {
+            result.push_back((any++)->second);
+            ++fromAny;
+        }
     }
 }
 
-std::vector<ExecutionPtr> StatementQueue::removeIf(const std::function<bool(const Execution&)>& matches)
+void StatementQueue::offer(const std::function<StartResult(const ExecutionPtr&)>& start)
 {
-    std::vector<ExecutionPtr> removed;
-    for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
-        if (!matches(*entry->second)) {
-            ++entry;
+    bool primaryFull = false;
+    // The candidates are copied because starting one may push others.
+    for (const auto& execution : this->firstInOrder()) {
+        if (execution->finished) {
+            this->remove(execution);
             continue;
         }
-        removed.push_back(entry->second);
-        entry = this->waiting.erase(entry);
+        if (primaryFull && execution->needsPrimary())
+            continue;
+        const auto result = start(execution);
+        if (result == StartResult::Started)
+            this->remove(execution);
+        else if (result == StartResult::PrimaryFull)
+            primaryFull = true;
     }
-    return removed;
 }
 
 std::size_t StatementQueue::countAhead(const ScheduledStatement& work, bool needsPrimary, bool late) const
 {
-    std::size_t count = 0;
-    for (const auto& [key, execution] : this->waiting) {
-        if (std::make_pair(execution->late, execution->work.priority) > std::make_pair(late, work.priority))
-            break;
-        if (!needsPrimary || execution->work.needsPrimary)
-            ++count;
-    }
-    return count;
+    const auto rank = std::make_pair(late, work.priority);
+    const auto count = [&](const Lane& lane) {
+        std::size_t ahead = 0;
+        for (const auto& [key, execution] : lane) {
+            if (std::make_pair(execution->late, execution->work.priority) > rank)
+                break;
+            ++ahead;
+        }
+        return ahead;
+    };
+    return count(this->primaryLane) + (needsPrimary ? 0 : count(this->anyLane));
 }
 
 } // namespace endivetrestle
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -5,45 +5,77 @@
 #include <functional>
 #include <map>
 #include <tuple>
+#include <unordered_map>
+#include <vector>
 
 namespace endivetrestle {
 
-// Statements that wait for an endpoint, ordered by priority and then by arrival. Statements marked as late come after
+// Result of an attempt to start a waiting statement.
+enum class StartResult {
+    // It was sent to an endpoint and leaves the queue.
+    Started,
+    // It waits for a retry delay or for an endpoint that holds its position. Others may start.
+    Waiting,
+    // The primary has no free capacity. No statement that only the primary can run may start.
+    PrimaryFull,
+};
+
+// Statements that wait for an endpoint, ordered by priority and then by expiry. Statements marked as late come after
 // all others.
 //
+// The queue answers the load of a group in which one endpoint is full and another has capacity: statements that only
+// the primary can run are kept apart from the others, so that a backlog in front of a full primary does not hide
+// statements that a replica could run at once.
+//
 // Example:
 //     queue.push(execution);
 //     queue.offer([&](const ExecutionPtr& waiting) { return tryToStart(waiting); });
 class StatementQueue {
 public:
-    // Maximum number of statements examined in one pass, so that a long queue whose first statements cannot start is
-    // not searched as a whole.
+    // Maximum number of statements of each lane examined in one pass, so that a long queue whose first statements
+    // cannot start is not searched as a whole.
     static constexpr std::size_t scanLimit = 64;
 
-    void push(ExecutionPtr execution);
+    StatementQueue() = default;
+    StatementQueue(const StatementQueue&) = delete;
+    StatementQueue& operator=(const StatementQueue&) = delete;
+
+    // Adds a statement, or moves it if it is already queued.
+    void push(const ExecutionPtr& execution);
 
-    // Offers waiting statements in order until the scan limit is reached. A statement for which the function returns
-    // true leaves the queue. Finished statements are dropped.
-    void offer(const std::function<bool(const ExecutionPtr&)>& start);
+    // Offers waiting statements in order until the scan limit is reached. Started and finished statements leave the
+    // queue. After PrimaryFull, the remaining statements that only the primary can run are passed over.
+    void offer(const std::function<StartResult(const ExecutionPtr&)>& start);
 
     // Removes a statement; does nothing if it is not queued.
     void remove(const ExecutionPtr& execution);
 
-    // Removes and returns all statements for which the function returns true.
-    std::vector<ExecutionPtr> removeIf(const std::function<bool(const Execution&)>& matches);
-
     // Number of waiting statements with the same or a higher rank than the given one.
     [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary, bool late = false) const;
 
-    [[nodiscard]] std::size_t size() const { return this->waiting.size(); }
-    [[nodiscard]] bool empty() const { return this->waiting.empty(); }
+    [[nodiscard]] std::size_t size() const { return this->places.size(); }
+    [[nodiscard]] bool empty() const { return this->places.empty(); }
 
 private:
-    // Whether it is late, priority, arrival time, and the address as a tie-breaker.
-    using Key = std::tuple<bool, int, Time, const Execution*>;
+    // Whether it is late, priority, expiry, arrival time, and the address as a tie-breaker.
+    using Key = std::tuple<bool, int, Time, Time, const Execution*>;
+    using Lane = std::map<Key, ExecutionPtr>;
     static Key keyOf(const ExecutionPtr& execution);
 
-    std::map<Key, ExecutionPtr> waiting;
+    // Where a statement is queued. It is recorded because a second endpoint may refuse a queued read as lagging, which
+    // changes what the read needs.
+    struct Place {
+        Lane* lane = nullptr;
+        Key key;
+    };
+
+    // The first statements of both lanes in common order.
+    [[nodiscard]] std::vector<ExecutionPtr> firstInOrder() const;
+
+    // Statements that only the primary can run, and those that any endpoint may run.
+    Lane primaryLane;
+    Lane anyLane;
+    std::unordered_map<const Execution*, Place> places;
 };
 
 } // namespace endivetrestle
