Forward statements while the primary accepts no connection of this daemon

Cause: after a loss of power the endpoints count the lost connections for 3 s. Hypothesis: another daemon has a connection; one hop costs 2 ms. Change: GroupScheduler::lacksAccessToPrimary() covers a missing lease, as before in SessionProxy, and a refused connection; forwarding and acceptance use it. Tried and not kept: a shorter pause of 100 ms for a daemon without any connection.

--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -73,12 +73,15 @@
     // Failed attempts to open a connection since the last success.
     int openFailures = 0;
     Time openNotBefore;
+    // Whether the endpoint refused the last attempt because its connection limit is reached.
+    bool atConnectionLimit = false;
     // Time before which no connection beyond this daemon's share is opened, because the endpoint refused one.
     Time overflowNotBefore;
 
     // An idle connection, preferably one that already holds the state of the session.
     EndpointConnection* findIdle(const SessionState& session);
     [[nodiscard]] bool hasIdle() const;
+    [[nodiscard]] bool hasOpenConnection() const { return this->opening < static_cast<int>(this->connections.size()); }
     // Time at which the oldest outstanding statement was sent; no value if none is outstanding.
     [[nodiscard]] std::optional<Time> oldestOutstanding() const;
 
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -69,7 +69,6 @@
     [[nodiscard]] bool othersKnown() const;
     [[nodiscard]] std::vector<DaemonId> otherOwners(const DatabaseId& group) const;
     [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
-    [[nodiscard]] bool lacksLease(const GroupScheduler& scheduler, const ScheduledStatement& work) const;
     StatementRunner* runnerOf(const DatabaseId& group);
 
     void listen();
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -14,9 +14,9 @@
         if (found == this->groups.end())
             return std::vector<DaemonId> {};
         const auto& placement = found->second.placement;
-        if (placement.ownedHere && !this->lacksLease(*found->second.scheduler, work))
+        if (placement.ownedHere && !found->second.scheduler->lacksAccessToPrimary(work, bootNow()))
             return std::vector<DaemonId> {};
-        // Where every daemon owns every group, the others are asked only by a daemon without a lease.
+        // Where every daemon owns every group, the others are asked only by a daemon that cannot use the primary.
         return placement.owners.empty() ? this->otherDaemons() : placement.owners;
     };
     hooks.send
@@ -40,20 +40,13 @@
             group.forwarder->onLinkLost(owner, established, bootNow());
     };
     hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
-    hooks.accepts = [this](const ForwardedStatement& statement, Time) {
+    hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
         const auto* scheduler = this->schedulerOf(statement.group);
-        return !this->stopping && scheduler != nullptr && !this->lacksLease(*scheduler, statement.work);
+        return !this->stopping && scheduler != nullptr && !scheduler->lacksAccessToPrimary(statement.work, now);
     };
     return hooks;
 }
 
-// Whether this daemon cannot run the statement until it has a lease, while another daemon may. This is so for a daemon
-// that has started while the store is slow or away.
-bool SessionProxy::lacksLease(const GroupScheduler& scheduler, const ScheduledStatement& work) const
-{
-    return !this->fleet->leaseValid(bootNow()) && scheduler.needsPrimary(work);
-}
-
 // All other live daemons, those of this data centre first.
 std::vector<DaemonId> SessionProxy::otherDaemons() const
 {
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -249,6 +249,16 @@
         this->openConnection(*endpoint, now);
 }
 
+bool GroupScheduler::lacksAccessToPrimary(const ScheduledStatement& work, Time now) const
+{
+    if (!this->needsPrimary(work))
+        return false;
+    if (!this->hooks.leaseValid(now))
+        return true;
+    const auto* endpoint = this->primaryId ? this->findEndpoint(*this->primaryId) : nullptr;
+    return endpoint != nullptr && endpoint->atConnectionLimit && !endpoint->hasOpenConnection();
+}
+
 PrimarySuspicion GroupScheduler::primarySuspicion() const
 {
     constexpr int minOpenFailures = 2;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -101,6 +101,10 @@
     // Periodic work: opens and closes connections, detects silent endpoints and hedges slow reads.
     void tick(Time now);
 
+    // Whether this daemon cannot run the statement at present although another daemon may: only the primary can run it,
+    // and this daemon has no lease, or no connection because the primary accepts no more. Both happen to daemons that
+    // restart together: the store serves some of them earlier, and the endpoints count lost connections for seconds.
+    [[nodiscard]] bool lacksAccessToPrimary(const ScheduledStatement& work, Time now) const;
     // Why the primary is suspected to be unable to serve statements; None if it is not.
     [[nodiscard]] PrimarySuspicion primarySuspicion() const;
     // Time of the last answer of an endpoint, or the time at which it was added if it has not answered yet. Time() if
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -102,6 +102,7 @@
     --endpoint.opening;
     endpoint.openFailures = 0;
     endpoint.openNotBefore = Time();
+    endpoint.atConnectionLimit = false;
     endpoint.lastAnswerAt = now;
     endpoint.silent = false;
     connection->phase = EndpointConnection::Phase::Idle;
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -49,6 +49,7 @@
     endpoint.overflowNotBefore = now + overflowBackoff;
     this->onClosed(id, now);
     endpoint.openNotBefore = std::max(endpoint.openNotBefore, now + connectionLimitBackoff);
+    endpoint.atConnectionLimit = true;
     // An endpoint that reports its connection limit is alive.
     endpoint.openFailures = 0;
     endpoint.lastAnswerAt = now;
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -471,3 +471,31 @@
     CHECK_FALSE(fixture.scheduler->needsPrimary(SchedulerFixture::read(false)));
     CHECK(fixture.scheduler->needsPrimary(SchedulerFixture::write()));
 }
+
+// Guards against a restarted daemon that queues statements for a primary whose connections are all counted as taken,
+// while another daemon has a connection.
+TEST_CASE("GroupScheduler, lacks access to the primary when its only attempt to connect was refused by the limit")
+{
+    SchedulerFixture fixture;
+    fixture.reportPosition();
+    fixture.advance(50ms);
+    CHECK_FALSE(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
+    fixture.loseConnectionsTo("e1");
+    CHECK_FALSE(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
+    fixture.advance(1s);
+    fixture.scheduler->tick(fixture.now);
+    fixture.refuseOpens("e1");
+    CHECK(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
+    CHECK_FALSE(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::read(false), fixture.now));
+    fixture.advance(1s);
+    fixture.scheduler->tick(fixture.now);
+    fixture.completeOpens();
+    CHECK_FALSE(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
+}
+
+TEST_CASE("GroupScheduler, lacks access to the primary when it has no lease")
+{
+    SchedulerFixture fixture;
+    fixture.lease = false;
+    CHECK(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
+}
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -61,6 +61,27 @@
         }
     }
 
+    // Reports the connections that are being opened to the endpoint as refused by its connection limit.
+    void refuseOpens(const std::string& endpoint)
+    {
+        const auto attempts = std::exchange(this->opening, {});
+        for (const auto& [id, target] : attempts) {
+            if (target.value == endpoint)
+                this->scheduler->onConnectionLimit(id, this->now);
+            else
+                this->opening.emplace_back(id, target);
+        }
+    }
+
+    // Reports all open connections to the endpoint as lost.
+    void loseConnectionsTo(const std::string& endpoint)
+    {
+        for (const auto& [id, target] : this->endpointOf) {
+            if (target.value == endpoint)
+                this->scheduler->onClosed(id, this->now);
+        }
+    }
+
     void advance(Duration duration)
     {
         const auto end = this->now + duration;
