Leave a reserve of the endpoints' connections free in small fleets too

Cause: four daemons with equal shares hold all 16 connections of an endpoint under load. Hypothesis: the 40 % that owners of a large fleet leave free helps here as well. Change: the reserve applies to equal shares; the bound of two connections, below which a fleet gets owners, counts what is left (16 connections: up to 4 daemons share equally).

--- a/src/process/group_placement.cc
+++ b/src/process/group_placement.cc
@@ -32,8 +32,10 @@
 {
     GroupPlacement placement;
     const int daemons = std::max(1, static_cast<int>(this->alive.size()));
-    if (connectionLimit / daemons >= minEqualShare || daemons == 1) {
-        placement.connectionShare = connectionLimit / daemons;
+    const double usable = connectionLimit * (1 - reserveFraction);
+    const int equalShare = static_cast<int>(usable / daemons);
+    if (equalShare >= minEqualShare || daemons == 1) {
+        placement.connectionShare = std::max(1, equalShare);
         return placement;
     }
     const auto count = this->ownerCount(connectionLimit);
@@ -41,7 +43,6 @@
     const auto isSelf = [&](const DaemonInfo& owner) { return owner.id == this->self; };
     placement.ownedHere = std::any_of(owners.begin(), owners.end(), isSelf);
     if (placement.ownedHere) {
-        const double usable = connectionLimit * (1 - reserveFraction);
         placement.connectionShare = std::max(1, static_cast<int>(usable / static_cast<double>(count)));
         owners.erase(std::remove_if(owners.begin(), owners.end(), isSelf), owners.end());
     }
--- a/src/process/group_placement.h
+++ b/src/process/group_placement.h
@@ -30,8 +30,8 @@
     static constexpr int minEqualShare = 2;
     // Target number of connections to an endpoint for each owner if not every daemon is an owner.
     static constexpr int connectionsPerOwner = 8;
-    // Fraction of an endpoint's connections that owners leave free, so that daemons which restart after a power failure
-    // can connect while the endpoint still counts their lost connections.
+    // Fraction of an endpoint's connections that the shares leave free, so that daemons which restart after a power
+    // failure can connect while the endpoint still counts their lost connections.
     static constexpr double reserveFraction = 0.4;
 
     // `alive` lists the live daemons, including this one.
