Take configuration and daemon list from a seed while the store does not answer

Tried first and reverted: refuse the starts at once when a seed says that it is ready. Hypothesis: with the configuration and the list of daemons from a peer it forwards everything to daemons that have a lease (lacksAccessToPrimary), as it already does without a lease. A daemon answers only while it is ready itself, so its own configuration feed and lease stand behind the answer. Versions go up only, as with the feed. Such a daemon stays not ready. The decision has no network; codec and decision have tests, damaged bodies included. Held session starts begin in order of arrival. Ruled out: a daemon that has left or a withdrawn route coming back: the answer is taken only before the first reading of the store, and a row version that isn't above the known one is not sent.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -88,6 +88,50 @@
     }.dump();
 }
 
+std::string encodeMessage(const BootstrapAnswer& answer)
+{
+    json leases = json::array();
+    for (const auto& lease : answer.leases) {
+        const auto row = encodeRow(lease);
+        leases.push_back({ { "daemon", row.key }, { "lease", row.value } });
+    }
+    json body { { "leases", leases } };
+    if (const auto& row = answer.configuration)
+        body["configuration"] = { { "key", row->key }, { "value", row->value }, { "version", row->version } };
+    return body.dump();
+}
+
+std::optional<std::uint64_t> decodeBootstrapQuestion(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    return value.is_object() ? number(value, "version") : std::nullopt;
+}
+
+std::optional<BootstrapAnswer> decodeBootstrapAnswer(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object() || !value.contains("leases") || !value["leases"].is_array())
+        return std::nullopt;
+    BootstrapAnswer answer;
+    for (const auto& entry : value["leases"]) {
+        StoreRow row;
+        row.key = entry.is_object() ? text(entry, "daemon") : std::string();
+        row.value = entry.is_object() ? text(entry, "lease") : std::string();
+        auto lease = decodeLeaseRow(row);
+        if (!lease)
+            return std::nullopt;
+        answer.leases.push_back(std::move(*lease));
+    }
+    const auto configuration = value.find("configuration");
+    if (configuration == value.end())
+        return answer;
+    const auto version = configuration->is_object() ? number(*configuration, "version") : std::nullopt;
+    if (!version)
+        return std::nullopt;
+    answer.configuration = StoreRow { "", text(*configuration, "key"), text(*configuration, "value"), *version, false };
+    return answer;
+}
+
 std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body)
 {
     const auto value = json::parse(body, nullptr, false);
@@ -217,6 +261,15 @@
         });
 }
 
+void PeerCalls::askBootstrap(const SocketAddress& address, std::uint64_t rowVersion,
+    std::function<void(const std::optional<BootstrapAnswer>&)> callback)
+{
+    this->clientFor(address).send(makeCall(peerBootstrapPath, json { { "version", rowVersion } }.dump()),
+        bootstrapTimeout, [callback = std::move(callback)](const HttpAnswer& answer) {
+            callback(answer.status == 200 ? decodeBootstrapAnswer(answer.body) : std::nullopt);
+        });
+}
+
 void PeerCalls::askReachable(
     const SocketAddress& address, const ReachableQuestion& question, std::function<void(std::optional<bool>)> callback)
 {
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -2,6 +2,7 @@
 
 #include "edge/loop_http_client.h"
 #include "process/fleet_hooks.h"
+#include "process/seed_bootstrap.h"
 
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 inline constexpr const char* peerSuspendPath = "/peer/suspend";
 inline constexpr const char* peerPrimaryPath = "/peer/primary";
 inline constexpr const char* peerWitnessPath = "/peer/witness";
+inline constexpr const char* peerBootstrapPath = "/peer/bootstrap";
 inline constexpr const char* peerReachablePath = "/peer/reachable";
 inline constexpr const char* peerRenewPath = "/peer/renew";
 
@@ -39,12 +41,16 @@
 std::string encodeMessage(const LeaseRenewal& renewal);
 // Answer to a renewal: how the call to the store ended, its version and its clock.
 std::string encodeMessage(const StoreResult& result);
+std::string encodeMessage(const BootstrapAnswer& answer);
 // The decoders return no value for a body that is not such a message.
 std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body);
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body);
 std::optional<std::vector<PrimaryRow>> decodePrimaryMessage(const std::string& body);
 std::optional<LeaseRenewal> decodeRenewalMessage(const std::string& body);
 std::optional<StoreResult> decodeRenewalAnswer(const std::string& body);
+// Row version of the configuration that the asking daemon has.
+std::optional<std::uint64_t> decodeBootstrapQuestion(const std::string& body);
+std::optional<BootstrapAnswer> decodeBootstrapAnswer(const std::string& body);
 
 // Calls to other daemons over HTTP. A connection to each daemon is kept open.
 class PeerCalls {
@@ -56,6 +62,9 @@
     void renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout, std::function<Time()> now,
         TableStore::Callback callback);
     void askWitness(const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback);
+    // Asks a daemon for the configuration, if its row is newer than the given version, and for the list of daemons.
+    void askBootstrap(const SocketAddress& address, std::uint64_t rowVersion,
+        std::function<void(const std::optional<BootstrapAnswer>&)> callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
 
@@ -65,6 +74,8 @@
     // Longest wait for the connection when a daemon without a lease asks another one to renew it: a host without power
     // lets connections hang, one that runs accepts them within some milliseconds.
     static constexpr Duration urgentConnectLimit = std::chrono::milliseconds(40);
+    // Longest wait for a daemon that is asked for the configuration. Clients wait for the answer.
+    static constexpr Duration bootstrapTimeout = std::chrono::milliseconds(300);
     // Longest wait for an opinion. It exceeds the time that the other daemon gives the endpoint.
     static constexpr Duration reachableTimeout = std::chrono::milliseconds(500);
 
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -97,3 +97,49 @@
         CHECK_FALSE(decodePrimaryMessage(body));
     }
 }
+
+namespace {
+
+BootstrapAnswer sampleBootstrap()
+{
+    BootstrapAnswer answer;
+    answer.configuration = StoreRow { "", "config", R"({"Version":7})", 41, false };
+    answer.leases.push_back(sampleRenewal().row);
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("PeerCalls, keeps the configuration and the leases of a bootstrap answer")
+{
+    const auto answer = sampleBootstrap();
+    const auto decoded = decodeBootstrapAnswer(encodeMessage(answer));
+    REQUIRE(decoded);
+    CHECK(decoded->configuration == answer.configuration);
+    REQUIRE(decoded->leases.size() == 1);
+    CHECK(decoded->leases[0].daemon == answer.leases[0].daemon);
+    CHECK(decoded->leases[0].forwardAddress == answer.leases[0].forwardAddress);
+    CHECK(decoded->leases[0].dataCentre == answer.leases[0].dataCentre);
+    auto unchanged = answer;
+    unchanged.configuration.reset();
+    CHECK_FALSE(decodeBootstrapAnswer(encodeMessage(unchanged))->configuration);
+}
+
+// Guards against a daemon that ends, or goes by half an answer, because another one sends rubbish.
+TEST_CASE("PeerCalls, finds no bootstrap answer in damaged bodies")
+{
+    for (const char* body : { "", "[]", "{}", R"({"leases":5})", R"({"leases":[5]})", R"({"leases":[{"daemon":"d"}]})",
+             R"({"leases":[],"configuration":5})", R"({"leases":[],"configuration":{"key":"c","value":"{}"}})" }) {
+        CAPTURE(body);
+        CHECK_FALSE(decodeBootstrapAnswer(body));
+        CHECK_FALSE(decodeBootstrapQuestion(body));
+    }
+    rc::prop("damaged answers", [] {
+        auto body = encodeMessage(sampleBootstrap());
+        const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+        body[at] = static_cast<char>(*rc::gen::inRange(1, 256));
+        decodeBootstrapAnswer(body);
+        decodeBootstrapQuestion(body);
+        return true;
+    });
+}
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -50,6 +50,7 @@
         FleetIdentity { this->settings.daemon, this->incarnation, this->settings.advertisedPeerAddress,
             this->settings.advertisedForwardAddress, this->settings.dataCentre },
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
+    this->makeBootstrap();
     this->listen();
     this->startFeeds();
     this->fleet->start();
@@ -155,6 +156,7 @@
         logEvent(LogLevel::Info, "configuration_in_force",
             { { "version", table->version }, { "routes", table->routes.size() } });
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
+        this->configurationRow = row;
         this->updateGroups();
         this->updatePlacements();
         this->sessions->startHeldSessions();
@@ -328,6 +330,9 @@
             group.scheduler->tick(now);
     }
     this->fleet->tick();
+    const bool storeAnswered = this->configurationFeed->version() != 0;
+    if (!storeAnswered)
+        this->bootstrap->tick(this->configurationRow.version, now);
     const auto idleLimit = (this->routes ? this->routes->transactionIdleLimit : Duration::zero()) + forwardedIdleSlack;
     this->links->tick(now, idleLimit);
     this->checkStop(now);
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -14,6 +14,7 @@
 #include "process/group_scheduler.h"
 #include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
+#include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
 #include "process/table_feed.h"
 
@@ -59,6 +60,9 @@
     FleetHooks makeFleetHooks();
     void queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
         std::function<void(std::optional<EndpointReport>)> callback);
+    void makeBootstrap();
+    [[nodiscard]] BootstrapAnswer bootstrapAnswer(std::uint64_t knownRowVersion) const;
+    void applyBootstrap(const BootstrapAnswer& answer);
     void handlePeer(const HttpRequest& request, HttpServer::Answer answer);
 
     // session_proxy_forwarding.cc
@@ -104,6 +108,9 @@
     platform::PromotionClient promotions;
     PeerCalls peers;
     std::shared_ptr<const RouteTable> routes;
+    // Row from which the routes were read.
+    StoreRow configurationRow;
+    std::unique_ptr<SeedBootstrap> bootstrap;
     EndpointDirectory directory;
     bool registryKnown = false;
     std::map<DatabaseId, Group> groups;
@@ -120,6 +127,7 @@
     std::uint64_t successes = 0;
     ConnectionId lastConnectionId = 0;
     std::vector<DaemonInfo> alive;
+    std::vector<LeaseRow> otherLeases;
     bool stopping = false;
     bool finished = false;
     Time stopAt;
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -131,10 +131,56 @@
     return hooks;
 }
 
+// What a daemon is told that the store does not answer.
+BootstrapAnswer SessionProxy::bootstrapAnswer(std::uint64_t knownRowVersion) const
+{
+    BootstrapAnswer answer;
+    if (this->configurationRow.version > knownRowVersion)
+        answer.configuration = this->configurationRow;
+    answer.leases = this->otherLeases;
+    LeaseRow self;
+    self.daemon = this->settings.daemon;
+    self.incarnation = this->incarnation;
+    self.address = this->settings.advertisedPeerAddress;
+    self.forwardAddress = this->settings.advertisedForwardAddress;
+    self.dataCentre = this->settings.dataCentre;
+    answer.leases.push_back(std::move(self));
+    return answer;
+}
+
+void SessionProxy::makeBootstrap()
+{
+    SeedBootstrapHooks hooks;
+    hooks.ask = [this](const SocketAddress& seed, std::uint64_t rowVersion, auto callback) {
+        this->peers.askBootstrap(seed, rowVersion, std::move(callback));
+    };
+    hooks.apply = [this](const BootstrapAnswer& answer) { this->applyBootstrap(answer); };
+    this->bootstrap = std::make_unique<SeedBootstrap>(this->settings.seeds, bootNow(), std::move(hooks));
+}
+
+void SessionProxy::applyBootstrap(const BootstrapAnswer& answer)
+{
+    // What the store has answered meanwhile is newer.
+    if (this->configurationFeed->version() != 0 || this->fleet->peersKnown())
+        return;
+    std::vector<LeaseRow> others;
+    for (const auto& lease : answer.leases) {
+        if (lease.daemon != this->settings.daemon)
+            others.push_back(lease);
+    }
+    logEvent(LogLevel::Info, "bootstrapped_from_seed",
+        { { "daemons", others.size() },
+            { "row_version", answer.configuration ? answer.configuration->version : this->configurationRow.version } });
+    this->onLiveDaemons(others);
+    if (answer.configuration)
+        this->onConfigurationRows({ *answer.configuration });
+}
+
 void SessionProxy::handlePeer(const HttpRequest& request, HttpServer::Answer answer)
 {
     constexpr int badRequest = 400;
     constexpr int notFound = 404;
+    constexpr int unavailable = 503;
     if (request.path == peerSuspendPath) {
         if (const auto message = decodeSuspendMessage(request.body)) {
             this->fleet->onSuspendRequest(message->group, message->claimVersion, [answer = std::move(answer)] {
@@ -160,6 +206,14 @@
         answer(HttpResponse {
             200, "application/json", claim ? "{\"claim\":" + std::to_string(*claim) + "}" : std::string("{}") });
         return;
+    } else if (request.path == peerBootstrapPath) {
+        if (const auto rowVersion = decodeBootstrapQuestion(request.body)) {
+            if (this->isReady())
+                answer(HttpResponse { 200, "application/json", encodeMessage(this->bootstrapAnswer(*rowVersion)) });
+            else
+                answer(HttpResponse { unavailable, "application/json", "{}" });
+            return;
+        }
     } else if (request.path == peerReachablePath) {
         if (const auto question = decodeReachableQuestion(request.body)) {
             this->queryEndpoint(question->group, question->endpoint,
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -74,6 +74,7 @@
 
 void SessionProxy::onLiveDaemons(const std::vector<LeaseRow>& others)
 {
+    this->otherLeases = others;
     std::vector<DaemonInfo> daemons;
     std::map<DaemonId, SocketAddress> addresses;
     DaemonInfo self;
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace endivetrestle {
@@ -163,6 +164,7 @@
         if (link.heldStart)
             held.push_back(id);
     }
+    std::sort(held.begin(), held.end());
     for (const auto id : held) {
         auto& link = this->links.at(id);
         const auto databaseName = *std::exchange(link.heldStart, std::nullopt);
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -43,7 +43,7 @@
     void closeIdleSessions();
     // Rolls back transactions that wait for their client's next statement.
     void abortTransactions(const std::string& reason);
-    // Starts the sessions that wait for the first configuration.
+    // Starts the sessions that wait for the first configuration, those that have waited longest first.
     void startHeldSessions();
     // Sets how many sessions may be open. Sessions beyond the limit go on.
     void setMaxSessions(std::size_t limit) { this->maxSessions = limit; }
