Rank the start of a transaction by the time that transactions take

A transaction holds its connection for many statements. Hypothesis: within a priority, single statements before the start of a transaction serve more callers in the same slots; ranking by an observed time instead of a class of its own keeps transactions from starving. Change: StatementRanking ranks by expiry, and the first statement of a transaction as if it expired later by the smoothed time for which transactions hold their connection (1 s at most).

--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -43,6 +43,8 @@
     // Control command that runs instead of a statement.
     ControlTaskPtr control;
     bool inTransaction = false;
+    // Time at which the open transaction was started.
+    Time transactionSince;
     // Whether the open transaction may write.
     bool writableTransaction = false;
     // Whether a write of the open transaction has been sent.
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -174,7 +174,7 @@
     execution->late = admission == AdmissionDecision::Late;
     this->armTimer(
         execution, execution->late ? work.expiresAt : std::min(work.expiresAt, now + waitLimit(work.objective)));
-    this->queue.push(execution);
+    this->enqueue(execution);
     this->dispatch(now);
 }
 
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -6,6 +6,7 @@
 #include "request/position_history.h"
 #include "request/scheduled_statement.h"
 #include "request/statement_queue.h"
+#include "request/statement_ranking.h"
 #include "request/statement_runner.h"
 #include "request/wait_policy.h"
 
@@ -176,6 +177,7 @@
     void failExecution(EndpointConnection& connection, bool timedOut, const std::string& reason);
     void onTimer(const ExecutionPtr& execution, Time now);
     bool keepWaiting(const ExecutionPtr& execution, Time now);
+    void enqueue(const ExecutionPtr& execution);
     void armTimer(const ExecutionPtr& execution, Time at);
     void checkDrained(bool force);
 
@@ -195,6 +197,7 @@
     std::map<EndpointId, EndpointState> endpoints;
     std::map<ConnectionId, EndpointId> endpointByConnection;
     StatementQueue queue;
+    StatementRanking ranking;
     // Arrival rates of all statements and of those that only the primary can run.
     ArrivalRate arrivals;
     ArrivalRate primaryArrivals;
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -189,6 +189,7 @@
         connection.sessionState.recordExecuted(command);
         if (command.kind == CommandKind::Begin || command.kind == CommandKind::BeginRead) {
             connection.inTransaction = true;
+            connection.transactionSince = now;
             connection.writableTransaction = command.kind == CommandKind::Begin;
             connection.transactionWrote = execution->work.changesData();
         }
@@ -333,7 +334,7 @@
         execution->notBefore = now + busyRetryDelay;
     else if (answer.code == ReplyCode::Lagging)
         ++execution->laggingAttempts;
-    this->queue.push(execution);
+    this->enqueue(execution);
     if (execution->notBefore > now) {
         this->timers.subscribeAt(execution->notBefore, [this, alive = this->alive](Time at) {
             if (*alive)
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -8,6 +8,8 @@
 
 void GroupScheduler::release(EndpointConnection& connection, Time now)
 {
+    if (connection.inTransaction)
+        this->ranking.onTransaction(now - connection.transactionSince);
     connection.phase = EndpointConnection::Phase::Idle;
     connection.inTransaction = false;
     connection.writableTransaction = false;
@@ -114,7 +116,7 @@
         this->refuse(execution, ReplyCode::Aborted, reason + "; the read had no effect", "attempts_spent");
         return;
     }
-    this->queue.push(execution);
+    this->enqueue(execution);
 }
 
 // Called when a statement has reached its longest wait in the queue or the timeout of its route.
@@ -159,10 +161,16 @@
         return false;
     this->queue.remove(execution);
     execution->late = true;
-    this->queue.push(execution);
+    this->enqueue(execution);
     return true;
 }
 
+void GroupScheduler::enqueue(const ExecutionPtr& execution)
+{
+    execution->rank = this->ranking.rankOf(execution->work);
+    this->queue.push(execution);
+}
+
 void GroupScheduler::armTimer(const ExecutionPtr& execution, Time at)
 {
     execution->timer = this->timers.subscribeAt(at, [this, execution](Time now) {
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -87,9 +87,10 @@
     ScheduledStatement work;
     ResultCallback callback;
     bool finished = false;
-    // Whether it waits behind all statements that can still meet their latency objective. Must not change while it is
-    // queued.
+    // Whether it waits behind all statements that can still meet their latency objective.
     bool late = false;
+    // Rank among the waiting statements of its priority; the lowest starts first.
+    Time rank;
     // Number of sends so far.
     int attempts = 0;
     // Number of sends to endpoints that had not reached the required position.
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -5,7 +5,7 @@
 StatementQueue::Key StatementQueue::keyOf(const ExecutionPtr& execution)
 {
     const auto& work = execution->work;
-    return { execution->late, work.priority, work.expiresAt, work.arrivedAt, execution.get() };
+    return { execution->late, work.priority, execution->rank, work.arrivedAt, execution.get() };
 }
 
 void StatementQueue::push(const ExecutionPtr& execution)
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -20,8 +20,8 @@
     PrimaryFull,
 };
 
-// Statements that wait for an endpoint, ordered by priority and then by expiry. Statements marked as late come after
-// all others.
+// Statements that wait for an endpoint, ordered by priority and then by rank. Statements marked as late come after all
+// others.
 //
 // The queue answers the load of a group in which one endpoint is full and another has capacity: statements that only
 // the primary can run are kept apart from the others, so that a backlog in front of a full primary does not hide
@@ -57,7 +57,7 @@
     [[nodiscard]] bool empty() const { return this->places.empty(); }
 
 private:
-    // Whether it is late, priority, expiry, arrival time, and the address as a tie-breaker.
+    // Whether it is late, priority, rank, arrival time, and the address as a tie-breaker.
     using Key = std::tuple<bool, int, Time, Time, const Execution*>;
     using Lane = std::map<Key, ExecutionPtr>;
     static Key keyOf(const ExecutionPtr& execution);
--- a/src/request/statement_queue_test.cc
+++ b/src/request/statement_queue_test.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
-ExecutionPtr waiting(int priority, Time expiresAt, bool needsPrimary = true)
+ExecutionPtr waiting(int priority, Time rank, bool needsPrimary = true)
 {
     auto execution = std::make_shared<Execution>();
     execution->work.priority = priority;
     execution->work.arrivedAt = Time(1s);
-    execution->work.expiresAt = expiresAt;
+    execution->rank = rank;
     execution->work.needsPrimary = needsPrimary;
     return execution;
 }
@@ -30,7 +30,7 @@
 
 } // namespace
 
-TEST_CASE("StatementQueue, offers statements by priority and then by expiry")
+TEST_CASE("StatementQueue, offers statements by priority and then by rank")
 {
     // Guards against a lookup with seconds left that makes a statement with a short timeout expire behind it.
     StatementQueue queue;
@@ -43,7 +43,7 @@
     CHECK(queue.empty());
 }
 
-TEST_CASE("StatementQueue, offers statements with the same expiry by arrival")
+TEST_CASE("StatementQueue, offers statements with the same rank by arrival")
 {
     StatementQueue queue;
     const auto second = waiting(1, Time(9s));
--- a/src/request/wait_policy.h
+++ b/src/request/wait_policy.h
@@ -21,7 +21,7 @@
 
 // How a statement that cannot start at once is treated.
 enum class AdmissionDecision {
-    // It waits in the order of priority and expiry.
+    // It waits in the order of priority and rank.
     OnTime,
     // It will miss its objective but can be served before it expires. It waits behind all statements that can still
     // meet theirs and uses only the capacity that they leave.
