Use replicas from the start of a session at the primary

Replicas with idle connections served nothing for 150 ms. Hypothesis: the primary reports its position in the answer to the session start, which precedes any statement; replicas that have seen no commits for a second do not lag, and one that does refuses at the cost of one answer. Change: the position of the session start counts as of the time at which the connection was opened (earlier than the start was sent, so it claims less than it could); the first estimate of a replica's lag is the least one, 10 ms.

--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -64,7 +64,7 @@
     // Smoothed time from sending a statement to its answer.
     Duration latency = std::chrono::milliseconds(10);
     // Estimated replication lag: the endpoint is expected to hold positions that are older.
-    Duration lagEstimate = std::chrono::milliseconds(60);
+    Duration lagEstimate = std::chrono::milliseconds(10);
     // Until this time the endpoint gets no reads that need a position it is not known to hold.
     Time laggingUntil;
     Time lastAnswerAt;
--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -62,7 +62,7 @@
     const auto answer = link.parser.take();
     if (!link.started) {
         link.started = true;
-        this->input.opened(id);
+        this->input.opened(id, answer.position);
     } else
         this->input.answered(id, answer);
     return this->links.count(id) != 0;
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -14,7 +14,7 @@
 
 // Input that connections to endpoints deliver.
 struct EndpointInput {
-    std::function<void(ConnectionId)> opened;
+    std::function<void(ConnectionId, const std::optional<Position>&)> opened;
     std::function<void(ConnectionId, const EndpointAnswer&)> answered;
     std::function<void(ConnectionId)> closed;
     // The endpoint refused the session because it has too many.
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -186,9 +186,9 @@
 {
     Group group;
     EndpointInput input;
-    input.opened = [this, id](ConnectionId connection) {
+    input.opened = [this, id](ConnectionId connection, const std::optional<Position>& position) {
         if (auto* scheduler = this->schedulerOf(id))
-            scheduler->onOpened(connection, bootNow());
+            scheduler->onOpened(connection, position, bootNow());
     };
     input.answered = [this, id](ConnectionId connection, const EndpointAnswer& answer) {
         if (auto* scheduler = this->schedulerOf(id))
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -89,7 +89,8 @@
     void runControlCommand(const EndpointId& endpoint, const EndpointCommand& command, Duration timeout, Time now,
         ControlCallback callback);
 
-    void onOpened(ConnectionId connection, Time now);
+    // The connection is open. `position` is that of the endpoint's log when it answered the start of the session.
+    void onOpened(ConnectionId connection, const std::optional<Position>& position, Time now);
     void onAnswer(ConnectionId connection, const EndpointAnswer& answer, Time now);
     // The connection was refused, reset or closed, or received data that could not be parsed.
     void onClosed(ConnectionId connection, Time now);
@@ -162,8 +163,8 @@
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     bool prepareAgain(EndpointConnection& connection, Time now);
-    void recordPosition(
-        EndpointState& endpoint, const EndpointConnection& connection, const EndpointAnswer& answer, Time now);
+    void recordPosition(EndpointState& endpoint, const EndpointConnection& connection,
+        const std::optional<Position>& position, Time now);
     [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
     void requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -93,7 +93,7 @@
     this->hooks.send(connection.id, connection.pendingCommands.front());
 }
 
-void GroupScheduler::onOpened(ConnectionId id, Time now)
+void GroupScheduler::onOpened(ConnectionId id, const std::optional<Position>& position, Time now)
 {
     auto* connection = this->findConnection(id);
     if (connection == nullptr)
@@ -103,6 +103,7 @@
     endpoint.openFailures = 0;
     endpoint.openNotBefore = Time();
     endpoint.atConnectionLimit = false;
+    this->recordPosition(endpoint, *connection, position, now);
     endpoint.lastAnswerAt = now;
     endpoint.silent = false;
     connection->phase = EndpointConnection::Phase::Idle;
@@ -129,16 +130,15 @@
 }
 
 void GroupScheduler::recordPosition(
-    EndpointState& endpoint, const EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+    EndpointState& endpoint, const EndpointConnection& connection, const std::optional<Position>& position, Time now)
 {
-    if (!answer.position)
+    if (!position)
         return;
-    if (!endpoint.position || *answer.position > *endpoint.position)
-        endpoint.position = *answer.position;
+    if (!endpoint.position || *position > *endpoint.position)
+        endpoint.position = *position;
     // A position covers all acknowledged commits only if it comes from the primary while this daemon may use it.
-    if (this->primaryUsable(now) && connection.endpoint == *this->primaryId
-        && answer.position->term >= this->primaryTerm)
-        this->history.add(connection.sentAt, *answer.position);
+    if (this->primaryUsable(now) && connection.endpoint == *this->primaryId && position->term >= this->primaryTerm)
+        this->history.add(connection.sentAt, *position);
 }
 
 void GroupScheduler::onAnswer(ConnectionId id, const EndpointAnswer& answer, Time now)
@@ -149,7 +149,7 @@
     auto& endpoint = this->endpoints.at(connection->endpoint);
     endpoint.lastAnswerAt = now;
     endpoint.silent = false;
-    this->recordPosition(endpoint, *connection, answer, now);
+    this->recordPosition(endpoint, *connection, answer.position, now);
     if (connection->pendingCommands.empty()) {
         logEvent(LogLevel::Warning, "unexpected_answer", { { "endpoint", connection->endpoint.value } });
         this->closeConnection(*connection);
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -499,3 +499,20 @@
     fixture.lease = false;
     CHECK(fixture.scheduler->lacksAccessToPrimary(SchedulerFixture::write(), fixture.now));
 }
+
+// Guards against replicas that stay idle after a restart until the primary has run a statement: behind a backlog that
+// takes longer than to open a connection.
+TEST_CASE("GroupScheduler, serves reads at replicas as soon as a session at the primary has started")
+{
+    SchedulerFixture fixture;
+    for (const auto* endpoint : { "e1", "e2", "e3" })
+        fixture.loseConnectionsTo(endpoint);
+    fixture.positionAtStart = Position { 1, 10 };
+    fixture.advance(1s);
+    fixture.scheduler->tick(fixture.now);
+    fixture.completeOpens();
+    fixture.advance(20ms);
+    CHECK_FALSE(fixture.scheduler->needsPrimary(SchedulerFixture::read(false)));
+    fixture.submit(SchedulerFixture::read(false));
+    CHECK(fixture.endpointName(fixture.take().connection) == "e2");
+}
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -57,7 +57,7 @@
     {
         for (const auto& [id, endpoint] : std::exchange(this->opening, {})) {
             this->endpointOf[id] = endpoint;
-            this->scheduler->onOpened(id, this->now);
+            this->scheduler->onOpened(id, this->positionAtStart, this->now);
         }
     }
 
@@ -183,6 +183,8 @@
     TimerService timers;
     bool lease = true;
     int connectionShare = 4;
+    // Position that endpoints report when a session starts.
+    std::optional<Position> positionAtStart;
     ConnectionId lastConnection = 0;
     std::vector<std::pair<ConnectionId, EndpointId>> opening;
     std::map<ConnectionId, EndpointId> endpointOf;
