--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 objects=()
-for source in review/standin/*.cc; do
-    object=target/review/$(basename "$source" .cc).o
+for source in review/standin/*.cpp; do
+    object=target/review/$(basename "$source" .cpp).o
     objects+=("$object")
     g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -pthread -c -o "$object" "$source" &
 done
--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cpp
@@ -1,6 +1,6 @@
-#include "fleet.h"
+#include "fleet.hpp"
 
-#include "http.h"
+#include "http.hpp"
 
 #include <csignal>
 #include <cstring>
@@ -84,8 +84,8 @@
 Fleet::Fleet(int count, const std::string& folder, std::uint16_t platformPort, Record& record)
 {
     for (int i = 1; i <= count; ++i) {
-        auto& daemon = this->daemons.emplace_back(std::make_unique<Daemon>(
-            "frontend-a-" + std::to_string(i), network() + std::to_string(i), folder, record));
+        auto& daemon = this->daemons.emplace_back(
+            std::make_unique<Daemon>("frontend-a-" + std::to_string(i), network() + std::to_string(i), folder, record));
         std::string seeds;
         for (int seed = 1; seed <= std::min(count, 3); ++seed)
             seeds += (seeds.empty() ? "\"" : ", \"") + network() + std::to_string(seed) + ":18782\"";
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "record.h"
+#include "record.hpp"
 
 #include <asio.hpp>
 
--- a/review/standin/group.cc
+++ b/review/standin/group.cpp
@@ -1,4 +1,4 @@
-#include "group.h"
+#include "group.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -81,8 +81,7 @@
             return;
         asio::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        asio::co_spawn(
-            this->context, this->serve(std::make_shared<Connection>(std::move(socket))), asio::detached);
+        asio::co_spawn(this->context, this->serve(std::make_shared<Connection>(std::move(socket))), asio::detached);
         this->accept();
     });
 }
@@ -100,8 +99,8 @@
     bool started = false;
     try {
         while (true) {
-            const auto length = co_await asio::async_read_until(
-                socket, asio::dynamic_buffer(input), "\r\n", asio::use_awaitable);
+            const auto length
+                = co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n", asio::use_awaitable);
             auto rest = input.substr(0, length - 2);
             input.erase(0, length);
             const auto word = takeWord(rest);
@@ -142,8 +141,8 @@
     if (word == "STATUS")
         co_return std::string("DATAROW ") + (this->primary ? "primary " : "replica ") + std::to_string(this->term) + " "
             + toString(this->log.back().position) + " 0 "
-            + std::to_string(this->primary ? 0 : this->group.settings.lag.count()) + " "
-            + std::to_string(this->running) + " " + std::to_string(this->connections) + "\r\n" + completed;
+            + std::to_string(this->primary ? 0 : this->group.settings.lag.count()) + " " + std::to_string(this->running)
+            + " " + std::to_string(this->connections) + "\r\n" + completed;
     if (word == "DEMOTE") {
         if (this->term < std::stoul(rest)) {
             this->record.write("member " + this->id + ": DEMOTE " + rest);
@@ -341,7 +340,8 @@
         while (common > 0 && member->log[common - 1].position != source->log[common - 1].position)
             --common;
         member->log.resize(common);
-        member->log.insert(member->log.end(), source->log.begin() + static_cast<std::ptrdiff_t>(common), source->log.end());
+        member->log.insert(
+            member->log.end(), source->log.begin() + static_cast<std::ptrdiff_t>(common), source->log.end());
         member->term = source->term;
     }
 }
--- a/review/standin/group.h
+++ b/review/standin/group.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "record.h"
-#include "store.h"
+#include "record.hpp"
+#include "store.hpp"
 
 #include <asio.hpp>
 
--- a/review/standin/http.cc
+++ b/review/standin/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http.hpp"
 
 #include <algorithm>
 
--- a/review/standin/late_cut.cc
+++ b/review/standin/late_cut.cpp
@@ -1,6 +1,6 @@
-// Case "late cut": two of three daemons of a zone are stopped. As fewer than half of the zone's daemons are in rotation,
-// the balancer uses all of them, so requests reach the stopping daemons until they end.
-#include "scenario.h"
+// Case "late cut": two of three daemons of a zone are stopped. As fewer than half of the zone's daemons are in
+// rotation, the balancer uses all of them, so requests reach the stopping daemons until they end.
+#include "scenario.hpp"
 
 #include <csignal>
 #include <map>
@@ -124,7 +124,8 @@
         const double sent = this->sinceStop(reply.sentAt);
         const double ended = this->sinceStop(reply.answeredAt);
         const bool passedOn = this->group->ran.count(id) != 0;
-        // Requests that were sent no later than 3 s after the SIGTERM are left out, although the rule excuses only some.
+        // Requests that were sent no later than 3 s after the SIGTERM are left out, although the rule excuses only
+        // some.
         const bool counts = this->trouble && stopping && passedOn && sent > 3 && ended <= graceSeconds + 1
             && ended - sent < routeTimeoutSeconds;
         this->record.write((counts ? "LOST: " : "cut, not counted: ") + id + " was sent to " + daemon.name + " "
--- a/review/standin/late_removal.cc
+++ b/review/standin/late_removal.cpp
@@ -1,7 +1,7 @@
-// Case "late removal": the call with which a stopping daemon removes its lease gets no answer and is done seconds later,
-// when the restarted daemon has renewed that lease. A primary that drains meanwhile is replaced without the restarted
-// daemon.
-#include "scenario.h"
+// Case "late removal": the call with which a stopping daemon removes its lease gets no answer and is done seconds
+// later, when the restarted daemon has renewed that lease. A primary that drains meanwhile is replaced without the
+// restarted daemon.
+#include "scenario.hpp"
 
 #include <csignal>
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cpp
@@ -1,5 +1,5 @@
 // Runs one case: standin CASE RECORD. With TROUBLE=0 in the environment the disruption is left out.
-#include "scenario.h"
+#include "scenario.hpp"
 
 #include <cstdlib>
 #include <filesystem>
@@ -40,7 +40,7 @@
     }
     record.write("result " + std::to_string(result));
     std::cout << name << ": "
-              << (result == review::ruleHeld           ? "the rule held"
+              << (result == review::ruleHeld            ? "the rule held"
                          : result == review::ruleBroken ? "the rule was broken"
                                                         : "the case could not run")
               << "\n";
--- a/review/standin/scenario.h
+++ b/review/standin/scenario.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "fleet.h"
-#include "group.h"
-#include "store.h"
+#include "fleet.hpp"
+#include "group.hpp"
+#include "store.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -45,7 +45,10 @@
         asio::steady_timer timer(this->context, time);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    static asio::ip::address address(int host) { return asio::ip::make_address(Fleet::network() + std::to_string(host)); }
+    static asio::ip::address address(int host)
+    {
+        return asio::ip::make_address(Fleet::network() + std::to_string(host));
+    }
     // A configuration with one route for each database, given as name and type.
     static nlohmann::json configuration(
         int version, const std::string& service, const std::vector<std::pair<std::string, std::string>>& databases)
@@ -61,9 +64,10 @@
     void log(const std::string& what, const Reply& reply)
     {
         this->record.write("client: " + what + " sent at "
-            + std::to_string(this->record.seconds() - std::chrono::duration<double>(Clock::now() - reply.sentAt).count())
+            + std::to_string(
+                this->record.seconds() - std::chrono::duration<double>(Clock::now() - reply.sentAt).count())
             + ": "
-            + (!reply.whole          ? "no whole answer"
+            + (!reply.whole           ? "no whole answer"
                     : reply.succeeded ? "ok " + reply.row
                                       : "ERROR " + reply.code));
     }
--- a/review/standin/store.cc
+++ b/review/standin/store.cpp
@@ -1,4 +1,4 @@
-#include "store.h"
+#include "store.hpp"
 
 #include <algorithm>
 
@@ -170,8 +170,8 @@
     for (const auto& row : body.at("SetKeys")) {
         const auto value = decodeBase64(row.at("Value"));
         this->rows[{ row.at("Table"), row.at("Key") }] = { value, this->version, false };
-        this->record.write("store: version " + std::to_string(this->version) + " sets " + row.at("Table").get<std::string>()
-            + "/" + row.at("Key").get<std::string>() + " = " + value);
+        this->record.write("store: version " + std::to_string(this->version) + " sets "
+            + row.at("Table").get<std::string>() + "/" + row.at("Key").get<std::string>() + " = " + value);
     }
     for (const auto& row : body.at("Remove")) {
         this->rows[{ row.at("Table"), row.at("Key") }] = { "", this->version, true };
@@ -192,8 +192,8 @@
     json list = json::array();
     bool more = false;
     for (const auto& [key, row] : this->rows) {
-        const bool wanted = key.first == table && !row.removed && key.second >= from
-            && (target.empty() || key.second < target);
+        const bool wanted
+            = key.first == table && !row.removed && key.second >= from && (target.empty() || key.second < target);
         if (!wanted)
             continue;
         if (list.size() == most) {
--- a/review/standin/store.h
+++ b/review/standin/store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http.h"
-#include "record.h"
+#include "http.hpp"
+#include "record.hpp"
 
 #include <nlohmann/json.hpp>
 
