review: a lease that witnesses revive becomes case 1, the others move down

Cause: newestClaim is raised by one group's claim or row past claims that the daemon does not know, and a witness revives a lease that has ended.

--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/endivetrestle ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin late-removal review/2/record.txt
+exec target/review/standin late-removal review/3/record.txt
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -65,6 +66,33 @@
     kill(this->pid, number);
 }
 
+bool Daemon::owns(const asio::ip::tcp::endpoint& address) const
+{
+    // Lines of this file: number, local address, remote address, state, queues, timer, retransmits, user, timeout,
+    // inode.
+    char local[32];
+    std::snprintf(local, sizeof local, "%08X:%04X", htonl(address.address().to_v4().to_uint()), address.port());
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    while (std::getline(table, line)) {
+        std::istringstream fields(line);
+        std::string field;
+        std::vector<std::string> values;
+        while (fields >> field)
+            values.push_back(field);
+        if (values.size() < 10 || values[1] != local)
+            continue;
+        const auto wanted = "socket:[" + values[9] + "]";
+        std::error_code ignored;
+        for (const auto& entry :
+            std::filesystem::directory_iterator("/proc/" + std::to_string(this->pid) + "/fd", ignored)) {
+            if (std::filesystem::read_symlink(entry.path(), ignored) == wanted)
+                return true;
+        }
+    }
+    return false;
+}
+
 bool Daemon::runs()
 {
     int status = 0;
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -22,6 +22,8 @@
 
     void start();
     void signal(int number);
+    // Whether a connection that comes from this address is one of this process.
+    [[nodiscard]] bool owns(const asio::ip::tcp::endpoint& address) const;
     // Whether the process runs.
     [[nodiscard]] bool runs();
 
--- a/review/standin/late_cut.cpp
+++ b/review/standin/late_cut.cpp
@@ -33,7 +33,7 @@
         Group group(this->context, settings, this->address(200), this->record);
         Platform platform(this->context, this->address(200), this->record);
         platform.promote = [&](const std::string&, const std::string& id) { return group.promote(id); };
-        platform.put("op", "config", configuration(3, service, { { database, "bounded_staleness" } }));
+        platform.put("op", "config", configuration(3, { { database, "bounded_staleness", service } }));
         group.publish(platform);
         Fleet daemons(3, this->folder, platform.port(), this->record);
         this->fleet = &daemons;
--- a/review/standin/late_removal.cpp
+++ b/review/standin/late_removal.cpp
@@ -33,7 +33,7 @@
             this->address(200), this->record);
         Platform platform(this->context, this->address(200), this->record);
         platform.promote = [&](const std::string&, const std::string& id) { return group.promote(id); };
-        platform.put("op", "config", configuration(3, service, { { database, "primary" } }));
+        platform.put("op", "config", configuration(3, { { database, "primary", service } }));
         group.publish(platform);
         Fleet fleet(4, this->folder, platform.port(), this->record);
         for (const auto& daemon : fleet.daemons)
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -21,9 +21,13 @@
     review::Record record(argv[2]);
     record.write("case " + name + (trouble ? "" : " without the disruption"));
     review::ScenarioContext setup { context, record, folder, trouble };
-    const auto scenario = name == "late-removal" ? review::makeLateRemoval(setup)
-        : name == "late-cut"                     ? review::makeLateCut(setup)
-                                                 : nullptr;
+    std::unique_ptr<review::Scenario> scenario;
+    if (name == "late-removal")
+        scenario = review::makeLateRemoval(setup);
+    else if (name == "late-cut")
+        scenario = review::makeLateCut(setup);
+    else if (name == "revived-lease")
+        scenario = review::makeRevivedLease(setup);
     int result = review::couldNotRun;
     if (scenario) {
         asio::co_spawn(context, scenario->run(), [&](std::exception_ptr error, int value) {
--- a/review/standin/scenario.hpp
+++ b/review/standin/scenario.hpp
@@ -49,15 +49,22 @@
     {
         return asio::ip::make_address(Fleet::network() + std::to_string(host));
     }
-    // A configuration with one route for each database, given as name and type.
-    static nlohmann::json configuration(
-        int version, const std::string& service, const std::vector<std::pair<std::string, std::string>>& databases)
+    struct RouteSpec {
+        std::string database;
+        std::string type;
+        std::string service;
+    };
+    // A configuration with these routes and their services.
+    static nlohmann::json configuration(int version, const std::vector<RouteSpec>& specs)
     {
         nlohmann::json routes = nlohmann::json::array();
-        for (const auto& [name, type] : databases)
-            routes.push_back({ { "Name", "route-" + name }, { "Host", name }, { "Type", type }, { "TimeoutMs", 800 },
-                { "TargetLatencyMs", 200 }, { "Priority", 1 }, { "Service", service }, { "MaxStalenessMs", 1500 } });
-        const nlohmann::json services { { { "Name", service }, { "MaxConns", 40 }, { "SyncReplicas", 0 } } };
+        nlohmann::json services = nlohmann::json::array();
+        for (const auto& spec : specs) {
+            routes.push_back({ { "Name", "route-" + spec.database }, { "Host", spec.database }, { "Type", spec.type },
+                { "TimeoutMs", 800 }, { "TargetLatencyMs", 200 }, { "Priority", 1 }, { "Service", spec.service },
+                { "MaxStalenessMs", 1500 } });
+            services.push_back({ { "Name", spec.service }, { "MaxConns", 40 }, { "SyncReplicas", 0 } });
+        }
         return { { "Version", version }, { "Routes", routes }, { "Services", services },
             { "Limits", { { "TxIdleMs", 3000 } } } };
     }
@@ -79,6 +86,7 @@
 };
 
 std::unique_ptr<Scenario> makeLateRemoval(ScenarioContext context);
+std::unique_ptr<Scenario> makeRevivedLease(ScenarioContext context);
 std::unique_ptr<Scenario> makeLateCut(ScenarioContext context);
 
 } // namespace review
