Count a witness only if every claim up to its newest one is known

Callers saw: stale reads.

Cause: a witness counted if its newest claim was not newer than the newest one that the asking daemon had heard of. The request to stop using another group's primary raised that one past a claim that the daemon had missed, so that others extended a lease that the replacement had rightly taken for ended. Ruled out: that a lease which has ended may be extended again; the argument holds for it if the extension proves what a renewal proves.

Evidence: the new test with two groups failed before for 3, 4, 7 and 12 daemons, when the suspend request was the first call after the cut ("daemon 3 uses e1 of shop while e2 leads"), and held for later ends of the cut.

Change: claims form a chain, each names the epoch on condition of which it was made, and KnownClaims advances along the chain only. Renewals carry that version and witnesses count up to it. The same cause elsewhere: witnesses counted while statements at a claimed primary were outstanding (its test failed with that check taken out); a renewal that fell back from the delegate to the store did not look again for such statements; the record of a new primary moved the epoch without a condition, it leaves it now. The simulation has endpoints for each group.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -47,14 +47,19 @@
     row.term = *term;
     row.writer = DaemonId(text(value, "writer"));
     row.version = *version;
+    // Daemons of an earlier release send neither: the row then stands for its claim, and for no earlier one.
+    row.claim = number(value, "claim").value_or(*version);
+    row.previousEpoch = number(value, "previous_epoch").value_or(*version);
     return row;
 }
 
 } // namespace
 
-std::string encodeMessage(const SuspendMessage& message)
+std::string encodeMessage(const Claim& claim)
 {
-    return json { { "group", message.group.value }, { "claim", message.claimVersion } }.dump();
+    return json {
+        { "group", claim.group.value }, { "claim", claim.version }, { "previous_epoch", claim.previousEpoch }
+    }.dump();
 }
 
 std::string encodeMessage(const ReachableQuestion& question)
@@ -67,7 +72,8 @@
     json list = json::array();
     for (const auto& row : rows) {
         list.push_back({ { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
-            { "version", row.version }, { "writer", row.writer.value } });
+            { "version", row.version }, { "writer", row.writer.value }, { "claim", row.claim },
+            { "previous_epoch", row.previousEpoch } });
     }
     return json { { "rows", list } }.dump();
 }
@@ -132,7 +138,7 @@
     return answer;
 }
 
-std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body)
+std::optional<Claim> decodeClaim(const std::string& body)
 {
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object())
@@ -141,7 +147,7 @@
     const auto group = text(value, "group");
     if (!claim || group.empty())
         return std::nullopt;
-    return SuspendMessage { DatabaseId(group), *claim };
+    return Claim { DatabaseId(group), *claim, number(value, "previous_epoch").value_or(*claim) };
 }
 
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body)
@@ -214,11 +220,10 @@
     return *client;
 }
 
-void PeerCalls::suspend(
-    const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback)
+void PeerCalls::suspend(const SocketAddress& address, const Claim& claim, std::function<void(PeerStatus)> callback)
 {
     constexpr int ok = 200;
-    this->clientFor(address).send(makeCall(peerSuspendPath, encodeMessage(message)), suspendTimeout,
+    this->clientFor(address).send(makeCall(peerSuspendPath, encodeMessage(claim)), suspendTimeout,
         [callback = std::move(callback)](const HttpAnswer& answer) {
             if (answer.status == ok)
                 callback(PeerStatus::Done);
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -19,14 +19,6 @@
 inline constexpr const char* peerReachablePath = "/peer/reachable";
 inline constexpr const char* peerRenewPath = "/peer/renew";
 
-// Asks a daemon to stop using the primary of a group.
-struct SuspendMessage {
-    DatabaseId group;
-    std::uint64_t claimVersion = 0;
-
-    bool operator==(const SuspendMessage&) const = default;
-};
-
 // Asks a daemon whether it reaches an endpoint.
 struct ReachableQuestion {
     DatabaseId group;
@@ -35,7 +27,7 @@
     bool operator==(const ReachableQuestion&) const = default;
 };
 
-std::string encodeMessage(const SuspendMessage& message);
+std::string encodeMessage(const Claim& claim);
 std::string encodeMessage(const ReachableQuestion& question);
 std::string encodeMessage(const std::vector<PrimaryRow>& rows);
 std::string encodeMessage(const LeaseRenewal& renewal);
@@ -43,7 +35,7 @@
 std::string encodeMessage(const StoreResult& result);
 std::string encodeMessage(const BootstrapAnswer& answer);
 // The decoders return no value for a body that is not such a message.
-std::optional<SuspendMessage> decodeSuspendMessage(const std::string& body);
+std::optional<Claim> decodeClaim(const std::string& body);
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body);
 std::optional<std::vector<PrimaryRow>> decodePrimaryMessage(const std::string& body);
 std::optional<LeaseRenewal> decodeRenewalMessage(const std::string& body);
@@ -57,7 +49,8 @@
 public:
     explicit PeerCalls(asio::io_context& context);
 
-    void suspend(const SocketAddress& address, const SuspendMessage& message, std::function<void(PeerStatus)> callback);
+    // Asks a daemon to stop using the primary of a claimed group.
+    void suspend(const SocketAddress& address, const Claim& claim, std::function<void(PeerStatus)> callback);
     void announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows);
     void renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout, std::function<Time()> now,
         TableStore::Callback callback);
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -54,10 +54,10 @@
 FleetHooks SessionProxy::makeFleetHooks()
 {
     FleetHooks hooks;
-    hooks.requestSuspend = [this](const SocketAddress& address, const DatabaseId& group, std::uint64_t claimVersion,
-                               std::function<void(PeerStatus)> callback) {
-        this->peers.suspend(address, { group, claimVersion }, std::move(callback));
-    };
+    hooks.requestSuspend
+        = [this](const SocketAddress& address, const Claim& claim, std::function<void(PeerStatus)> callback) {
+              this->peers.suspend(address, claim, std::move(callback));
+          };
     hooks.announce = [this](const SocketAddress& address, const std::vector<PrimaryRow>& rows) {
         this->peers.announce(address, rows);
     };
@@ -182,8 +182,8 @@
     constexpr int notFound = 404;
     constexpr int unavailable = 503;
     if (request.path == peerSuspendPath) {
-        if (const auto message = decodeSuspendMessage(request.body)) {
-            this->fleet->onSuspendRequest(message->group, message->claimVersion, [answer = std::move(answer)] {
+        if (const auto claim = decodeClaim(request.body)) {
+            this->fleet->onSuspendRequest(*claim, [answer = std::move(answer)] {
                 answer(HttpResponse { 200, "application/json", "{}" });
             });
             return;
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -126,8 +126,7 @@
         else if (const auto primary = decodePrimaryRow(row))
             this->applyRow(*primary);
     }
-    this->epochVersion = std::max(this->epochVersion, epoch);
-    this->updateNewestClaim(epoch);
+    this->claims.addAllUpTo(epoch);
     this->fleetVersion = std::max(this->fleetVersion, result.version);
     if (!this->fleetTableLoaded)
         logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
@@ -144,7 +143,7 @@
         return;
     this->rows[row.group] = row;
     // The row of a finished replacement also proves that there was a claim.
-    this->updateNewestClaim(row.version);
+    this->claims.add(row.claim, row.previousEpoch);
     if (row.replacing) {
         this->replacingSince.try_emplace(row.group, this->now());
         this->suspend(row.group, nullptr);
@@ -185,23 +184,24 @@
     });
 }
 
-void FleetController::onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done)
+void FleetController::onSuspendRequest(const Claim& claim, std::function<void()> done)
 {
-    const auto known = this->rows.find(group);
+    const auto known = this->rows.find(claim.group);
+    this->claims.add(claim.version, claim.previousEpoch);
     // The replacement that made this claim has already finished.
-    if (known != this->rows.end() && known->second.version > claimVersion && !known->second.replacing) {
+    if (known != this->rows.end() && known->second.version > claim.version && !known->second.replacing) {
         done();
         return;
     }
-    if (known == this->rows.end() || known->second.version < claimVersion) {
-        auto& row = this->rows[group];
-        row.group = group;
+    if (known == this->rows.end() || known->second.version < claim.version) {
+        auto& row = this->rows[claim.group];
+        row.group = claim.group;
         row.replacing = true;
-        row.version = claimVersion;
-        this->updateNewestClaim(claimVersion);
-        this->replacingSince.try_emplace(group, this->now());
+        row.version = row.claim = claim.version;
+        row.previousEpoch = claim.previousEpoch;
+        this->replacingSince.try_emplace(claim.group, this->now());
     }
-    this->suspend(group, std::move(done));
+    this->suspend(claim.group, std::move(done));
 }
 
 void FleetController::onAnnouncement(const std::vector<PrimaryRow>& rows)
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/fleet_hooks.h"
+#include "process/known_claims.h"
 #include "process/primary_lease.h"
 #include "process/promotion.h"
 #include "process/promotion_lock.h"
@@ -26,9 +27,9 @@
 //
 // A daemon that replaces a primary first claims the group: it marks the group's row as being replaced. The view is
 // built from the store's fleet table, from announcements of new primaries, and from requests of the replacing daemon to
-// stop using a primary. A row is overwritten only by a row with a newer version. The lease is renewed only after this
-// daemon has stopped using the primaries of all known claims, so a renewed lease proves that it no longer uses the
-// primaries that are being replaced.
+// stop using a primary. A row is overwritten only by a row with a newer version. The lease is renewed, or extended by
+// witnesses, only while this daemon knows every claim up to the newest one and has stopped using the primaries of all
+// of them, so a lease proves that it no longer uses the primaries that are being replaced.
 class FleetController {
 public:
     FleetController(
@@ -46,7 +47,7 @@
 
     // Handles a request to stop using the primary of a group, from the daemon that claimed it. The callback runs when
     // this daemon has no outstanding statements at the primary.
-    void onSuspendRequest(const DatabaseId& group, std::uint64_t claimVersion, std::function<void()> done);
+    void onSuspendRequest(const Claim& claim, std::function<void()> done);
     // Handles a request of another daemon to renew its lease in a batch.
     void onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done);
     // Returns the version of the newest claim that this daemon knows, as the answer to a daemon that needs witnesses.
@@ -97,7 +98,7 @@
     void onRenewalConflict(const StoreResult& result);
     void askWitnesses(Time now);
     void onWitness(Time askedAt, std::optional<std::uint64_t> claim);
-    void updateNewestClaim(std::uint64_t version);
+    [[nodiscard]] bool obeysKnownClaims() const;
     void readFleet();
     void onFleetRead(const StoreResult& result);
     [[nodiscard]] bool watchesSuspendedPrimary() const;
@@ -138,11 +139,9 @@
     Time delegationPausedUntil;
     // Whether the store refused or did not answer the last direct renewal.
     bool lastDirectRenewalFailed = false;
-    std::uint64_t epochVersion = 0;
+    KnownClaims claims;
     // Store version up to which the fleet table has been read; 0 if the whole table must be read.
     std::uint64_t fleetVersion = 0;
-    // Version of the newest claim or epoch row that this daemon knows.
-    std::uint64_t newestClaim = 0;
     // Time of the last request to witnesses, and the number of witnesses that have confirmed since.
     Time witnessesAskedAt;
     int witnessAnswers = 0;
--- a/src/process/fleet_controller_adoption_test.cc
+++ b/src/process/fleet_controller_adoption_test.cc
@@ -36,7 +36,8 @@
     FleetSimulation simulation(daemonCount, 1, groupCount);
     simulation.runFor(warmUp);
     const auto before = simulation.fleetRowsRead;
-    simulation.endpoints[EndpointId("e1")].draining = true;
+    for (auto& [group, endpoints] : simulation.groupEndpoints)
+        endpoints[EndpointId("e1")].draining = true;
     simulation.runFor(20s);
     CHECK(simulation.leader() != EndpointId("e1"));
     // Each of the 86 replacements writes two rows twice: the claim and the record, with the epoch.
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -31,7 +31,7 @@
     LeaseRenewal renewal;
     renewal.row = { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
         this->identity.forwardAddress, this->identity.dataCentre,
-        this->clock.upperBoundMs(preparedAt) + milliseconds(PrimaryLease::validity), this->epochVersion,
+        this->clock.upperBoundMs(preparedAt) + milliseconds(PrimaryLease::validity), this->claims.completeUpTo(),
         PrimaryLease::witnessesFor(this->liveCount) };
     renewal.rowVersion = this->leaseRowVersion;
     renewal.urgent = !this->lease.isValid(preparedAt);
@@ -53,11 +53,17 @@
     return names[part * LeaseBatch::maxRenewals];
 }
 
+// Whether this daemon has stopped using the primaries of all claims that it knows, and has no statement outstanding
+// there.
+bool FleetController::obeysKnownClaims() const
+{
+    return std::all_of(
+        this->suspensions.begin(), this->suspensions.end(), [](const auto& entry) { return entry.second.drained; });
+}
+
 void FleetController::renew()
 {
-    const bool draining = std::any_of(
-        this->suspensions.begin(), this->suspensions.end(), [](const auto& entry) { return !entry.second.drained; });
-    if (this->renewalPending || this->stopping || !this->fleetTableLoaded || draining)
+    if (this->renewalPending || this->stopping || !this->fleetTableLoaded || !this->obeysKnownClaims())
         return;
     this->renewalPending = true;
     const auto preparedAt = this->now();
@@ -84,7 +90,7 @@
                   this->onRenewed(preparedAt, witnesses, result);
                   return;
               }
-              if (epochVersionIn(result) > this->epochVersion) {
+              if (epochVersionIn(result) > this->claims.completeUpTo()) {
                   // A direct renewal would also conflict until the changed rows have been read.
                   this->renewalPending = false;
                   this->nextRenewal = this->now();
@@ -103,6 +109,12 @@
 
 void FleetController::renewDirectly()
 {
+    // A claim may have become known while the delegate was asked.
+    if (!this->obeysKnownClaims()) {
+        this->renewalPending = false;
+        this->nextRenewal = this->now();
+        return;
+    }
     const auto preparedAt = this->now();
     const auto renewal = this->makeRenewal(preparedAt);
     const int witnesses = renewal.row.witnesses;
@@ -145,7 +157,8 @@
     if (result.status == StoreStatus::Done) {
         if (!this->lease.isValid(this->now()))
             logEvent(LogLevel::Info, "lease_acquired",
-                { { "epoch", this->epochVersion }, { "waited_ms", toMilliseconds(this->now() - this->noLeaseSince) } });
+                { { "epoch", this->claims.completeUpTo() },
+                    { "waited_ms", toMilliseconds(this->now() - this->noLeaseSince) } });
         this->lease.onRenewed(preparedAt, witnesses);
         this->leaseRowVersion = result.version;
         this->noLeaseSince = this->lease.end();
@@ -169,14 +182,9 @@
     this->readFleet();
 }
 
-void FleetController::updateNewestClaim(std::uint64_t version)
-{
-    this->newestClaim = std::max(this->newestClaim, version);
-}
-
 std::optional<std::uint64_t> FleetController::newestKnownClaim() const
 {
-    return this->lease.isValid(this->now()) ? std::optional(this->newestClaim) : std::nullopt;
+    return this->lease.isValid(this->now()) ? std::optional(this->claims.newest()) : std::nullopt;
 }
 
 // Asks other daemons to witness this daemon's lease while it cannot be renewed. Twice as many as needed are asked, and
@@ -201,14 +209,26 @@
     }
 }
 
+// Witnesses prove the same as a renewal in the store: that this daemon knows every claim up to the newest one, and that
+// it obeys them. That it has heard of a claim as new as the witness's does not prove this, because it may lack an
+// earlier one.
 void FleetController::onWitness(Time askedAt, std::optional<std::uint64_t> claim)
 {
-    // A daemon that knows a newer claim is not a witness, because the claim may concern a primary that this daemon
-    // uses.
-    if (askedAt != this->witnessesAskedAt || !claim || *claim > this->newestClaim)
+    if (askedAt != this->witnessesAskedAt || !claim)
+        return;
+    if (*claim > this->claims.completeUpTo() || !this->obeysKnownClaims()) {
+        logEvent(LogLevel::Debug, "witness_not_counted",
+            { { "witness_claim", *claim }, { "known_up_to", this->claims.completeUpTo() },
+                { "newest_known", this->claims.newest() } });
+        return;
+    }
+    if (++this->witnessAnswers < this->lease.witnessesNeeded())
         return;
-    if (++this->witnessAnswers >= this->lease.witnessesNeeded())
-        this->lease.onWitnessed(askedAt);
+    if (!this->lease.isValid(this->now()))
+        logEvent(LogLevel::Info, "lease_witnessed_again",
+            { { "epoch", this->claims.completeUpTo() },
+                { "without_lease_ms", toMilliseconds(this->now() - this->lease.end()) } });
+    this->lease.onWitnessed(askedAt);
 }
 
 } // namespace endivetrestle
--- a/src/process/fleet_controller_lease_test.cc
+++ b/src/process/fleet_controller_lease_test.cc
@@ -273,3 +273,74 @@
     CHECK(simulation.daemonsUsingLeader() == daemonCount);
     CHECK(simulation.calls["change"] - before <= daemonCount / 3);
 }
+
+// Guards against a daemon that was cut off while one primary was replaced, hears only of the replacement of another one
+// as the cut ends, and uses the first primary again because others witness its lease (review/1).
+TEST_CASE("FleetController, gets no lease from witnesses when it knows a later claim but not an earlier one")
+{
+    const auto daemonCount = GENERATE(as<std::size_t> {}, 3, 4, 7, 12);
+    const auto healedAfterClaim = GENERATE(0ms, 5ms, 300ms, 1200ms);
+    FleetSimulation simulation(daemonCount, 1, 2);
+    const auto groups = simulation.groups();
+    simulation.runFor(warmUp);
+    auto& cutOff = *simulation.daemons.back();
+    cutOff.peersUnreachable = cutOff.storeUnreachable = true;
+    simulation.groupEndpoints[groups[0]][e1].draining = true;
+    while (simulation.leader(groups[0]) == e1)
+        simulation.runFor(10ms);
+    simulation.runFor(200ms);
+    const auto claims = simulation.calls["suspend"];
+    simulation.groupEndpoints[groups[1]][e1].draining = true;
+    while (simulation.calls["suspend"] == claims)
+        simulation.runFor(1ms);
+    simulation.runFor(healedAfterClaim);
+    cutOff.peersUnreachable = false;
+    simulation.runFor(4s);
+    INFO(simulation.describeViolations());
+    CHECK(simulation.violations.empty());
+    cutOff.storeUnreachable = false;
+    simulation.runFor(4s);
+    for (const auto& group : groups)
+        CHECK(simulation.daemonsUsingLeader(group) == daemonCount);
+}
+
+// Guards against a lease that outlives the replacement of a primary at which this daemon still has statements: their
+// answers would be acknowledged although the new primary already leads.
+TEST_CASE("FleetController, gets no lease from witnesses while it has statements at a primary that is being replaced")
+{
+    FleetSimulation simulation(4);
+    simulation.runFor(warmUp);
+    simulation.drainDelay = 20s;
+    simulation.endpoints[e1].draining = true;
+    while (simulation.calls["suspend"] == 0)
+        simulation.runFor(1ms);
+    simulation.runFor(10ms);
+    simulation.storeDown = true;
+    simulation.runFor(PrimaryLease::unwitnessedValidity);
+    for (const auto& daemon : simulation.daemons)
+        CHECK_FALSE(daemon->controller->leaseValid(simulation.now()));
+}
+
+// Guards against daemons that lose their leases in an outage of the store that follows a replacement: nobody can be a
+// witness for a daemon that knows less than the newest claim.
+TEST_CASE("FleetController, keeps its lease through a store outage that begins right after a replacement")
+{
+    const auto lostAnnouncement = GENERATE(false, true);
+    FleetSimulation simulation(4);
+    simulation.runFor(warmUp);
+    simulation.endpoints[e1].draining = true;
+    bool announced = false;
+    simulation.onCall = [&](std::size_t, const std::string& call) {
+        announced = announced || call == "announce";
+        simulation.daemons[3]->peersUnreachable = announced && lostAnnouncement;
+    };
+    while (!announced)
+        simulation.runFor(1ms);
+    simulation.runFor(10ms);
+    simulation.onCall = nullptr;
+    simulation.daemons[3]->peersUnreachable = false;
+    simulation.storeDown = true;
+    simulation.runFor(9s);
+    for (const auto& daemon : simulation.daemons)
+        CHECK(daemon->controller->leaseValid(simulation.now()));
+}
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -223,12 +223,8 @@
         this->promotionLock,
         this->clock,
         this->now,
-        [this] { return this->epochVersion; },
-        [this](const PrimaryRow& row, std::uint64_t epoch) {
-            this->epochVersion = std::max(this->epochVersion, epoch);
-            this->updateNewestClaim(epoch);
-            this->applyRow(row);
-        },
+        [this] { return this->claims.completeUpTo(); },
+        [this](const PrimaryRow& row) { this->applyRow(row); },
         [this](const DatabaseId& group) {
             const auto found = this->suspensions.find(group);
             return found != this->suspensions.end() && found->second.drained;
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -13,6 +13,74 @@
 // Time in which every daemon has a lease and the first primary is known.
 constexpr Duration warmUp = std::chrono::seconds(5);
 
+// Plays random faults and then a quiet time, and checks the safety rules and that all daemons serve again.
+void playRandomFaults(std::uint64_t seed, std::size_t daemonCount, std::size_t groupCount)
+{
+    FleetSimulation simulation(daemonCount, seed, groupCount);
+    std::mt19937_64 random(seed * 7919);
+    const auto groups = simulation.groups();
+    simulation.runFor(warmUp);
+    simulation.answerLossProbability = 0.1;
+    simulation.lateEffectProbability = 0.05;
+    for (int round = 0; round < 30; ++round) {
+        const auto daemon = random() % simulation.daemons.size();
+        auto& target = *simulation.daemons[daemon];
+        const auto& group = groups.size() == 1 ? groups.front() : groups[random() % groups.size()];
+        auto& endpoints = simulation.groupEndpoints.at(group);
+        const auto leader = simulation.leader(group);
+        switch (random() % 11) {
+        case 0:
+            simulation.kill(daemon);
+            break;
+        case 1:
+            if (!target.running)
+                simulation.startDaemon(daemon);
+            break;
+        case 2:
+            target.frozen = target.running;
+            break;
+        case 3:
+            simulation.unfreeze(daemon);
+            break;
+        case 4:
+            target.storeUnreachable = !target.storeUnreachable;
+            break;
+        case 5:
+            target.peersUnreachable = !target.peersUnreachable;
+            break;
+        case 6:
+            if (!leader.empty())
+                endpoints[leader].draining = true;
+            break;
+        case 7:
+            simulation.storeDown = !simulation.storeDown;
+            break;
+        case 8:
+            if (!leader.empty())
+                endpoints[leader].up = false;
+            break;
+        case 9:
+            for (auto& [id, endpoint] : endpoints)
+                endpoint.up = true;
+            break;
+        default:
+            for (auto& [id, endpoint] : endpoints)
+                endpoint.draining = false;
+            break;
+        }
+        simulation.runFor(std::chrono::milliseconds(200 + random() % 3000));
+    }
+    simulation.heal();
+    simulation.runFor(40s);
+    INFO("seed " << seed << ", daemons " << daemonCount);
+    INFO(simulation.describeViolations());
+    CHECK(simulation.violations.empty());
+    for (const auto& group : groups) {
+        CAPTURE(group.value);
+        CHECK(simulation.daemonsUsingLeader(group) == daemonCount);
+    }
+}
+
 } // namespace
 
 TEST_CASE("FleetController, lets all daemons use the registered primary after the start")
@@ -185,77 +253,16 @@
     // primaries crash and drain. Seed 50 found a renewal that took effect after a later one, so that the promoting
     // daemon assumed too early an end of a lease.
     constexpr std::uint64_t seeds = 60;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        FleetSimulation simulation(4, seed);
-        std::mt19937_64 random(seed * 7919);
-        simulation.runFor(warmUp);
-        simulation.answerLossProbability = 0.1;
-        simulation.lateEffectProbability = 0.05;
-        for (int round = 0; round < 30; ++round) {
-            const auto daemon = random() % simulation.daemons.size();
-            auto& target = *simulation.daemons[daemon];
-            switch (random() % 11) {
-            case 0:
-                simulation.kill(daemon);
-                break;
-            case 1:
-                if (!target.running)
-                    simulation.startDaemon(daemon);
-                break;
-            case 2:
-                target.frozen = target.running;
-                break;
-            case 3:
-                simulation.unfreeze(daemon);
-                break;
-            case 4:
-                target.storeUnreachable = !target.storeUnreachable;
-                break;
-            case 5:
-                target.peersUnreachable = !target.peersUnreachable;
-                break;
-            case 6:
-                if (!simulation.leader().empty())
-                    simulation.endpoints[simulation.leader()].draining = true;
-                break;
-            case 7:
-                simulation.storeDown = !simulation.storeDown;
-                break;
-            case 8:
-                if (!simulation.leader().empty())
-                    simulation.endpoints[simulation.leader()].up = false;
-                break;
-            case 9:
-                for (auto& [id, endpoint] : simulation.endpoints)
-                    endpoint.up = true;
-                break;
-            default:
-                for (auto& [id, endpoint] : simulation.endpoints)
-                    endpoint.draining = false;
-                break;
-            }
-            simulation.runFor(std::chrono::milliseconds(200 + random() % 3000));
-        }
-        simulation.storeDown = false;
-        simulation.answerLossProbability = 0;
-        simulation.lateEffectProbability = 0;
-        for (auto& [id, endpoint] : simulation.endpoints) {
-            endpoint.draining = false;
-            endpoint.up = true;
-        }
-        for (std::size_t i = 0; i < simulation.daemons.size(); ++i) {
-            simulation.daemons[i]->storeUnreachable = false;
-            simulation.daemons[i]->peersUnreachable = false;
-            if (!simulation.daemons[i]->running)
-                simulation.startDaemon(i);
-            simulation.unfreeze(i);
-        }
-        simulation.runFor(40s);
-        INFO("seed " << seed);
-        INFO(simulation.describeViolations());
-        CHECK(simulation.violations.empty());
-        CHECK(simulation.daemonsUsingLeader() == 4);
-    }
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        playRandomFaults(seed, 4, 1);
+}
+
+// Guards against rules that hold for one group only, such as what a daemon knows of claims of several groups.
+TEST_CASE("FleetController, keeps its safety rules under random faults when the daemons share several groups")
+{
+    constexpr std::uint64_t seeds = 40;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        playRandomFaults(seed, 3 + seed % 3, 3);
 }
 
 // Guards against a second replacement, which rolls back acknowledged writes. It happened when a daemon that found the
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -47,11 +47,8 @@
 // Functions that the fleet controller needs from its daemon. Every callback runs exactly once, and only after the call
 // has returned.
 struct FleetHooks {
-    // Asks another daemon to stop using the primary of a group, because of the claim with the given row version. Done
-    // means that the daemon has stopped.
-    std::function<void(
-        const SocketAddress&, const DatabaseId&, std::uint64_t claimVersion, std::function<void(PeerStatus)>)>
-        requestSuspend;
+    // Asks another daemon to stop using the primary of a claimed group. Done means that the daemon has stopped.
+    std::function<void(const SocketAddress&, const Claim&, std::function<void(PeerStatus)>)> requestSuspend;
     // Tells another daemon the primaries of some groups. The message may be lost, because daemons also read the store.
     std::function<void(const SocketAddress&, const std::vector<PrimaryRow>&)> announce;
     // Asks another daemon to renew this daemon's lease in a batch. Refused means that it did not do so, Unknown that it
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -30,10 +30,25 @@
     DaemonId writer;
     // Version of the row; not part of its value.
     std::uint64_t version = 0;
+    // Version of the claim that led to this row, which is the row itself while the primary is being replaced; 0 if the
+    // primary was adopted without a claim.
+    std::uint64_t claim = 0;
+    // Epoch on condition of which that claim was made: there is no other claim between the two.
+    std::uint64_t previousEpoch = 0;
 
     bool operator==(const PrimaryRow&) const = default;
 };
 
+// Claim of a group, as the replacing daemon tells it to the others.
+struct Claim {
+    DatabaseId group;
+    std::uint64_t version = 0;
+    // Epoch on condition of which the claim was made.
+    std::uint64_t previousEpoch = 0;
+
+    bool operator==(const Claim&) const = default;
+};
+
 // Lease of one daemon: its right to use primaries until the given time of the store's clock.
 struct LeaseRow {
     DaemonId daemon;
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -19,16 +19,18 @@
 // collects violations instead of asserting, so that a test can print the seed and the step.
 class FleetSimulation {
 public:
-    // All groups have the same endpoints. The safety rules are checked for the first group only.
+    // Each group has three endpoints of its own, of which the first one is the primary.
     explicit FleetSimulation(std::size_t daemonCount, std::uint64_t seed = 1, std::size_t groupCount = 1)
         : random(seed)
         , groupCount(groupCount)
     {
         for (std::size_t i = 0; i < daemonCount; ++i)
             this->daemons.push_back(std::make_unique<Daemon>());
-        for (const char* name : { "e1", "e2", "e3" })
-            this->endpoints[EndpointId(name)] = Endpoint {};
-        this->endpoints[EndpointId("e1")].primary = true;
+        for (const auto& id : this->groups()) {
+            for (const char* name : { "e1", "e2", "e3" })
+                this->groupEndpoints[id][EndpointId(name)] = Endpoint {};
+            this->groupEndpoints[id][EndpointId("e1")].primary = true;
+        }
         for (std::size_t i = 0; i < daemonCount; ++i)
             this->startDaemon(i);
     }
@@ -41,6 +43,14 @@
         bool draining = false;
     };
 
+    using Endpoints = std::map<EndpointId, Endpoint>;
+
+    // Primary that a daemon's scheduler would use, and whether its use is suspended.
+    struct PrimaryUse {
+        EndpointId endpoint;
+        bool suspended = false;
+    };
+
     struct Daemon {
         std::unique_ptr<TableStore> store;
         std::unique_ptr<TimerService> timers;
@@ -51,16 +61,16 @@
         // Faults of the connections to the store and to other daemons.
         bool storeUnreachable = false;
         bool peersUnreachable = false;
-        // Primary that the daemon's scheduler would use, and whether its use is suspended.
-        std::optional<EndpointId> usedPrimary;
-        bool suspended = false;
+        std::map<DatabaseId, PrimaryUse> primaries;
         int incarnation = 0;
         // Events that arrived while the daemon was frozen.
         std::vector<std::function<void()>> deferredEvents;
     };
 
     std::vector<std::unique_ptr<Daemon>> daemons;
-    std::map<EndpointId, Endpoint> endpoints;
+    std::map<DatabaseId, Endpoints> groupEndpoints;
+    // Endpoints of the first group.
+    Endpoints& endpoints = groupEndpoints[group()];
     bool storeDown = false;
     // The store refuses every call at once.
     bool storeBusy = false;
@@ -70,6 +80,8 @@
     double lateEffectProbability = 0;
     Duration storeLatency = std::chrono::milliseconds(5);
     Duration promoteDelay = std::chrono::milliseconds(600);
+    // Time that the outstanding statements of a suspended primary take.
+    Duration drainDelay = std::chrono::milliseconds(1);
     // Called before each outgoing call of a daemon. A test can inject faults at a given step here.
     std::function<void(std::size_t daemon, const std::string& call)> onCall;
     std::vector<std::string> violations;
@@ -112,7 +124,7 @@
         auto& daemon = *this->daemons[index];
         daemon.running = false;
         daemon.controller.reset();
-        daemon.usedPrimary.reset();
+        daemon.primaries.clear();
         daemon.deferredEvents.clear();
     }
 
@@ -122,8 +134,7 @@
         daemon.running = true;
         daemon.frozen = false;
         ++daemon.incarnation;
-        daemon.usedPrimary.reset();
-        daemon.suspended = false;
+        daemon.primaries.clear();
         daemon.deferredEvents.clear();
         daemon.timers = std::make_unique<TimerService>();
         daemon.store = std::make_unique<Store>(*this, index);
@@ -146,19 +157,41 @@
             this->after(index, Duration::zero(), std::move(action));
     }
 
-    // Whether the daemon would send a write to the endpoint now.
-    [[nodiscard]] bool uses(std::size_t index, const EndpointId& endpoint) const
+    // Ends all faults and starts the daemons that are down.
+    void heal()
+    {
+        this->storeDown = false;
+        this->answerLossProbability = 0;
+        this->lateEffectProbability = 0;
+        for (auto& [id, members] : this->groupEndpoints) {
+            for (auto& [name, endpoint] : members) {
+                endpoint.draining = false;
+                endpoint.up = true;
+            }
+        }
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            this->daemons[i]->storeUnreachable = false;
+            this->daemons[i]->peersUnreachable = false;
+            if (!this->daemons[i]->running)
+                this->startDaemon(i);
+            this->unfreeze(i);
+        }
+    }
+
+    // Whether the daemon would send a write of a group to the endpoint now.
+    [[nodiscard]] bool uses(std::size_t index, const EndpointId& endpoint, const DatabaseId& id = group()) const
     {
         const auto& daemon = *this->daemons[index];
-        return daemon.running && !daemon.suspended && daemon.usedPrimary == endpoint
-            && daemon.controller->leaseValid(this->clock);
+        const auto use = daemon.primaries.find(id);
+        return daemon.running && use != daemon.primaries.end() && !use->second.suspended
+            && use->second.endpoint == endpoint && daemon.controller->leaseValid(this->clock);
     }
 
-    [[nodiscard]] EndpointId leader() const
+    [[nodiscard]] EndpointId leader(const DatabaseId& ofGroup = group()) const
     {
         EndpointId best;
         std::uint64_t term = 0;
-        for (const auto& [id, endpoint] : this->endpoints) {
+        for (const auto& [id, endpoint] : this->groupEndpoints.at(ofGroup)) {
             if (endpoint.primary && endpoint.term > term) {
                 best = id;
                 term = endpoint.term;
@@ -172,12 +205,12 @@
         return this->rows.count({ table, key }) != 0;
     }
 
-    // Number of daemons that use the current leader.
-    [[nodiscard]] std::size_t daemonsUsingLeader() const
+    // Number of daemons that use the current leader of a group.
+    [[nodiscard]] std::size_t daemonsUsingLeader(const DatabaseId& id = group()) const
     {
         std::size_t count = 0;
         for (std::size_t i = 0; i < this->daemons.size(); ++i)
-            count += this->uses(i, this->leader()) ? 1 : 0;
+            count += this->uses(i, this->leader(id), id) ? 1 : 0;
         return count;
     }
 
@@ -187,6 +220,15 @@
         return id;
     }
 
+    // All groups, the first one first.
+    [[nodiscard]] std::vector<DatabaseId> groups() const
+    {
+        std::vector<DatabaseId> result { group() };
+        for (std::size_t i = 1; i < this->groupCount; ++i)
+            result.emplace_back("shop-" + std::to_string(i));
+        return result;
+    }
+
 private:
     // Store client of one daemon. The rows are shared by all daemons.
     class Store : public TableStore {
@@ -405,7 +447,7 @@
     FleetHooks makeHooks(std::size_t index)
     {
         FleetHooks hooks;
-        hooks.requestSuspend = [this, index](const SocketAddress& address, const DatabaseId& id, std::uint64_t claim,
+        hooks.requestSuspend = [this, index](const SocketAddress& address, const Claim& claim,
                                    const std::function<void(PeerStatus)>& callback) {
             this->recordCall(index, "suspend");
             const auto peer = indexOf(address);
@@ -422,8 +464,8 @@
                 if (!std::exchange(*answered, true))
                     callback(PeerStatus::TimedOut);
             });
-            this->after(peer, messageDelay, [this, index, peer, id, claim, callback, answered] {
-                this->daemons[peer]->controller->onSuspendRequest(id, claim, [this, index, callback, answered] {
+            this->after(peer, messageDelay, [this, index, peer, claim, callback, answered] {
+                this->daemons[peer]->controller->onSuspendRequest(claim, [this, index, callback, answered] {
                     this->after(index, messageDelay, [callback, answered] {
                         if (!std::exchange(*answered, true))
                             callback(PeerStatus::Done);
@@ -492,20 +534,20 @@
                 });
             });
         };
-        hooks.askReachable = [this, index](const SocketAddress& address, const DatabaseId&, const EndpointId& id,
-                                 const std::function<void(std::optional<bool>)>& callback) {
+        hooks.askReachable = [this, index](const SocketAddress& address, const DatabaseId& ofGroup,
+                                 const EndpointId& id, const std::function<void(std::optional<bool>)>& callback) {
             const auto peer = indexOf(address);
             const bool reachable
                 = this->peerReachable(index, peer) && this->daemons[peer]->running && !this->daemons[peer]->frozen;
-            const auto& endpoint = this->endpoints.at(id);
+            const auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
             const auto vote = reachable ? std::optional<bool>(endpoint.up && endpoint.primary) : std::nullopt;
             this->after(index, reachable ? messageDelay : peerTimeout, [callback, vote] { callback(vote); });
         };
-        hooks.queryEndpoint = [this, index](const DatabaseId&, const EndpointId& id,
+        hooks.queryEndpoint = [this, index](const DatabaseId& ofGroup, const EndpointId& id,
                                   const std::function<void(std::optional<EndpointReport>)>& callback) {
             this->recordCall(index, "query");
-            this->after(index, messageDelay, [this, id, callback] {
-                const auto& endpoint = this->endpoints.at(id);
+            this->after(index, messageDelay, [this, ofGroup, id, callback] {
+                const auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
                 if (!endpoint.up) {
                     callback(std::nullopt);
                     return;
@@ -513,15 +555,15 @@
                 callback(EndpointReport { endpoint.primary, endpoint.term, { endpoint.term, endpoint.received } });
             });
         };
-        hooks.demote = [this, index](const DatabaseId&, const EndpointId& id, std::uint64_t term,
+        hooks.demote = [this, index](const DatabaseId& ofGroup, const EndpointId& id, std::uint64_t term,
                            const std::function<void()>& callback) {
             this->recordCall(index, "demote");
-            auto& endpoint = this->endpoints.at(id);
+            auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
             if (endpoint.up && endpoint.term < term)
                 endpoint.primary = false;
             this->after(index, messageDelay, callback);
         };
-        hooks.promote = [this, index](const DatabaseId&, const EndpointId& id, std::uint64_t token,
+        hooks.promote = [this, index](const DatabaseId& ofGroup, const EndpointId& id, std::uint64_t token,
                             const std::function<void(PromotionOutcome)>& callback) {
             this->recordCall(index, "promote");
             if (!this->daemons[index]->running)
@@ -530,25 +572,24 @@
                 this->violations.push_back("promotion ordered with token " + std::to_string(token) + " after token "
                     + std::to_string(this->highestToken));
             this->highestToken = std::max(this->highestToken, token);
-            if (!this->endpoints.at(id).up) {
+            if (!this->groupEndpoints.at(ofGroup).at(id).up) {
                 this->after(index, messageDelay, [callback] { callback(PromotionOutcome::Rejected); });
                 return;
             }
-            this->events.emplace(
-                this->clock + this->promoteDelay, Event { noDaemon, 0, [this, id] { this->completePromotion(id); } });
+            this->events.emplace(this->clock + this->promoteDelay,
+                Event { noDaemon, 0, [this, ofGroup, id] { this->completePromotion(ofGroup, id); } });
             this->after(index, messageDelay, [callback] { callback(PromotionOutcome::Accepted); });
         };
         hooks.usePrimary = [this, index](const PrimaryRow& row) {
-            this->daemons[index]->usedPrimary = row.endpoint;
-            this->daemons[index]->suspended = false;
+            this->daemons[index]->primaries[row.group] = { row.endpoint, false };
         };
-        hooks.suspendLocally = [this, index](const DatabaseId&, const std::function<void()>& drained) {
-            this->daemons[index]->suspended = true;
-            this->after(index, messageDelay, drained);
+        hooks.suspendLocally = [this, index](const DatabaseId& ofGroup, const std::function<void()>& drained) {
+            this->daemons[index]->primaries[ofGroup].suspended = true;
+            this->after(index, this->drainDelay, drained);
         };
         hooks.endpointsOf = [this](const DatabaseId& id) {
             std::vector<EndpointRecord> records;
-            for (const auto& [endpointId, endpoint] : this->endpoints) {
+            for (const auto& [endpointId, endpoint] : this->groupEndpoints.at(id)) {
                 EndpointRecord record;
                 record.id = endpointId;
                 record.group = id;
@@ -565,11 +606,12 @@
                 watched.push_back({ id, true });
             return watched;
         };
-        hooks.suspectsPrimary = [this, index](const DatabaseId&) {
-            const auto& daemon = *this->daemons[index];
-            if (!daemon.usedPrimary || daemon.suspended)
+        hooks.suspectsPrimary = [this, index](const DatabaseId& ofGroup) {
+            const auto& primaries = this->daemons[index]->primaries;
+            const auto use = primaries.find(ofGroup);
+            if (use == primaries.end() || use->second.endpoint.empty() || use->second.suspended)
                 return false;
-            const auto& endpoint = this->endpoints.at(*daemon.usedPrimary);
+            const auto& endpoint = this->groupEndpoints.at(ofGroup).at(use->second.endpoint);
             return !endpoint.up || !endpoint.primary;
         };
         hooks.onLiveDaemons = [](const std::vector<LeaseRow>&) {};
@@ -577,21 +619,14 @@
         return hooks;
     }
 
-    [[nodiscard]] std::vector<DatabaseId> groups() const
-    {
-        std::vector<DatabaseId> result { group() };
-        for (std::size_t i = 1; i < this->groupCount; ++i)
-            result.emplace_back("shop-" + std::to_string(i));
-        return result;
-    }
-
     // The promotion of an endpoint takes effect.
-    void completePromotion(const EndpointId& id)
+    void completePromotion(const DatabaseId& ofGroup, const EndpointId& id)
     {
+        auto& members = this->groupEndpoints.at(ofGroup);
         std::uint64_t term = 0;
-        for (const auto& [other, endpoint] : this->endpoints)
+        for (const auto& [other, endpoint] : members)
             term = std::max(term, endpoint.term);
-        auto& endpoint = this->endpoints.at(id);
+        auto& endpoint = members.at(id);
         if (endpoint.primary && endpoint.term == term)
             return;
         endpoint.primary = true;
@@ -602,14 +637,16 @@
     // No daemon may use an endpoint other than the leader of the highest term.
     void checkOnlyLeaderIsUsed()
     {
-        const auto present = this->leader();
-        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
-            for (const auto& [id, endpoint] : this->endpoints) {
-                if (this->violations.size() < maxViolations && id != present && endpoint.up && this->uses(i, id)
-                    && !this->daemons[i]->frozen)
-                    this->violations.push_back("daemon " + std::to_string(i) + " uses " + id.value + " while "
-                        + present.value + " leads, at " + std::to_string(toSeconds(this->clock.time_since_epoch()))
-                        + " s");
+        for (const auto& [ofGroup, members] : this->groupEndpoints) {
+            const auto present = this->leader(ofGroup);
+            for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+                for (const auto& [id, endpoint] : members) {
+                    if (this->violations.size() < maxViolations && id != present && endpoint.up
+                        && this->uses(i, id, ofGroup) && !this->daemons[i]->frozen)
+                        this->violations.push_back("daemon " + std::to_string(i) + " uses " + id.value + " of "
+                            + ofGroup.value + " while " + present.value + " leads, at "
+                            + std::to_string(toSeconds(this->clock.time_since_epoch())) + " s");
+                }
             }
         }
     }
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -90,10 +90,11 @@
     auto row = this->initialRow;
     row.replacing = true;
     row.writer = this->context.self;
+    row.previousEpoch = this->context.epochVersion();
     StoreChange change;
     const auto encoded = encodeRow(row);
     change.conditions.push_back({ fleetTable, encoded.key, this->initialRow.version });
-    change.conditions.push_back({ fleetTable, epochKey, this->context.epochVersion() });
+    change.conditions.push_back({ fleetTable, epochKey, row.previousEpoch });
     change.conditions.push_back({ leaseTable, promotionLockKey, this->context.promotionLock.rowVersion() });
     change.writes.push_back(encoded);
     change.writes.push_back({ fleetTable, epochKey, "{}" });
@@ -103,11 +104,10 @@
             this->finish(false);
             return;
         }
-        this->claimVersion = result.version;
-        this->claimEpoch = result.version;
-        row.version = result.version;
+        row.version = row.claim = result.version;
+        this->ownClaim = { row.group, row.claim, row.previousEpoch };
         this->enterStep("suspend");
-        this->context.applyOwnRow(row, result.version);
+        this->context.applyOwnRow(row);
         this->readLeaseHolders();
     }));
 }
@@ -126,7 +126,7 @@
             if (!lease || lease->daemon == this->context.self || lease->untilStoreMs <= storeMs)
                 continue;
             this->peers.push_back(lease->address);
-            if (lease->epochVersion < this->claimEpoch)
+            if (lease->epochVersion < this->ownClaim.version)
                 this->leaseHolders[lease->daemon.value].lease = *lease;
         }
         this->lastConfirmationAt = this->context.now();
@@ -151,8 +151,8 @@
     if (found == this->leaseHolders.end() || found->second.requestPending)
         return;
     found->second.requestPending = true;
-    this->context.hooks.requestSuspend(found->second.lease.address, this->initialRow.group, this->claimVersion,
-        this->guarded([this, name](PeerStatus status) {
+    this->context.hooks.requestSuspend(
+        found->second.lease.address, this->ownClaim, this->guarded([this, name](PeerStatus status) {
             const auto holder = this->leaseHolders.find(name);
             if (holder == this->leaseHolders.end())
                 return;
@@ -203,7 +203,7 @@
         const auto storeMs = this->context.clock.lowerBoundMs(now);
         for (auto holder = this->leaseHolders.begin(); holder != this->leaseHolders.end();) {
             const auto& lease = holder->second.lease;
-            if (lease.untilStoreMs <= storeMs || lease.epochVersion >= this->claimEpoch) {
+            if (lease.untilStoreMs <= storeMs || lease.epochVersion >= this->ownClaim.version) {
                 holder = this->leaseHolders.erase(holder);
                 this->lastConfirmationAt = now;
             } else
@@ -391,19 +391,21 @@
     row.endpoint = this->candidate;
     row.term = term;
     row.writer = this->context.self;
+    row.claim = this->ownClaim.version;
+    row.previousEpoch = this->ownClaim.previousEpoch;
     if (this->stepName != "record")
         this->enterStep("record");
     StoreChange change;
     const auto encoded = encodeRow(row);
-    change.conditions.push_back({ fleetTable, encoded.key, this->claimVersion });
+    // The epoch stays as it is: it is moved by claims only, each on condition of the one before.
+    change.conditions.push_back({ fleetTable, encoded.key, this->ownClaim.version });
     change.writes.push_back(encoded);
-    change.writes.push_back({ fleetTable, epochKey, "{}" });
     this->context.store.change(change, this->guarded([this, row, term](const StoreResult& result) mutable {
         if (result.status == StoreStatus::Done) {
             // No daemon uses the new primary before it is recorded, so that a daemon that takes over an unfinished
             // replacement knows which primary was used last.
             row.version = result.version;
-            this->context.applyOwnRow(row, result.version);
+            this->context.applyOwnRow(row);
             for (const auto& peer : this->peers)
                 this->context.hooks.announce(peer, { row });
             this->finish(true);
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -23,10 +23,10 @@
     PromotionLock& promotionLock;
     StoreClock& clock;
     std::function<Time()> now;
-    // Version of the epoch row that this daemon has taken into account.
+    // Epoch up to which this daemon knows every claim.
     std::function<std::uint64_t()> epochVersion;
-    // Applies a row that this promotion wrote, with the version of the change.
-    std::function<void(const PrimaryRow&, std::uint64_t epochVersion)> applyOwnRow;
+    // Applies a row that this promotion wrote.
+    std::function<void(const PrimaryRow&)> applyOwnRow;
     // Whether this daemon has no outstanding statements at the primary of the group.
     std::function<bool(const DatabaseId&)> isDrained;
     // Reads the fleet table again, after a conflict or a lost answer.
@@ -102,8 +102,7 @@
     std::string stepName;
     Time startedAt;
     Time stepStartedAt;
-    std::uint64_t claimVersion = 0;
-    std::uint64_t claimEpoch = 0;
+    Claim ownClaim;
     // Daemons that may still use the old primary.
     std::map<std::string, LeaseHolder> leaseHolders;
     // Time at which the last daemon confirmed or its lease was seen to have expired. Until then it may have acted as a
