Remove a lease row only in the version that this process stored

Callers saw: stale reads.

Cause: the removal of the lease row at the stop had no condition. Without an answer it may be done seconds later, and then it removed the row of the next incarnation; a replacement waits only for daemons that have a row.

Evidence: the new test failed before for every combination of 2, 4 and 7 daemons, a removal 60 ms to 6 s late, and a restart after 0 to 300 ms in which the late removal came after the restart ("daemon 1 uses e1 of shop").

Change: a removal in StoreChange is always a condition as well. A stop that meets a renewal of its own which took effect first tries again with that version. The other removals and writes were looked through: each names its row's version.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -271,7 +271,6 @@
 {
     logEvent(LogLevel::Info, "lapsed_leases_removed", { { "count", rows.size() } });
     StoreChange change;
-    change.conditions = rows;
     change.removals = std::move(rows);
     this->store.change(change, [](const StoreResult& result) {
         // The next listing finds the rows that are left.
@@ -289,9 +288,42 @@
     // After the row has been removed, a replacement no longer waits for this daemon, so it must stop using primaries
     // first.
     this->lease = PrimaryLease();
+    this->removeLease(this->leaseRowVersion, std::move(done));
+}
+
+// Removes the lease row if it has the given version; version 0 only tests that there is none. A call that is done late,
+// when this daemon has been started again, must not remove the row of the next incarnation.
+void FleetController::removeLease(std::uint64_t version, std::function<void()> done)
+{
+    const StoreCondition row { leaseTable, this->identity.daemon.value, version };
     StoreChange change;
-    change.removals.push_back({ leaseTable, this->identity.daemon.value });
-    this->store.change(change, [done = std::move(done)](const StoreResult&) { done(); });
+    (version == 0 ? change.conditions : change.removals).push_back(row);
+    const auto callback = [this, version, done = std::move(done), weak = std::weak_ptr<int>(this->lifetime)](
+                              const StoreResult& result) {
+        const auto newer = weak.expired() ? 0 : this->ownLeaseVersionIn(result);
+        // A renewal that was on its way has taken effect first.
+        if (result.status == StoreStatus::Conflict && newer > version) {
+            this->removeLease(newer, done);
+            return;
+        }
+        if (result.status != StoreStatus::Done)
+            logEvent(LogLevel::Info, "lease_row_kept",
+                { { "row_version", version }, { "store_status", static_cast<int>(result.status) } });
+        done();
+    };
+    this->store.change(change, callback);
+}
+
+// Version of this incarnation's lease row in the answer to a change; 0 if it is absent or belongs to another one.
+std::uint64_t FleetController::ownLeaseVersionIn(const StoreResult& result) const
+{
+    for (const auto& row : result.rows) {
+        const bool own = row.table == leaseTable && row.key == this->identity.daemon.value && !row.removed;
+        const auto lease = own ? decodeLeaseRow(row) : std::nullopt;
+        if (lease && lease->incarnation == this->identity.incarnation)
+            return row.version;
+    }
+    return 0;
 }
 
 } // namespace endivetrestle
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -104,6 +104,8 @@
     [[nodiscard]] bool watchesSuspendedPrimary() const;
     void listLeases();
     void removeLapsedLeases(std::vector<StoreCondition> rows);
+    void removeLease(std::uint64_t version, std::function<void()> done);
+    [[nodiscard]] std::uint64_t ownLeaseVersionIn(const StoreResult& result) const;
     void applyRow(const PrimaryRow& row);
     void suspend(const DatabaseId& group, std::function<void()> done);
 
--- a/src/process/fleet_controller_lease_test.cc
+++ b/src/process/fleet_controller_lease_test.cc
@@ -344,3 +344,48 @@
     for (const auto& daemon : simulation.daemons)
         CHECK(daemon->controller->leaseValid(simulation.now()));
 }
+
+// Guards against a call of a stopped daemon that is done late and removes the lease row of the restarted one, so that a
+// replacement does not wait for it (review/3).
+TEST_CASE("FleetController, keeps its lease row when the removal of its earlier incarnation takes effect late")
+{
+    const auto daemonCount = GENERATE(as<std::size_t> {}, 2, 4, 7);
+    const auto removalLateBy = GENERATE(as<Duration> {}, 60ms, 400ms, 1600ms, 6s);
+    const auto downFor = GENERATE(as<Duration> {}, 0ms, 50ms, 300ms);
+    CAPTURE(daemonCount, toMilliseconds(removalLateBy), toMilliseconds(downFor));
+    FleetSimulation simulation(daemonCount);
+    simulation.runFor(warmUp);
+    const auto last = daemonCount - 1;
+    const auto stoppedAt = simulation.now();
+    simulation.lateBy = [&](std::size_t, const StoreChange& change) {
+        return change.removals.empty() ? std::nullopt : std::optional(removalLateBy);
+    };
+    simulation.daemons[last]->controller->stop([] {});
+    simulation.kill(last);
+    simulation.runFor(downFor);
+    simulation.startDaemon(last);
+    // Without an own row, and later than the late removal, the restarted daemon is not known to others.
+    simulation.runFor(std::max<Duration>(500ms, stoppedAt + removalLateBy - simulation.now()) + 5ms);
+    CHECK(simulation.hasRow(leaseTable, "d" + std::to_string(last)));
+    simulation.endpoints[e1].draining = true;
+    simulation.runFor(4s);
+    INFO(simulation.describeViolations());
+    CHECK(simulation.violations.empty());
+    CHECK(simulation.daemonsUsingLeader() == daemonCount);
+}
+
+// Guards against a lease row that stays behind, and delays replacements, because a renewal was on its way at the stop.
+TEST_CASE("FleetController, removes its lease row when a renewal takes effect during the stop")
+{
+    FleetSimulation simulation(1);
+    simulation.runFor(warmUp);
+    simulation.storeLatency = 100ms;
+    const auto changes = simulation.calls["change"];
+    while (simulation.calls["change"] == changes)
+        simulation.runFor(10ms);
+    bool stopped = false;
+    simulation.daemons[0]->controller->stop([&stopped] { stopped = true; });
+    simulation.runFor(400ms);
+    CHECK(stopped);
+    CHECK_FALSE(simulation.hasRow(leaseTable, "d0"));
+}
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -82,6 +82,8 @@
     Duration promoteDelay = std::chrono::milliseconds(600);
     // Time that the outstanding statements of a suspended primary take.
     Duration drainDelay = std::chrono::milliseconds(1);
+    // Tells by how much a change takes effect late, without an answer. No value: it is done and answered as usual.
+    std::function<std::optional<Duration>(std::size_t daemon, const StoreChange&)> lateBy;
     // Called before each outgoing call of a daemon. A test can inject faults at a given step here.
     std::function<void(std::size_t daemon, const std::string& call)> onCall;
     std::vector<std::string> violations;
@@ -246,9 +248,10 @@
         }
         void change(const StoreChange& change, Callback callback) override
         {
+            const auto late = this->simulation.lateBy ? this->simulation.lateBy(this->index, change) : std::nullopt;
             this->simulation.callStore(
                 this->index, "change", [&shared = this->simulation, change] { return shared.apply(change); },
-                std::move(callback));
+                std::move(callback), late);
         }
         // Answers immediately, even if nothing has changed.
         void watch(const std::string& table, std::uint64_t after, Duration, Callback callback) override
@@ -333,8 +336,8 @@
             this->onCall(index, call);
     }
 
-    void callStore(
-        std::size_t index, const std::string& name, std::function<StoreResult()> effect, TableStore::Callback callback)
+    void callStore(std::size_t index, const std::string& name, std::function<StoreResult()> effect,
+        TableStore::Callback callback, std::optional<Duration> lateBy = std::nullopt)
     {
         constexpr Duration timeout = std::chrono::milliseconds(1500);
         this->recordCall(index, name);
@@ -354,9 +357,10 @@
             answer({ StoreStatus::Unknown }, timeout);
             return;
         }
-        if (this->chance(this->lateEffectProbability)) {
-            const Duration late = std::chrono::milliseconds(this->random() % 3000);
-            this->events.emplace(this->clock + late, Event { noDaemon, 0, [effect] { effect(); } });
+        if (!lateBy && this->chance(this->lateEffectProbability))
+            lateBy = std::chrono::milliseconds(this->random() % 3000);
+        if (lateBy) {
+            this->events.emplace(this->clock + *lateBy, Event { noDaemon, 0, [effect] { effect(); } });
             answer({ StoreStatus::Unknown }, timeout);
             return;
         }
@@ -413,7 +417,9 @@
         StoreResult result;
         result.storeMs = this->storeMs();
         bool holds = true;
-        for (const auto& condition : change.conditions) {
+        auto conditions = change.conditions;
+        conditions.insert(conditions.end(), change.removals.begin(), change.removals.end());
+        for (const auto& condition : conditions) {
             const auto found = this->rows.find({ condition.table, condition.key });
             const auto present = found == this->rows.end() ? 0 : found->second.version;
             holds = holds && present == condition.version;
--- a/src/process/table_store.h
+++ b/src/process/table_store.h
@@ -32,9 +32,13 @@
 };
 
 // Atomic change of rows that takes effect only if all conditions hold.
+//
+// A call that is not answered may take effect seconds later, when another daemon, or a later incarnation of this one,
+// has changed the rows. So a removal is always a condition as well, and a write needs one on the row that it builds on.
 struct StoreChange {
     std::vector<StoreCondition> conditions;
     std::vector<StoreRow> writes;
+    // Rows to remove, each only if it has the given version.
     std::vector<StoreCondition> removals;
 
     bool operator==(const StoreChange&) const = default;
