Answer all that a stopping daemon has taken before its process ends

Cause: a stopping daemon took new statements until it gave up its lease, and its process ended some milliseconds later with the last ones under way.

Evidence: the record of the case shows the cut requests in the milliseconds after the removal of the lease row. The new test of the session server fails when the two new calls do nothing, as before: the late session starts, and the statement under way has no answer.

Change: StopPlan has all times of a stop.

--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -48,6 +48,10 @@
         this->processInFailedTransaction(statement);
         return;
     }
+    if (!this->isAccepted(statement)) {
+        this->refuse(now);
+        return;
+    }
     switch (statement.kind) {
     case StatementKind::Unknown:
         this->replyError(ReplyCode::Malformed, "the statement is not recognised", "malformed");
@@ -93,6 +97,32 @@
     }
 }
 
+bool ClientSession::isAccepted(const Statement& statement) const
+{
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginRead:
+        return this->acceptance == StatementAcceptance::All;
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+        return this->acceptance != StatementAcceptance::None;
+    default:
+        return true;
+    }
+}
+
+// Refuses the statement under way, which has not run. An open transaction is rolled back.
+void ClientSession::refuse(Time now)
+{
+    if (this->transaction == TransactionPhase::None) {
+        this->replyError(ReplyCode::Busy, "the daemon is stopping; connect again", "stopping");
+        return;
+    }
+    this->failTransaction(now);
+    this->replyError(ReplyCode::Aborted, "the daemon is stopping; the transaction is rolled back", "stopping");
+}
+
 void ClientSession::processInFailedTransaction(const Statement& statement)
 {
     if (statement.kind != StatementKind::Rollback && statement.kind != StatementKind::Commit) {
@@ -320,12 +350,25 @@
     if (this->busy || (this->transaction != TransactionPhase::Begun && this->transaction != TransactionPhase::Open))
         return;
     this->cancelIdleTimer();
+    this->failTransaction(now);
+    this->failureReason = reason;
+}
+
+// Rolls back the transaction. The client has to end it.
+void ClientSession::failTransaction(Time now)
+{
     if (this->transaction == TransactionPhase::Open) {
         if (auto* runner = this->hooks.runner(this->transactionRoute->group))
             runner->endTransaction(this->transactionConnection, now);
     }
     this->transaction = TransactionPhase::Failed;
-    this->failureReason = reason;
+}
+
+void ClientSession::expireStatement(Time now)
+{
+    auto* runner = this->currentRoute ? this->hooks.runner(this->currentRoute->group) : nullptr;
+    if (this->execution && runner != nullptr)
+        runner->expire(ExecutionPtr(this->execution), now);
 }
 
 void ClientSession::onDisconnected(Time now)
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -58,6 +58,15 @@
     std::function<void(const StatementRecord&)> record;
 };
 
+// Statements that a session still takes, as its daemon stops.
+enum class StatementAcceptance {
+    All,
+    // No new transaction.
+    NoTransactions,
+    // Nothing that needs an endpoint, but for the end of a transaction.
+    None,
+};
+
 // One client session: its values, prepared statements and transaction. It answers statements that need no endpoint and
 // passes the others to the runner of the route's group, one at a time and in order.
 //
@@ -80,6 +89,10 @@
     void closeWhenIdle();
     // Ends the session after the reply to its next statement or, if that begins a transaction, after the transaction.
     void closeAfterStatement() { this->closing = true; }
+    // Refuses at once what is not accepted any more.
+    void accept(StatementAcceptance accepted) { this->acceptance = accepted; }
+    // Answers the statement under way as if the timeout of its route had been reached.
+    void expireStatement(Time now);
     // Rolls back an open transaction. The client gets the reason as the reply to its next statement.
     void abortTransaction(Time now, const std::string& reason);
 
@@ -97,6 +110,9 @@
 
     void process(const Statement& statement, Time now);
     void processInFailedTransaction(const Statement& statement);
+    [[nodiscard]] bool isAccepted(const Statement& statement) const;
+    void refuse(Time now);
+    void failTransaction(Time now);
     void begin(const Statement& statement);
     void rollback(Time now);
     void prepare(const Statement& statement);
@@ -124,6 +140,7 @@
     bool busy = false;
     bool disconnected = false;
     bool closing = false;
+    StatementAcceptance acceptance = StatementAcceptance::All;
     TransactionPhase transaction = TransactionPhase::None;
     TransactionStart transactionStart = TransactionStart::None;
     // Route at the beginning of the transaction. Configuration changes apply from the next transaction on.
--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -217,3 +217,34 @@
     CHECK(fixture.lastReply().code == ReplyCode::NoStatement);
     CHECK(fixture.world.sent.empty());
 }
+
+// Guards against statements that a stopping daemon starts although it ends before they can (review/5).
+TEST_CASE("ClientSession, refuses at once what it does not accept any more")
+{
+    SessionFixture fixture("menu");
+    fixture.session->accept(StatementAcceptance::NoTransactions);
+    fixture.send(StatementKind::Begin, "BEGIN");
+    CHECK(fixture.lastReply().code == ReplyCode::Busy);
+    CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+    fixture.session->accept(StatementAcceptance::None);
+    const auto sent = fixture.world.sent.size();
+    for (const auto kind : { StatementKind::Read, StatementKind::Write, StatementKind::Execute }) {
+        fixture.send(kind, "READ a", "s", "1");
+        CHECK(fixture.lastReply().code == ReplyCode::Busy);
+    }
+    CHECK(fixture.world.sent.size() == sent);
+}
+
+// Guards against a client that takes a refusal inside a transaction for one of its statement only.
+TEST_CASE("ClientSession, rolls back an open transaction when it refuses one of its statements")
+{
+    SessionFixture fixture("menu");
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.session->accept(StatementAcceptance::None);
+    fixture.send(StatementKind::Write, "WRITE a 1");
+    CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+    CHECK(fixture.lastReply().phase == SessionPhase::FailedTransaction);
+    fixture.send(StatementKind::Rollback, "ROLLBACK");
+    CHECK(fixture.lastReply().succeeded);
+    CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+}
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -16,6 +16,7 @@
 #include "process/proxy_settings.h"
 #include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
+#include "process/stop_plan.h"
 #include "process/table_feed.h"
 
 #include <asio/signal_set.hpp>
@@ -94,6 +95,8 @@
     void reloadSettings(const std::string& cause);
     [[nodiscard]] std::size_t sessionLimit() const;
     void beginStop();
+    void refuseTransactions();
+    void refuseStatements();
     void finishStop();
     void checkStop(Time now);
     void tick(Time now);
@@ -130,7 +133,9 @@
     std::vector<LeaseRow> otherLeases;
     bool stopping = false;
     bool finished = false;
-    Time stopAt;
+    // Times of the planned stop; without meaning before it.
+    StopPlan stopPlan;
+    bool leaseReleased = false;
 };
 
 } // namespace endivetrestle
--- a/src/edge/session_proxy_lifecycle.cc
+++ b/src/edge/session_proxy_lifecycle.cc
@@ -12,11 +12,6 @@
 
 namespace {
 
-// Time between SIGTERM and the first sessions that are ended. The balancer needs it to notice that this daemon is not
-// ready, so that the clients reconnect to others.
-constexpr Duration sessionEndDelay = std::chrono::milliseconds(2200);
-// Part of the grace period that is kept for giving the lease back.
-constexpr Duration stopReserve = std::chrono::milliseconds(500);
 // Interval at which the settings file is looked at, because it may change without a signal.
 constexpr Duration settingsInterval = std::chrono::seconds(2);
 // Descriptors kept for files, the store, other daemons and endpoints.
@@ -69,33 +64,47 @@
 {
     const auto now = bootNow();
     this->stopping = true;
-    this->stopAt = now + this->settings.stopGrace - stopReserve;
+    this->stopPlan = planStop(now, this->settings.stopGrace);
     logEvent(LogLevel::Info, "stop_requested",
         { { "sessions", this->sessions->sessions() }, { "grace_ms", toMilliseconds(this->settings.stopGrace) } });
     this->links->announceLeaving();
-    const auto firstEnd = std::min<Duration>(sessionEndDelay, this->settings.stopGrace / 3);
-    this->timers.subscribeAt(now + firstEnd, [this](Time) { this->sessions->closeIdleSessions(); });
-    this->timers.subscribeAt(now + this->settings.stopGrace / 2,
-        [this](Time) { this->sessions->abortTransactions("the daemon is stopping"); });
+    this->timers.subscribeAt(this->stopPlan.endSessionsAt, [this](Time) { this->sessions->closeIdleSessions(); });
+    this->timers.subscribeAt(this->stopPlan.refuseTransactionsAt, [this](Time) { this->refuseTransactions(); });
+    this->timers.subscribeAt(this->stopPlan.refuseStatementsAt, [this](Time) { this->refuseStatements(); });
+    this->timers.subscribeAt(this->stopPlan.answerRestAt, [this](Time) { this->sessions->expireStatements(); });
 }
 
+void SessionProxy::refuseTransactions()
+{
+    this->sessions->accept(StatementAcceptance::NoTransactions);
+    this->sessions->abortTransactions("the daemon is stopping");
+}
+
+void SessionProxy::refuseStatements()
+{
+    this->sessions->accept(StatementAcceptance::None);
+    this->sessions->abortTransactions("the daemon is stopping");
+}
+
+// Gives up the primaries and the lease, and ends the process when the store has answered.
 void SessionProxy::finishStop()
 {
+    this->leaseReleased = true;
+    this->refuseStatements();
     this->sessions->stopAccepting();
-    constexpr Duration storeLimit = std::chrono::milliseconds(300);
-    this->stopAt = Time::max();
     this->fleet->stop([this] { this->finished = true; });
+    const auto storeLimit = this->stopPlan.endAt - this->stopPlan.releaseLeaseAt;
     this->timers.subscribeAt(bootNow() + storeLimit, [this](Time) { this->finished = true; });
 }
 
-// Ends the process when nothing is left to finish, or when the grace period is nearly over.
+// Gives up the lease when nothing is left to finish, or when the grace period is nearly over.
 void SessionProxy::checkStop(Time now)
 {
-    if (!this->stopping || this->stopAt == Time::max())
+    if (!this->stopping || this->leaseReleased)
         return;
     const bool sessionsEnded
-        = this->sessions->sessions() == 0 && this->links->idle() && now + stopReserve > this->stopAt - sessionEndDelay;
-    if (sessionsEnded || now >= this->stopAt)
+        = this->sessions->sessions() == 0 && this->links->idle() && now > this->stopPlan.refuseTransactionsAt;
+    if (sessionsEnded || now >= this->stopPlan.releaseLeaseAt)
         this->finishStop();
 }
 
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -119,6 +119,9 @@
     if (table->find(databaseName) == nullptr)
         return this->refuseStart(
             id, link, ReplyCode::UnknownDatabase, "no such database", SessionEndReason::StartRefused);
+    if (this->acceptance == StatementAcceptance::None)
+        return this->refuseStart(
+            id, link, ReplyCode::Busy, "the daemon is stopping; connect again", SessionEndReason::Stopping);
     if (this->links.size() > this->maxSessions)
         return this->refuseStart(
             id, link, ReplyCode::Busy, "the daemon has no room for a session", SessionEndReason::SessionLimit);
@@ -134,6 +137,7 @@
     sessionHooks.record = this->hooks.record;
     link.session = std::make_unique<ClientSession>(databaseName, this->timers, std::move(sessionHooks));
     link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
+    link.session->accept(this->acceptance);
     if (this->closing)
         link.session->closeAfterStatement();
     return true;
@@ -238,6 +242,28 @@
     }
 }
 
+void SessionServer::accept(StatementAcceptance accepted)
+{
+    this->acceptance = accepted;
+    for (auto& [id, link] : this->links) {
+        if (link.session)
+            link.session->accept(accepted);
+    }
+}
+
+void SessionServer::expireStatements()
+{
+    // An answer that the client does not read may remove its session.
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, link] : this->links)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        const auto found = this->links.find(id);
+        if (found != this->links.end() && found->second.session)
+            found->second.session->expireStatement(this->hooks.now());
+    }
+}
+
 void SessionServer::stopAccepting() { this->listener.close(); }
 
 } // namespace endivetrestle
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -43,6 +43,10 @@
     void closeIdleSessions();
     // Rolls back transactions that wait for their client's next statement.
     void abortTransactions(const std::string& reason);
+    // Refuses at once what the sessions do not accept any more, in sessions that start later as well.
+    void accept(StatementAcceptance accepted);
+    // Answers all statements under way as if the timeouts of their routes had been reached.
+    void expireStatements();
     // Starts the sessions that wait for the first configuration, those that have waited longest first.
     void startHeldSessions();
     // Sets how many sessions may be open. Sessions beyond the limit go on.
@@ -90,6 +94,7 @@
     std::unordered_map<std::uint64_t, Link> links;
     std::uint64_t lastId = 0;
     bool closing = false;
+    StatementAcceptance acceptance = StatementAcceptance::All;
 };
 
 } // namespace endivetrestle
--- a/src/edge/session_server_test.cc
+++ b/src/edge/session_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <deque>
@@ -22,6 +23,14 @@
     }
     void endTransaction(ConnectionId, Time) override { }
     void abandon(const ExecutionPtr& execution, Time) override { execution->finished = true; }
+    void expire(const ExecutionPtr& execution, Time) override
+    {
+        this->held.erase(std::find(this->held.begin(), this->held.end(), execution));
+        StatementResult result;
+        result.answer.code = ReplyCode::InDoubt;
+        result.answer.errorText = "no answer in time";
+        execution->callback(result);
+    }
 
     void answerOne()
     {
@@ -259,3 +268,31 @@
     fixture.clock += fixture.startHold;
     CHECK(client.received() == "ERROR BUSY no configuration is known yet\r\n");
 }
+
+// Guards against statements that a stopping daemon has taken and then cuts because its process ends (review/5).
+TEST_CASE("SessionServer, answers every statement that it has taken before a planned stop ends")
+{
+    Fixture fixture;
+    Client underWay(fixture);
+    underWay.start();
+    underWay.send("QUERY 1 WRITE a 1");
+    underWay.received();
+    REQUIRE(fixture.runner.held.size() == 1);
+    Client later(fixture);
+    later.start();
+    fixture.server.closeIdleSessions();
+    fixture.server.accept(StatementAcceptance::None);
+    later.send("QUERY 2 READ a");
+    CHECK(later.received() == notice + "READY I -\r\n");
+    Client newcomer(fixture);
+    newcomer.send("STARTUP shop u1");
+    CHECK(newcomer.received() == notice);
+    CHECK(newcomer.closed);
+    CHECK(fixture.runner.held.size() == 1);
+    fixture.server.expireStatements();
+    CHECK(underWay.received() == "ERROR INDOUBT no answer in time\r\nREADY I -\r\n" + notice);
+    fixture.server.closeAll();
+    fixture.poll();
+    CHECK(std::none_of(
+        fixture.ends.begin(), fixture.ends.end(), [](const SessionEnd& end) { return !end.request.empty(); }));
+}
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -223,6 +223,16 @@
     }
 }
 
+void GroupScheduler::expire(const ExecutionPtr& execution, Time now)
+{
+    if (execution->finished)
+        return;
+    if (execution->timer != 0)
+        this->timers.cancel(std::exchange(execution->timer, 0));
+    execution->work.expiresAt = now;
+    this->onTimer(execution, now);
+}
+
 void GroupScheduler::runControlCommand(
     const EndpointId& id, const EndpointCommand& command, Duration timeout, Time now, ControlCallback callback)
 {
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -84,6 +84,7 @@
     void continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now) override;
     void endTransaction(ConnectionId connection, Time now) override;
     void abandon(const ExecutionPtr& execution, Time now) override;
+    void expire(const ExecutionPtr& execution, Time now) override;
     // Runs a control command on any connection to the endpoint. The callback runs once, within the timeout; it receives
     // a null pointer if there was no answer.
     void runControlCommand(const EndpointId& endpoint, const EndpointCommand& command, Duration timeout, Time now,
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -157,6 +157,27 @@
     CHECK(std::count(fixture.closed.begin(), fixture.closed.end(), connection) == 1);
 }
 
+// Guards against statements without an answer, or with a wrong one, when a stopping daemon ends before their timeouts.
+TEST_CASE("GroupScheduler, answers at once and truthfully the statements that are expired")
+{
+    SchedulerFixture fixture;
+    const auto write = fixture.submit(SchedulerFixture::write());
+    const auto read = fixture.submit(SchedulerFixture::read(true));
+    fixture.completeOpens();
+    const auto waiting = fixture.submit(SchedulerFixture::read(true));
+    for (const auto& execution : { write, read, waiting })
+        fixture.scheduler->expire(execution, fixture.now);
+    REQUIRE(fixture.results.size() == 3);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+    const bool sent = read->firstSentAt.has_value();
+    CHECK(fixture.results[1].answer.code == (sent ? ReplyCode::Timeout : ReplyCode::Busy));
+    CHECK(fixture.results[2].answer.code == (waiting->firstSentAt ? ReplyCode::Timeout : ReplyCode::Busy));
+    // A second call, or the timeout itself, does not answer again.
+    fixture.scheduler->expire(write, fixture.now);
+    fixture.advance(2s);
+    CHECK(fixture.results.size() == 3);
+}
+
 TEST_CASE("GroupScheduler, pins a transaction to its connection and reuses the connection after the commit")
 {
     SchedulerFixture fixture;
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -109,6 +109,19 @@
     this->transactions.erase(found);
 }
 
+void StatementForwarder::expire(const ExecutionPtr& execution, Time now)
+{
+    const auto found = std::find_if(this->pending.begin(), this->pending.end(),
+        [&](const auto& entry) { return entry.second.execution == execution; });
+    if (found == this->pending.end()) {
+        this->local.expire(execution, now);
+        return;
+    }
+    const auto number = found->first;
+    this->timers.cancel(found->second.timer);
+    this->onTimer(number, now);
+}
+
 void StatementForwarder::abandon(const ExecutionPtr& execution, Time now)
 {
     const auto found = std::find_if(this->pending.begin(), this->pending.end(),
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -49,6 +49,7 @@
     void continueTransaction(ConnectionId connection, const ExecutionPtr& execution, Time now) override;
     void endTransaction(ConnectionId connection, Time now) override;
     void abandon(const ExecutionPtr& execution, Time now) override;
+    void expire(const ExecutionPtr& execution, Time now) override;
 
     // Handles the result of a forwarded statement. Returns false if the statement is not pending here.
     bool onOutcome(const DaemonId& owner, const ForwardedOutcome& outcome, Time now);
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -25,11 +25,13 @@
     }
     void endTransaction(ConnectionId connection, Time) override { this->ended.push_back(connection); }
     void abandon(const ExecutionPtr& execution, Time) override { this->abandoned.push_back(execution); }
+    void expire(const ExecutionPtr& execution, Time) override { this->expired.push_back(execution); }
 
     std::vector<ExecutionPtr> submitted;
     std::vector<ConnectionId> continued;
     std::vector<ConnectionId> ended;
     std::vector<ExecutionPtr> abandoned;
+    std::vector<ExecutionPtr> expired;
 };
 
 struct Fixture {
@@ -239,6 +241,18 @@
     CHECK(std::get<ForwardedAbandon>(fixture.sent.back().second).number == number);
 }
 
+// Guards against a write that is reported as not run because its daemon stops before the owner has answered.
+TEST_CASE("StatementForwarder, reports a forwarded write as in doubt when it is expired")
+{
+    Fixture fixture;
+    const auto execution = fixture.submit(StatementKind::Write);
+    fixture.forwarder->expire(execution, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::InDoubt);
+    fixture.advance(2s);
+    CHECK(fixture.results.size() == 1);
+}
+
 TEST_CASE("StatementForwarder, rolls back the transaction at its owner when the session ends it")
 {
     Fixture fixture;
--- a/src/request/statement_runner.h
+++ b/src/request/statement_runner.h
@@ -19,6 +19,8 @@
     virtual void endTransaction(ConnectionId connection, Time now) = 0;
     // Drops a statement whose client has disconnected. Its result is no longer reported.
     virtual void abandon(const ExecutionPtr& execution, Time now) = 0;
+    // Ends a statement as if the timeout of its route had been reached. Its result is reported before the call returns.
+    virtual void expire(const ExecutionPtr& execution, Time now) = 0;
 };
 
 } // namespace endivetrestle
