Wait for the lease of a daemon that refuses connections

Callers saw: stale reads.

Cause: a refused connection counted as the daemon's confirmation, on the ground that no process listens there.

Evidence: the new test failed before ("daemon 1 uses e1 of shop") with a cut that refuses.

Change: a refused connection is a call without an answer. A holder whose row is gone is a holder no more.

--- a/src/edge/loop_http_client.h
+++ b/src/edge/loop_http_client.h
@@ -32,8 +32,6 @@
     std::string body;
     // Whether the request may have reached the server although there is no answer.
     bool mayHaveRun = false;
-    // Whether the server refused the connection, which means that no process listens there.
-    bool connectionRefused = false;
     // Times at which the request was handed over and the answer was complete.
     Time sentAt;
     Time answeredAt;
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -224,12 +224,8 @@
 {
     constexpr int ok = 200;
     this->clientFor(address).send(makeCall(peerSuspendPath, encodeMessage(claim)), suspendTimeout,
-        [callback = std::move(callback)](const HttpAnswer& answer) {
-            if (answer.status == ok)
-                callback(PeerStatus::Done);
-            else
-                callback(answer.connectionRefused ? PeerStatus::Refused : PeerStatus::TimedOut);
-        });
+        [callback = std::move(callback)](
+            const HttpAnswer& answer) { callback(answer.status == ok ? PeerStatus::Done : PeerStatus::Unanswered); });
 }
 
 void PeerCalls::announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows)
--- a/src/process/fleet_controller_lease_test.cc
+++ b/src/process/fleet_controller_lease_test.cc
@@ -389,3 +389,22 @@
     CHECK(stopped);
     CHECK_FALSE(simulation.hasRow(leaseTable, "d0"));
 }
+
+// Guards against a cut that refuses connections and is taken for a daemon that has ended (review/2).
+TEST_CASE("FleetController, waits for the lease of a running daemon whose connections are refused")
+{
+    const auto daemonCount = GENERATE(as<std::size_t> {}, 2, 4, 7);
+    const auto cutOffCount = GENERATE(as<std::size_t> {}, 1, 2);
+    CAPTURE(daemonCount, cutOffCount);
+    FleetSimulation simulation(daemonCount);
+    simulation.runFor(warmUp);
+    for (std::size_t i = 1; i <= std::min(cutOffCount, daemonCount - 1); ++i) {
+        auto& cutOff = *simulation.daemons[daemonCount - i];
+        cutOff.peersUnreachable = cutOff.storeUnreachable = cutOff.cutRefuses = true;
+    }
+    simulation.endpoints[e1].draining = true;
+    simulation.runFor(PrimaryLease::validity + 3s);
+    INFO(simulation.describeViolations());
+    CHECK(simulation.violations.empty());
+    CHECK(simulation.promotions == 1);
+}
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -26,10 +26,9 @@
 // How a call to another daemon ended.
 enum class PeerStatus {
     Done,
-    // Connection refused: no process listens at the address any more, so the daemon has ended.
-    Refused,
-    // No answer in time.
-    TimedOut,
+    // No answer, or no connection. A refused connection does not tell whether the daemon has ended: a network that is
+    // cut may refuse connections to a daemon that runs and holds its lease.
+    Unanswered,
 };
 
 // Answer of the platform to a promotion order.
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -157,7 +157,7 @@
             if (holder == this->leaseHolders.end())
                 return;
             holder->second.requestPending = false;
-            if (status == PeerStatus::TimedOut) {
+            if (status == PeerStatus::Unanswered) {
                 this->schedule(suspendRetryDelay, [this, name] { this->requestSuspend(name); });
                 return;
             }
@@ -184,6 +184,26 @@
     });
 }
 
+// Takes over the present rows of the holders. A daemon removes its row when it stops, after it has stopped using
+// primaries, so a holder without a row is none any more.
+void Promotion::updateLeaseHolders(const std::vector<StoreRow>& rows)
+{
+    std::map<std::string, StoreRow> present;
+    for (const auto& row : rows)
+        present.emplace(row.key, row);
+    for (auto holder = this->leaseHolders.begin(); holder != this->leaseHolders.end();) {
+        const auto row = present.find(holder->first);
+        if (row == present.end()) {
+            holder = this->leaseHolders.erase(holder);
+            this->lastConfirmationAt = this->context.now();
+            continue;
+        }
+        if (const auto lease = decodeLeaseRow(row->second))
+            holder->second.lease = *lease;
+        ++holder;
+    }
+}
+
 void Promotion::refreshLeaseHolders()
 {
     if (this->context.promotionLock.needsExtension(this->context.now()))
@@ -192,12 +212,7 @@
         const auto now = this->context.now();
         if (result.status == StoreStatus::Done) {
             this->context.clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-            for (const auto& row : result.rows) {
-                const auto lease = decodeLeaseRow(row);
-                const auto holder = lease ? this->leaseHolders.find(lease->daemon.value) : this->leaseHolders.end();
-                if (holder != this->leaseHolders.end())
-                    holder->second.lease = *lease;
-            }
+            this->updateLeaseHolders(result.rows);
         }
         // The known leases expire even if the store does not answer.
         const auto storeMs = this->context.clock.lowerBoundMs(now);
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -66,6 +66,7 @@
     void requestSuspendFromAll();
     void requestSuspend(const std::string& name);
     void refreshLeaseHolders();
+    void updateLeaseHolders(const std::vector<StoreRow>& rows);
     void checkAllSuspended();
     [[nodiscard]] bool maySkipUnresponsive(Time now) const;
     void queryEndpoints();
