--- a/src/process/fleet_controller_adoption_test.cc
+++ b/src/process/fleet_controller_adoption_test.cc
@@ -35,13 +35,13 @@
 {
     FleetSimulation simulation(daemonCount, 1, groupCount);
     simulation.runFor(warmUp);
-    const auto before = simulation.fleetRowsRead;
+    const auto before = simulation.tables.fleetRowsRead;
     for (auto& [group, endpoints] : simulation.groupEndpoints)
         endpoints[EndpointId("e1")].draining = true;
     simulation.runFor(20s);
     CHECK(simulation.leader() != EndpointId("e1"));
     // Each of the 86 replacements writes two rows twice: the claim and the record, with the epoch.
-    CHECK(simulation.fleetRowsRead - before <= daemonCount * groupCount * 4);
+    CHECK(simulation.tables.fleetRowsRead - before <= daemonCount * groupCount * 4);
     CHECK(simulation.violations.empty());
 }
 
@@ -50,7 +50,7 @@
 {
     FleetSimulation simulation(4);
     simulation.runFor(warmUp);
-    simulation.historyLost = true;
+    simulation.tables.historyLost = true;
     simulation.endpoints[EndpointId("e1")].draining = true;
     simulation.runFor(8s);
     CHECK(simulation.leader() != EndpointId("e1"));
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/fleet_controller.h"
+#include "process/simulated_tables_test.h"
 
 #include <algorithm>
 #include <functional>
@@ -91,10 +92,8 @@
     std::vector<std::string> violations;
     // Number of outgoing calls of all daemons, by name.
     std::map<std::string, std::size_t> calls;
-    // Number of rows of the fleet table that were returned to daemons.
-    std::size_t fleetRowsRead = 0;
-    // Whether the store has lost the history of earlier changes.
-    bool historyLost = false;
+    // Rows that all daemons share.
+    SimulatedTables tables { [this] { return this->clock; } };
     int promotions = 0;
     std::uint64_t highestToken = 0;
 
@@ -206,7 +205,7 @@
 
     [[nodiscard]] bool hasRow(const std::string& table, const std::string& key) const
     {
-        return this->rows.count({ table, key }) != 0;
+        return this->tables.hasRow(table, key);
     }
 
     // Number of daemons that use the current leader of a group.
@@ -245,14 +244,14 @@
         void readAll(const std::string& table, Callback callback) override
         {
             this->simulation.callStore(
-                this->index, "read", [&shared = this->simulation, table] { return shared.read(table); },
+                this->index, "read", [&shared = this->simulation, table] { return shared.tables.read(table); },
                 std::move(callback));
         }
         void change(const StoreChange& change, Callback callback) override
         {
             const auto late = this->simulation.lateBy ? this->simulation.lateBy(this->index, change) : std::nullopt;
             this->simulation.callStore(
-                this->index, "change", [&shared = this->simulation, change] { return shared.apply(change); },
+                this->index, "change", [&shared = this->simulation, change] { return shared.tables.apply(change); },
                 std::move(callback), late);
         }
         // Answers immediately, even if nothing has changed.
@@ -260,7 +259,7 @@
         {
             this->simulation.callStore(
                 this->index, "watch",
-                [&shared = this->simulation, table, after] { return shared.changes(table, after); },
+                [&shared = this->simulation, table, after] { return shared.tables.changes(table, after); },
                 std::move(callback));
         }
 
@@ -377,75 +376,6 @@
                                                          } });
     }
 
-    [[nodiscard]] std::int64_t storeMs() const
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.time_since_epoch()).count();
-    }
-
-    StoreResult read(const std::string& table)
-    {
-        StoreResult result;
-        result.status = StoreStatus::Done;
-        result.version = this->version;
-        result.storeMs = this->storeMs();
-        for (const auto& [key, row] : this->rows) {
-            if (key.first == table)
-                result.rows.push_back(row);
-        }
-        this->fleetRowsRead += table == fleetTable ? result.rows.size() : 0;
-        return result;
-    }
-
-    StoreResult changes(const std::string& table, std::uint64_t after)
-    {
-        auto result = this->read(table);
-        this->fleetRowsRead -= table == fleetTable ? result.rows.size() : 0;
-        if (this->historyLost) {
-            result.status = StoreStatus::HistoryLost;
-            result.rows.clear();
-            return result;
-        }
-        result.rows.erase(std::remove_if(result.rows.begin(), result.rows.end(),
-                              [after](const StoreRow& row) { return row.version <= after; }),
-            result.rows.end());
-        std::stable_sort(result.rows.begin(), result.rows.end(),
-            [](const StoreRow& left, const StoreRow& right) { return left.version < right.version; });
-        this->fleetRowsRead += table == fleetTable ? result.rows.size() : 0;
-        return result;
-    }
-
-    StoreResult apply(const StoreChange& change)
-    {
-        StoreResult result;
-        result.storeMs = this->storeMs();
-        bool holds = true;
-        auto conditions = change.conditions;
-        conditions.insert(conditions.end(), change.removals.begin(), change.removals.end());
-        for (const auto& condition : conditions) {
-            const auto found = this->rows.find({ condition.table, condition.key });
-            const auto present = found == this->rows.end() ? 0 : found->second.version;
-            holds = holds && present == condition.version;
-            if (found != this->rows.end())
-                result.rows.push_back(found->second);
-        }
-        result.version = this->version;
-        if (!holds) {
-            result.status = StoreStatus::Conflict;
-            return result;
-        }
-        result.rows.clear();
-        ++this->version;
-        for (auto row : change.writes) {
-            row.version = this->version;
-            this->rows[{ row.table, row.key }] = row;
-        }
-        for (const auto& removal : change.removals)
-            this->rows.erase({ removal.table, removal.key });
-        result.status = StoreStatus::Done;
-        result.version = this->version;
-        return result;
-    }
-
     [[nodiscard]] bool peerReachable(std::size_t from, std::size_t to) const
     {
         return to < this->daemons.size() && !this->daemons[from]->peersUnreachable
@@ -673,8 +603,6 @@
     std::size_t groupCount;
     Time clock { std::chrono::seconds(1000) };
     std::multimap<Time, Event> events;
-    std::map<std::pair<std::string, std::string>, StoreRow> rows;
-    std::uint64_t version = 0;
 };
 
 } // namespace endivetrestle
