Give classes that shared a name in one namespace names of their own

Callers saw: a process that ended by itself when a daemon of the product's own interface was made.

Cause: FleetHooks was defined in src/edge/fleet.h and in src/process/fleet_hooks.h. The linker keeps one destructor for both, and the larger one's ran over the smaller object. EndpointReport was defined twice as well.

Change: they are DaemonFleetHooks and EndpointSummary.

--- a/src/edge/daemon.cc
+++ b/src/edge/daemon.cc
@@ -139,7 +139,7 @@
     self.dataCentre = this->settings.daemon.dataCentre;
     self.region = this->settings.daemon.region;
     self.incarnation = static_cast<std::uint64_t>(unixMilliseconds());
-    FleetHooks hooks;
+    DaemonFleetHooks hooks;
     hooks.adopted = [this](const std::shared_ptr<const Configuration>&) { this->applyOwnership(); };
     hooks.viewChanged = [this] { this->applyOwnership(); };
     hooks.random = [this](std::uint64_t bound) { return this->random() % bound; };
--- a/src/edge/daemon_status.cc
+++ b/src/edge/daemon_status.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-nlohmann::json toJson(const EndpointReport& endpoint)
+nlohmann::json toJson(const EndpointSummary& endpoint)
 {
     nlohmann::json result { { "endpoint", endpoint.endpoint.value }, { "primary", endpoint.primary },
         { "leaving", endpoint.leaving }, { "suspected", endpoint.health.suspected },
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -45,7 +45,7 @@
 } // namespace
 
 Fleet::Fleet(NetworkLoop& loop, PeerClient& peers, const Settings& settings, DaemonInfo self, Journal& journal,
-    Metrics& metrics, FleetHooks hooks)
+    Metrics& metrics, DaemonFleetHooks hooks)
     : loop(loop)
     , peers(peers)
     , settings(settings)
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -22,7 +22,7 @@
 namespace endivetrestle {
 
 // What the fleet needs of the daemon.
-struct FleetHooks {
+struct DaemonFleetHooks {
     // A newer configuration is in force. Called on the network loop's thread without locks.
     std::function<void(std::shared_ptr<const Configuration>)> adopted;
     // The view of daemons changed, so owners may have. Called on the network loop's thread without locks.
@@ -50,7 +50,7 @@
 class Fleet {
 public:
     Fleet(NetworkLoop& loop, PeerClient& peers, const Settings& settings, DaemonInfo self, Journal& journal,
-        Metrics& metrics, FleetHooks hooks);
+        Metrics& metrics, DaemonFleetHooks hooks);
     ~Fleet();
 
     // Starts gossip and polls on the timers, which must not be advanced any more when the fleet is destroyed.
@@ -112,7 +112,7 @@
     DaemonId self;
     Journal& journal;
     Metrics& metrics;
-    FleetHooks hooks;
+    DaemonFleetHooks hooks;
     std::unique_ptr<Platform> platform;
 
     OrderedMutex versionMutex { LockLevel::ConfigurationVersion };
--- a/src/process/database_controller.cc
+++ b/src/process/database_controller.cc
@@ -331,7 +331,7 @@
     result.pending = this->pendingRequests.size();
     result.transactions = this->transactions.openCount();
     for (const auto& endpoint : this->declaration.endpoints) {
-        EndpointReport entry;
+        EndpointSummary entry;
         entry.endpoint = endpoint.id;
         entry.health = this->health.view(endpoint.id);
         entry.connections = this->pool.counts(endpoint.id);
--- a/src/process/database_controller.h
+++ b/src/process/database_controller.h
@@ -59,7 +59,7 @@
 };
 
 // State of one endpoint for reports.
-struct EndpointReport {
+struct EndpointSummary {
     EndpointId endpoint;
     EndpointHealthView health;
     EndpointCounts connections;
@@ -77,7 +77,7 @@
     std::size_t queued = 0;
     std::size_t pending = 0;
     std::size_t transactions = 0;
-    std::vector<EndpointReport> endpoints;
+    std::vector<EndpointSummary> endpoints;
 };
 
 // Decisions of one owner for one database: admission, routing, connections, acknowledgement, transactions and failover.
