Take the holders of leases out of the promotion

A row kept its claim as a field even where the row itself is the claim, and two decoders had the default for earlier releases.

Change: LeaseHolders states in one class what makes a daemon a holder no more, testable without the simulation; a holder whose row cannot be read keeps its last known lease. No behaviour is meant to change.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -47,9 +47,13 @@
     row.term = *term;
     row.writer = DaemonId(text(value, "writer"));
     row.version = *version;
-    // Daemons of an earlier release send neither: the row then stands for its claim, and for no earlier one.
-    row.claim = number(value, "claim").value_or(*version);
-    row.previousEpoch = number(value, "previous_epoch").value_or(*version);
+    row.assumeEarlierRelease();
+    const auto claim = number(value, "claim");
+    const auto previousEpoch = number(value, "previous_epoch");
+    if (claim && previousEpoch) {
+        row.finishedClaim = *claim;
+        row.previousEpoch = *previousEpoch;
+    }
     return row;
 }
 
@@ -72,7 +76,7 @@
     json list = json::array();
     for (const auto& row : rows) {
         list.push_back({ { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
-            { "version", row.version }, { "writer", row.writer.value }, { "claim", row.claim },
+            { "version", row.version }, { "writer", row.writer.value }, { "claim", row.finishedClaim },
             { "previous_epoch", row.previousEpoch } });
     }
     return json { { "rows", list } }.dump();
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -143,7 +143,7 @@
         return;
     this->rows[row.group] = row;
     // The row of a finished replacement also proves that there was a claim.
-    this->claims.add(row.claim, row.previousEpoch);
+    this->claims.add(row.claimVersion(), row.previousEpoch);
     if (row.replacing) {
         this->replacingSince.try_emplace(row.group, this->now());
         this->suspend(row.group, nullptr);
@@ -197,7 +197,7 @@
         auto& row = this->rows[claim.group];
         row.group = claim.group;
         row.replacing = true;
-        row.version = row.claim = claim.version;
+        row.version = claim.version;
         row.previousEpoch = claim.previousEpoch;
         this->replacingSince.try_emplace(claim.group, this->now());
     }
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -29,12 +29,14 @@
         return field == nullptr ? std::string() : field->get<std::string>();
     }
 
-    std::int64_t integer(const char* name, std::int64_t missing = 0)
+    std::int64_t integer(const char* name)
     {
         const auto* field = this->find(name, &json::is_number_integer);
-        return field == nullptr ? missing : field->get<std::int64_t>();
+        return field == nullptr ? 0 : field->get<std::int64_t>();
     }
 
+    [[nodiscard]] bool has(const char* name) const { return this->readable && this->value.contains(name); }
+
     bool flag(const char* name)
     {
         const auto* field = this->find(name, &json::is_boolean);
@@ -79,7 +81,7 @@
 StoreRow encodeRow(const PrimaryRow& row)
 {
     const json value { { "replacing", row.replacing }, { "endpoint", row.endpoint.value }, { "term", row.term },
-        { "writer", row.writer.value }, { "claim", row.claim }, { "previous_epoch", row.previousEpoch } };
+        { "writer", row.writer.value }, { "claim", row.finishedClaim }, { "previous_epoch", row.previousEpoch } };
     return { fleetTable, std::string(primaryPrefix) + row.group.value, value.dump() };
 }
 
@@ -110,13 +112,11 @@
     result.term = static_cast<std::uint64_t>(reader.integer("term"));
     result.writer = DaemonId(reader.text("writer"));
     result.version = row.version;
-    // An earlier release wrote rows without these fields. The row itself then stands for its claim, and does not tell
-    // that there is no claim before it.
-    const auto version = static_cast<std::int64_t>(row.version);
-    result.claim = static_cast<std::uint64_t>(reader.integer("claim", version));
-    result.previousEpoch = static_cast<std::uint64_t>(reader.integer("previous_epoch", version));
-    if (result.replacing)
-        result.claim = row.version;
+    result.assumeEarlierRelease();
+    if (reader.has("claim") && reader.has("previous_epoch")) {
+        result.finishedClaim = static_cast<std::uint64_t>(reader.integer("claim"));
+        result.previousEpoch = static_cast<std::uint64_t>(reader.integer("previous_epoch"));
+    }
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -30,12 +30,18 @@
     DaemonId writer;
     // Version of the row; not part of its value.
     std::uint64_t version = 0;
-    // Version of the claim that led to this row, which is the row itself while the primary is being replaced; 0 if the
-    // primary was adopted without a claim.
-    std::uint64_t claim = 0;
-    // Epoch on condition of which that claim was made: there is no other claim between the two.
+    // Version of the claim that led to this row; 0 if the primary was adopted without a claim. Without meaning while
+    // the primary is being replaced, because the row itself is the claim then.
+    std::uint64_t finishedClaim = 0;
+    // Epoch on condition of which the claim was made: there is no other claim between the two.
     std::uint64_t previousEpoch = 0;
 
+    // Version of the newest claim of the group.
+    [[nodiscard]] std::uint64_t claimVersion() const { return this->replacing ? this->version : this->finishedClaim; }
+    // Takes the row for one of an earlier release, which names neither its claim nor the epoch before it. The row then
+    // stands for its claim, and for no earlier one.
+    void assumeEarlierRelease() { this->finishedClaim = this->previousEpoch = this->version; }
+
     bool operator==(const PrimaryRow&) const = default;
 };
 
--- /dev/null
+++ b/src/process/fleet_rows_test.cc
@@ -0,0 +1,53 @@
+#include "process/fleet_rows.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endivetrestle;
+
+namespace {
+
+// Row as it comes back from the store in the given version.
+std::optional<PrimaryRow> storedAs(PrimaryRow row, std::uint64_t version)
+{
+    auto stored = encodeRow(row);
+    stored.version = version;
+    return decodePrimaryRow(stored);
+}
+
+} // namespace
+
+TEST_CASE("PrimaryRow, names the claim that led to it")
+{
+    PrimaryRow row { DatabaseId("a"), true, EndpointId("e1"), 3, DaemonId("d1") };
+    row.previousEpoch = 7;
+    const auto claim = storedAs(row, 9);
+    REQUIRE(claim);
+    CHECK(claim->claimVersion() == 9);
+    CHECK(claim->previousEpoch == 7);
+    row.replacing = false;
+    row.finishedClaim = 9;
+    const auto record = storedAs(row, 12);
+    REQUIRE(record);
+    CHECK(record->claimVersion() == 9);
+    CHECK(record->previousEpoch == 7);
+}
+
+// Guards against an adopted primary that counts as a claim, after which no daemon is a witness.
+TEST_CASE("PrimaryRow, has no claim when the primary was adopted")
+{
+    const auto row = storedAs({ DatabaseId("a"), false, EndpointId("e1"), 3, DaemonId("d1") }, 9);
+    REQUIRE(row);
+    CHECK(row->claimVersion() == 0);
+}
+
+// Guards against a row of an earlier release that proves more than it says.
+TEST_CASE("PrimaryRow, stands for its claim and for no earlier one when an earlier release wrote it")
+{
+    for (const char* replacing : { "true", "false" }) {
+        const auto row = decodePrimaryRow({ fleetTable, "primary/a",
+            std::string(R"({"endpoint":"e1","term":3,"writer":"d1","replacing":)") + replacing + "}", 9 });
+        REQUIRE(row);
+        CHECK(row->claimVersion() == 9);
+        CHECK(row->previousEpoch == 9);
+    }
+}
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -1,7 +1,6 @@
 #include "process/promotion.h"
 
 #include "base/log.h"
-#include "process/primary_lease.h"
 
 #include <algorithm>
 #include <tuple>
@@ -104,8 +103,8 @@
             this->finish(false);
             return;
         }
-        row.version = row.claim = result.version;
-        this->ownClaim = { row.group, row.claim, row.previousEpoch };
+        row.version = result.version;
+        this->ownClaim = { row.group, row.version, row.previousEpoch };
         this->enterStep("suspend");
         this->context.applyOwnRow(row);
         this->readLeaseHolders();
@@ -119,17 +118,18 @@
             this->schedule(leaseRefreshInterval, [this] { this->readLeaseHolders(); });
             return;
         }
+        const auto now = this->context.now();
         this->context.clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-        const auto storeMs = this->context.clock.lowerBoundMs(this->context.now());
+        const auto storeMs = this->context.clock.lowerBoundMs(now);
+        std::vector<LeaseRow> others;
         for (const auto& row : result.rows) {
             const auto lease = decodeLeaseRow(row);
-            if (!lease || lease->daemon == this->context.self || lease->untilStoreMs <= storeMs)
-                continue;
-            this->peers.push_back(lease->address);
-            if (lease->epochVersion < this->ownClaim.version)
-                this->leaseHolders[lease->daemon.value].lease = *lease;
+            if (lease && lease->daemon != this->context.self && lease->untilStoreMs > storeMs)
+                others.push_back(*lease);
         }
-        this->lastConfirmationAt = this->context.now();
+        for (const auto& lease : others)
+            this->peers.push_back(lease.address);
+        this->leaseHolders.start(this->ownClaim.version, others, storeMs, now);
         this->requestSuspendFromAll();
         this->schedule(leaseRefreshInterval, [this] { this->refreshLeaseHolders(); });
         this->checkAllSuspended();
@@ -138,72 +138,26 @@
 
 void Promotion::requestSuspendFromAll()
 {
-    std::vector<std::string> names;
-    for (const auto& [name, holder] : this->leaseHolders)
-        names.push_back(name);
-    for (const auto& name : names)
-        this->requestSuspend(name);
+    for (const auto& [daemon, lease] : this->leaseHolders.all())
+        this->requestSuspend(daemon);
 }
 
-void Promotion::requestSuspend(const std::string& name)
+void Promotion::requestSuspend(const DaemonId& daemon)
 {
-    const auto found = this->leaseHolders.find(name);
-    if (found == this->leaseHolders.end() || found->second.requestPending)
+    const auto holder = this->leaseHolders.all().find(daemon);
+    if (holder == this->leaseHolders.all().end())
         return;
-    found->second.requestPending = true;
     this->context.hooks.requestSuspend(
-        found->second.lease.address, this->ownClaim, this->guarded([this, name](PeerStatus status) {
-            const auto holder = this->leaseHolders.find(name);
-            if (holder == this->leaseHolders.end())
-                return;
-            holder->second.requestPending = false;
+        holder->second.address, this->ownClaim, this->guarded([this, daemon](PeerStatus status) {
             if (status == PeerStatus::Unanswered) {
-                this->schedule(suspendRetryDelay, [this, name] { this->requestSuspend(name); });
+                this->schedule(suspendRetryDelay, [this, daemon] { this->requestSuspend(daemon); });
                 return;
             }
-            this->leaseHolders.erase(holder);
-            this->lastConfirmationAt = this->context.now();
+            this->leaseHolders.confirm(daemon, this->context.now());
             this->checkAllSuspended();
         }));
 }
 
-// Whether the unresponsive daemons are known to have stopped using the primary: their leases are too old to be valid
-// without witnesses, and there are too few of them to be each other's witnesses. All other daemons know the claim, and
-// their earlier confirmations as witnesses have expired.
-bool Promotion::maySkipUnresponsive(Time now) const
-{
-    if (now < this->lastConfirmationAt + PrimaryLease::witnessValidity)
-        return false;
-    constexpr auto early = PrimaryLease::validity - PrimaryLease::unwitnessedValidity;
-    const auto earlyMs = std::chrono::duration_cast<std::chrono::milliseconds>(early).count();
-    const auto storeMs = this->context.clock.lowerBoundMs(now);
-    const auto others = static_cast<int>(this->leaseHolders.size()) - 1;
-    return std::all_of(this->leaseHolders.begin(), this->leaseHolders.end(), [&](const auto& entry) {
-        const auto& lease = entry.second.lease;
-        return others < lease.witnesses && lease.untilStoreMs - earlyMs <= storeMs;
-    });
-}
-
-// Takes over the present rows of the holders. A daemon removes its row when it stops, after it has stopped using
-// primaries, so a holder without a row is none any more.
-void Promotion::updateLeaseHolders(const std::vector<StoreRow>& rows)
-{
-    std::map<std::string, StoreRow> present;
-    for (const auto& row : rows)
-        present.emplace(row.key, row);
-    for (auto holder = this->leaseHolders.begin(); holder != this->leaseHolders.end();) {
-        const auto row = present.find(holder->first);
-        if (row == present.end()) {
-            holder = this->leaseHolders.erase(holder);
-            this->lastConfirmationAt = this->context.now();
-            continue;
-        }
-        if (const auto lease = decodeLeaseRow(row->second))
-            holder->second.lease = *lease;
-        ++holder;
-    }
-}
-
 void Promotion::refreshLeaseHolders()
 {
     if (this->context.promotionLock.needsExtension(this->context.now()))
@@ -212,22 +166,15 @@
         const auto now = this->context.now();
         if (result.status == StoreStatus::Done) {
             this->context.clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-            this->updateLeaseHolders(result.rows);
+            this->leaseHolders.update(result.rows, now);
         }
-        // The known leases expire even if the store does not answer.
+        // The known leases end even if the store does not answer.
         const auto storeMs = this->context.clock.lowerBoundMs(now);
-        for (auto holder = this->leaseHolders.begin(); holder != this->leaseHolders.end();) {
-            const auto& lease = holder->second.lease;
-            if (lease.untilStoreMs <= storeMs || lease.epochVersion >= this->ownClaim.version) {
-                holder = this->leaseHolders.erase(holder);
-                this->lastConfirmationAt = now;
-            } else
-                ++holder;
-        }
-        if (!this->leaseHolders.empty() && this->maySkipUnresponsive(now)) {
+        this->leaseHolders.removeEnded(storeMs, now);
+        if (!this->leaseHolders.empty() && this->leaseHolders.mayPassOver(storeMs, now)) {
             logEvent(LogLevel::Info, "silent_daemons_skipped",
                 { { "group", this->initialRow.group.value }, { "count", this->leaseHolders.size() },
-                    { "first", this->leaseHolders.begin()->first } });
+                    { "first", this->leaseHolders.all().begin()->first.value } });
             this->leaseHolders.clear();
         }
         this->schedule(leaseRefreshInterval, [this] { this->refreshLeaseHolders(); });
@@ -406,7 +353,7 @@
     row.endpoint = this->candidate;
     row.term = term;
     row.writer = this->context.self;
-    row.claim = this->ownClaim.version;
+    row.finishedClaim = this->ownClaim.version;
     row.previousEpoch = this->ownClaim.previousEpoch;
     if (this->stepName != "record")
         this->enterStep("record");
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -2,6 +2,7 @@
 
 #include "base/timer_service.h"
 #include "process/fleet_hooks.h"
+#include "process/lease_holders.h"
 #include "process/promotion_lock.h"
 #include "process/store_clock.h"
 
@@ -56,19 +57,12 @@
     [[nodiscard]] const std::string& step() const { return this->stepName; }
 
 private:
-    struct LeaseHolder {
-        LeaseRow lease;
-        bool requestPending = false;
-    };
-
     void claim();
     void readLeaseHolders();
     void requestSuspendFromAll();
-    void requestSuspend(const std::string& name);
+    void requestSuspend(const DaemonId& daemon);
     void refreshLeaseHolders();
-    void updateLeaseHolders(const std::vector<StoreRow>& rows);
     void checkAllSuspended();
-    [[nodiscard]] bool maySkipUnresponsive(Time now) const;
     void queryEndpoints();
     void chooseCandidate();
     void waitForCatchUp(const EndpointId& old);
@@ -105,10 +99,7 @@
     Time stepStartedAt;
     Claim ownClaim;
     // Daemons that may still use the old primary.
-    std::map<std::string, LeaseHolder> leaseHolders;
-    // Time at which the last daemon confirmed or its lease was seen to have expired. Until then it may have acted as a
-    // witness, and its confirmation stays valid for PrimaryLease::witnessValidity.
-    Time lastConfirmationAt;
+    LeaseHolders leaseHolders;
     // Addresses of all daemons with a lease, for the announcement of the new primary.
     std::vector<SocketAddress> peers;
     std::size_t queriesOutstanding = 0;
