Ask the daemon what it still accepts instead of copying it to each session

Seen when reading the diff: every session kept a copy of what its stopping daemon accepts, the same text stood three times, and the search for a forwarded statement twice.

Change: sessions ask through a hook, so there is one state; the text and the search stand once. No behaviour changes.

Measured: the tests of the session, its server and the forwarder pass; their expectations are the same.

--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -102,11 +102,11 @@
     switch (statement.kind) {
     case StatementKind::Begin:
     case StatementKind::BeginRead:
-        return this->acceptance == StatementAcceptance::All;
+        return this->hooks.acceptance() == StatementAcceptance::All;
     case StatementKind::Read:
     case StatementKind::Write:
     case StatementKind::Execute:
-        return this->acceptance != StatementAcceptance::None;
+        return this->hooks.acceptance() != StatementAcceptance::None;
     default:
         return true;
     }
@@ -116,7 +116,7 @@
 void ClientSession::refuse(Time now)
 {
     if (this->transaction == TransactionPhase::None) {
-        this->replyError(ReplyCode::Busy, "the daemon is stopping; connect again", "stopping");
+        this->replyError(ReplyCode::Busy, stoppingText, "stopping");
         return;
     }
     this->failTransaction(now);
@@ -368,7 +368,7 @@
 {
     auto* runner = this->currentRoute ? this->hooks.runner(this->currentRoute->group) : nullptr;
     if (this->execution && runner != nullptr)
-        runner->expire(ExecutionPtr(this->execution), now);
+        runner->expire(this->execution, now);
 }
 
 void ClientSession::onDisconnected(Time now)
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -45,6 +45,18 @@
     Duration elapsed {};
 };
 
+// Statements that sessions still take, as their daemon stops.
+enum class StatementAcceptance {
+    All,
+    // No new transaction.
+    NoTransactions,
+    // Nothing that needs an endpoint, but for the end of a transaction.
+    None,
+};
+
+// What a client is told whose session or statement a stopping daemon does not take.
+inline constexpr const char* stoppingText = "the daemon is stopping; connect again";
+
 // Callbacks through which a session uses the clock, its client connection, the configuration and the runners.
 struct SessionHooks {
     std::function<Time()> now;
@@ -56,15 +68,8 @@
     // Runner that executes the statements of a database group, or null.
     std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<void(const StatementRecord&)> record;
-};
-
-// Statements that a session still takes, as its daemon stops.
-enum class StatementAcceptance {
-    All,
-    // No new transaction.
-    NoTransactions,
-    // Nothing that needs an endpoint, but for the end of a transaction.
-    None,
+    // What the daemon still takes. The rest is refused at once.
+    std::function<StatementAcceptance()> acceptance;
 };
 
 // One client session: its values, prepared statements and transaction. It answers statements that need no endpoint and
@@ -89,8 +94,6 @@
     void closeWhenIdle();
     // Ends the session after the reply to its next statement or, if that begins a transaction, after the transaction.
     void closeAfterStatement() { this->closing = true; }
-    // Refuses at once what is not accepted any more.
-    void accept(StatementAcceptance accepted) { this->acceptance = accepted; }
     // Answers the statement under way as if the timeout of its route had been reached.
     void expireStatement(Time now);
     // Rolls back an open transaction. The client gets the reason as the reply to its next statement.
@@ -140,7 +143,6 @@
     bool busy = false;
     bool disconnected = false;
     bool closing = false;
-    StatementAcceptance acceptance = StatementAcceptance::All;
     TransactionPhase transaction = TransactionPhase::None;
     TransactionStart transactionStart = TransactionStart::None;
     // Route at the beginning of the transaction. Configuration changes apply from the next transaction on.
--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -34,6 +34,7 @@
         hooks.routes = [this] { return this->routes; };
         hooks.runner = [this](const DatabaseId&) { return this->world.scheduler.get(); };
         hooks.record = [](const StatementRecord&) {};
+        hooks.acceptance = [this] { return this->acceptance; };
         this->session = std::make_unique<ClientSession>(database, this->world.timers, std::move(hooks));
     }
 
@@ -53,6 +54,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::vector<SessionReply> replies;
     bool closed = false;
+    StatementAcceptance acceptance = StatementAcceptance::All;
     std::unique_ptr<ClientSession> session;
 };
 
@@ -222,11 +224,11 @@
 TEST_CASE("ClientSession, refuses at once what it does not accept any more")
 {
     SessionFixture fixture("menu");
-    fixture.session->accept(StatementAcceptance::NoTransactions);
+    fixture.acceptance = StatementAcceptance::NoTransactions;
     fixture.send(StatementKind::Begin, "BEGIN");
     CHECK(fixture.lastReply().code == ReplyCode::Busy);
     CHECK(fixture.lastReply().phase == SessionPhase::Idle);
-    fixture.session->accept(StatementAcceptance::None);
+    fixture.acceptance = StatementAcceptance::None;
     const auto sent = fixture.world.sent.size();
     for (const auto kind : { StatementKind::Read, StatementKind::Write, StatementKind::Execute }) {
         fixture.send(kind, "READ a", "s", "1");
@@ -240,7 +242,7 @@
 {
     SessionFixture fixture("menu");
     fixture.send(StatementKind::Begin, "BEGIN");
-    fixture.session->accept(StatementAcceptance::None);
+    fixture.acceptance = StatementAcceptance::None;
     fixture.send(StatementKind::Write, "WRITE a 1");
     CHECK(fixture.lastReply().code == ReplyCode::Aborted);
     CHECK(fixture.lastReply().phase == SessionPhase::FailedTransaction);
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -120,8 +120,7 @@
         return this->refuseStart(
             id, link, ReplyCode::UnknownDatabase, "no such database", SessionEndReason::StartRefused);
     if (this->acceptance == StatementAcceptance::None)
-        return this->refuseStart(
-            id, link, ReplyCode::Busy, "the daemon is stopping; connect again", SessionEndReason::Stopping);
+        return this->refuseStart(id, link, ReplyCode::Busy, stoppingText, SessionEndReason::Stopping);
     if (this->links.size() > this->maxSessions)
         return this->refuseStart(
             id, link, ReplyCode::Busy, "the daemon has no room for a session", SessionEndReason::SessionLimit);
@@ -135,9 +134,9 @@
     sessionHooks.routes = this->hooks.routes;
     sessionHooks.runner = this->hooks.runner;
     sessionHooks.record = this->hooks.record;
+    sessionHooks.acceptance = [this] { return this->acceptance; };
     link.session = std::make_unique<ClientSession>(databaseName, this->timers, std::move(sessionHooks));
     link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
-    link.session->accept(this->acceptance);
     if (this->closing)
         link.session->closeAfterStatement();
     return true;
@@ -190,7 +189,7 @@
     if (!link.session->isIdle())
         return;
     link.ending = true;
-    link.socket->write(platform::encodeErrorLine(ReplyCode::Busy, "the daemon is stopping; connect again"));
+    link.socket->write(platform::encodeErrorLine(ReplyCode::Busy, stoppingText));
     this->timers.subscribeAt(
         this->hooks.now() + endLimit, [this, id](Time) { this->remove(id, SessionEndReason::Stopping, true); });
 }
@@ -242,15 +241,6 @@
     }
 }
 
-void SessionServer::accept(StatementAcceptance accepted)
-{
-    this->acceptance = accepted;
-    for (auto& [id, link] : this->links) {
-        if (link.session)
-            link.session->accept(accepted);
-    }
-}
-
 void SessionServer::expireStatements()
 {
     // An answer that the client does not read may remove its session.
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -43,8 +43,8 @@
     void closeIdleSessions();
     // Rolls back transactions that wait for their client's next statement.
     void abortTransactions(const std::string& reason);
-    // Refuses at once what the sessions do not accept any more, in sessions that start later as well.
-    void accept(StatementAcceptance accepted);
+    // Refuses at once what is not accepted any more, in all sessions.
+    void accept(StatementAcceptance accepted) { this->acceptance = accepted; }
     // Answers all statements under way as if the timeouts of their routes had been reached.
     void expireStatements();
     // Starts the sessions that wait for the first configuration, those that have waited longest first.
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -109,10 +109,16 @@
     this->transactions.erase(found);
 }
 
-void StatementForwarder::expire(const ExecutionPtr& execution, Time now)
+std::map<std::uint64_t, StatementForwarder::Pending>::iterator StatementForwarder::findPending(
+    const ExecutionPtr& execution)
 {
-    const auto found = std::find_if(this->pending.begin(), this->pending.end(),
+    return std::find_if(this->pending.begin(), this->pending.end(),
         [&](const auto& entry) { return entry.second.execution == execution; });
+}
+
+void StatementForwarder::expire(const ExecutionPtr& execution, Time now)
+{
+    const auto found = this->findPending(execution);
     if (found == this->pending.end()) {
         this->local.expire(execution, now);
         return;
@@ -124,8 +130,7 @@
 
 void StatementForwarder::abandon(const ExecutionPtr& execution, Time now)
 {
-    const auto found = std::find_if(this->pending.begin(), this->pending.end(),
-        [&](const auto& entry) { return entry.second.execution == execution; });
+    const auto found = this->findPending(execution);
     if (found == this->pending.end()) {
         this->local.abandon(execution, now);
         return;
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -83,6 +83,7 @@
     void forwardOrRunLocally(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now);
     bool sendTo(const DaemonId& owner, Pending pending, std::optional<ConnectionId> connection);
     void onTimer(std::uint64_t number, Time now);
+    std::map<std::uint64_t, Pending>::iterator findPending(const ExecutionPtr& execution);
     std::optional<Pending> takePending(std::uint64_t number);
     void deliverOutcome(const Pending& pending, const ForwardedOutcome& outcome);
     void failUnanswered(const Pending& pending, const std::string& reason, bool timedOut);
