Answer forwarded statements as well before a stopping owner ends

Callers saw: nothing reported. A statement that a stopping owner still ran, or had queued, for another daemon was cut with the link, and its client was told "in doubt" even where it had not run.

Evidence: by reading; the new test of ForwardedStatements has no counterpart before. It answers each running statement. Change: at the same time of the stop plan, the owner expires what it runs for others, by the scheduler's rules. The test of expired statements now states which one waits, instead of taking what it finds for right.

--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -244,6 +244,18 @@
         link.socket->writeFrame(encodeForward(OwnerLeaving {}, this->hooks.now()));
 }
 
+void ForwardLinks::expireStatements(Time now)
+{
+    // An answer that the other daemon does not read may remove its link.
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, link] : this->incoming)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        if (const auto found = this->incoming.find(id); found != this->incoming.end())
+            found->second.statements->expireAll(now);
+    }
+}
+
 bool ForwardLinks::idle() const
 {
     for (const auto& [id, link] : this->incoming) {
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -51,6 +51,8 @@
     void announceLeaving();
     // Periodic work: probes of silent links, transactions left idle by a suspended daemon.
     void tick(Time now, Duration idleLimit);
+    // Answers what other daemons have forwarded as if the timeouts of the routes had been reached.
+    void expireStatements(Time now);
     // Whether nothing that other daemons have forwarded is under way here.
     [[nodiscard]] bool idle() const;
 
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -97,6 +97,7 @@
     void beginStop();
     void refuseTransactions();
     void refuseStatements();
+    void answerRest();
     void finishStop();
     void checkStop(Time now);
     void tick(Time now);
--- a/src/edge/session_proxy_lifecycle.cc
+++ b/src/edge/session_proxy_lifecycle.cc
@@ -71,7 +71,7 @@
     this->timers.subscribeAt(this->stopPlan.endSessionsAt, [this](Time) { this->sessions->closeIdleSessions(); });
     this->timers.subscribeAt(this->stopPlan.refuseTransactionsAt, [this](Time) { this->refuseTransactions(); });
     this->timers.subscribeAt(this->stopPlan.refuseStatementsAt, [this](Time) { this->refuseStatements(); });
-    this->timers.subscribeAt(this->stopPlan.answerRestAt, [this](Time) { this->sessions->expireStatements(); });
+    this->timers.subscribeAt(this->stopPlan.answerRestAt, [this](Time) { this->answerRest(); });
 }
 
 void SessionProxy::refuseTransactions()
@@ -86,6 +86,12 @@
     this->sessions->abortTransactions("the daemon is stopping");
 }
 
+void SessionProxy::answerRest()
+{
+    this->sessions->expireStatements();
+    this->links->expireStatements(bootNow());
+}
+
 // Gives up the primaries and the lease, and ends the process when the store has answered.
 void SessionProxy::finishStop()
 {
--- a/src/process/forwarded_statements.cc
+++ b/src/process/forwarded_statements.cc
@@ -97,6 +97,16 @@
     }
 }
 
+void ForwardedStatements::expireAll(Time now)
+{
+    // Each answer removes its statement.
+    const auto expiring = this->running;
+    for (const auto& [number, entry] : expiring) {
+        if (auto* runner = this->hooks.runner(entry.group))
+            runner->expire(entry.execution, now);
+    }
+}
+
 void ForwardedStatements::rollBackIdleSince(Time limit, Time now)
 {
     std::vector<std::pair<ConnectionId, DatabaseId>> idle;
--- a/src/process/forwarded_statements.h
+++ b/src/process/forwarded_statements.h
@@ -33,6 +33,8 @@
     void onAbandon(const ForwardedAbandon& message, Time now);
     // The link was closed.
     void onClosed(Time now);
+    // Answers all running statements as if the timeouts of their routes had been reached.
+    void expireAll(Time now);
     // Rolls back transactions that have been idle since before `limit`. Normally the forwarding daemon ends idle
     // transactions; this covers a daemon whose process is suspended while its link stays open.
     void rollBackIdleSince(Time limit, Time now);
--- a/src/process/forwarded_statements_test.cc
+++ b/src/process/forwarded_statements_test.cc
@@ -134,3 +134,16 @@
     CHECK(command.connection == connection);
     CHECK(command.command.kind == CommandKind::Rollback);
 }
+
+// Guards against statements of other daemons that an owner has taken and cuts because its process ends.
+TEST_CASE("ForwardedStatements, answers all running statements when they are expired")
+{
+    Fixture fixture;
+    fixture.forward(1, SchedulerFixture::write());
+    fixture.forward(2, SchedulerFixture::write());
+    fixture.statements->expireAll(fixture.schedulerFixture.now);
+    REQUIRE(fixture.outcomes.size() == 2);
+    CHECK_FALSE(fixture.outcomes[0].result.answer.succeeded);
+    CHECK_FALSE(fixture.outcomes[1].result.answer.succeeded);
+    CHECK(fixture.statements->empty());
+}
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -164,17 +164,21 @@
     const auto write = fixture.submit(SchedulerFixture::write());
     const auto read = fixture.submit(SchedulerFixture::read(true));
     fixture.completeOpens();
-    const auto waiting = fixture.submit(SchedulerFixture::read(true));
+    REQUIRE(write->firstSentAt);
+    REQUIRE(read->firstSentAt);
+    // Fills the endpoint, so that the last one waits.
+    ExecutionPtr waiting;
+    while (!waiting || waiting->firstSentAt)
+        waiting = fixture.submit(SchedulerFixture::write());
     for (const auto& execution : { write, read, waiting })
         fixture.scheduler->expire(execution, fixture.now);
     REQUIRE(fixture.results.size() == 3);
     CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
-    const bool sent = read->firstSentAt.has_value();
-    CHECK(fixture.results[1].answer.code == (sent ? ReplyCode::Timeout : ReplyCode::Busy));
-    CHECK(fixture.results[2].answer.code == (waiting->firstSentAt ? ReplyCode::Timeout : ReplyCode::Busy));
+    CHECK(fixture.results[1].answer.code == ReplyCode::Timeout);
+    CHECK(fixture.results[2].answer.code == ReplyCode::Busy);
     // A second call, or the timeout itself, does not answer again.
-    fixture.scheduler->expire(write, fixture.now);
-    fixture.advance(2s);
+    for (const auto& execution : { write, read, waiting })
+        fixture.scheduler->expire(execution, fixture.now);
     CHECK(fixture.results.size() == 3);
 }
 
