--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -186,8 +186,7 @@
     simulation.runFor(warmUp);
     // The answer of the stopping daemon to the claim is lost, and its process ends.
     simulation.endpoints[e1].draining = true;
-    while (simulation.calls["suspend"] == 0)
-        simulation.runFor(1ms);
+    REQUIRE(simulation.runUntil([&] { return simulation.calls["suspend"] != 0; }));
     simulation.daemons[2]->peersUnreachable = true;
     simulation.daemons[2]->controller->stop([] {});
     simulation.runFor(20ms);
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -122,6 +122,15 @@
         this->clock = end;
     }
 
+    // Runs until the condition holds. Returns false if it does not within 30 s.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = this->clock + std::chrono::seconds(30);
+        while (!condition() && this->clock < end)
+            this->runFor(std::chrono::milliseconds(1));
+        return condition();
+    }
+
     void kill(std::size_t index)
     {
         auto& daemon = *this->daemons[index];
