soak: cut daemons, stores, primaries and watches for some daemons only

Nothing checked that daemons do not order promotions in turn.

Change: each daemon has links of its own to the store, to each endpoint and to each other daemon; the stand-in store shows each daemon the addresses of its own links. A link can be cut silently, with resets, with refusals or one way. The store can refuse one daemon and forget its watches. A release starts a new member and ends the old one. The audit knows holders of promotions: one token of two holders, and two holders in turn within 3 s while all daemons are in touch.

--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <vector>
 
 namespace endivetrestle {
 
@@ -27,6 +28,10 @@
         "connections that an endpoint accepts (1 to 1000); below twice the number of daemons, statements are forwarded "
         "to owners. 0: by seed, 32 if it is even and one less than that bound if it is odd",
         false, 0, "N", line };
+    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists" };
+    TCLAP::ValuesConstraint<std::string> scenarioNames { scenarios };
+    TCLAP::ValueArg<std::string> scenario { "", "scenario", "which faults are injected", false, "mixed", &scenarioNames,
+        line };
     TCLAP::SwitchArg json { "j", "json", "prints JSON", line };
 };
 
@@ -47,6 +52,13 @@
     return seed % 2 == 0 ? ample : std::max(1, 2 * parsed.daemons.getValue() - 1);
 }
 
+soak::SoakScenario scenarioOf(const std::string& name)
+{
+    if (name == "cut-daemon")
+        return soak::SoakScenario::CutDaemon;
+    return name == "old-lists" ? soak::SoakScenario::OldLists : soak::SoakScenario::Mixed;
+}
+
 std::string makeDirectory()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "endivetrestle-soak-XXXXXX").string();
@@ -69,6 +81,7 @@
     for (int i = 0; i < parsed.runs.getValue(); ++i) {
         soak::SoakSettings settings;
         settings.seed = parsed.seed.getValue() + static_cast<std::uint64_t>(i);
+        settings.scenario = scenarioOf(parsed.scenario.getValue());
         settings.seconds = parsed.seconds.getValue();
         settings.daemons = parsed.daemons.getValue();
         settings.clients = parsed.clients.getValue();
--- a/src/soak/audit.cc
+++ b/src/soak/audit.cc
@@ -91,11 +91,38 @@
     return commit == this->commits.end() ? std::nullopt : std::optional<Position>(commit->second.position);
 }
 
-void Audit::onToken(std::uint64_t token)
+void Audit::onPromotion(const PromotionOrderSeen& order, bool inTouch, Time now)
 {
-    if (token < this->highestToken)
-        this->violate("promotion with token " + std::to_string(token) + " after " + std::to_string(this->highestToken));
-    this->highestToken = std::max(this->highestToken, token);
+    if (!this->promoted.empty()) {
+        const auto& latest = this->promoted.back().order;
+        if (order.token < latest.token)
+            this->violate(
+                "promotion with token " + std::to_string(order.token) + " after " + std::to_string(latest.token));
+        if (order.token == latest.token && order.holder != latest.holder)
+            this->violate("promotions of " + latest.holder + " and " + order.holder + " with token "
+                + std::to_string(order.token));
+        // One holder may order several promotions with its token.
+        if (order.token <= latest.token)
+            return;
+    }
+    this->promoted.push_back({ order, inTouch, now });
+    this->checkTurns();
+}
+
+// Whether the latest three holders are two daemons in turn, within the time of a lease.
+void Audit::checkTurns()
+{
+    constexpr Duration leaseTime = std::chrono::seconds(3);
+    if (this->promoted.size() < 3)
+        return;
+    const auto& first = *(this->promoted.end() - 3);
+    const auto& second = *(this->promoted.end() - 2);
+    const auto& third = this->promoted.back();
+    const bool turns = first.order.holder == third.order.holder && first.order.holder != second.order.holder;
+    const auto name = [](const Promoted& promotion) { return promotion.order.group + "/" + promotion.order.endpoint; };
+    if (turns && first.inTouch && second.inTouch && third.inTouch && third.at - first.at < leaseTime)
+        this->violate("daemons " + first.order.holder + " and " + second.order.holder
+            + " order promotions in turn: " + name(first) + ", " + name(second) + ", " + name(third));
 }
 
 } // namespace endivetrestle::soak
--- a/src/soak/audit.h
+++ b/src/soak/audit.h
@@ -25,6 +25,14 @@
     std::map<std::string, std::string> values;
 };
 
+// Order to promote an endpoint, as the platform receives it.
+struct PromotionOrderSeen {
+    std::string group;
+    std::string endpoint;
+    std::string holder;
+    std::uint64_t token = 0;
+};
+
 // Checks the promises of the product from what clients and endpoints see. Positions name records of a group's log; a
 // record that a promotion dropped counts as rolled back.
 class Audit {
@@ -59,7 +67,9 @@
     void onRefused(const std::vector<std::string>& writes);
     // Position at which a write took effect.
     [[nodiscard]] std::optional<Position> positionOf(const std::string& write) const;
-    void onToken(std::uint64_t token);
+    // A daemon orders a promotion. Tokens never decrease, no two daemons use the same one, and two daemons do not
+    // replace the primary of a group in turn while all daemons are in touch with the store.
+    void onPromotion(const PromotionOrderSeen& order, bool inTouch, Time now);
     void violate(const std::string& what);
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return this->found; }
@@ -76,11 +86,17 @@
         int count = 0;
         bool superseded = false;
     };
+    struct Promoted {
+        PromotionOrderSeen order;
+        bool inTouch = false;
+        Time at;
+    };
     struct RollBack {
         Position after;
         std::uint64_t newTerm = 0;
     };
 
+    void checkTurns();
     [[nodiscard]] bool isRolledBack(const std::string& group, const Position& position) const;
 
     std::map<std::string, Sent> sent;
@@ -89,7 +105,8 @@
     std::map<std::string, std::vector<RollBack>> rollBacks;
     // Acknowledged positions of each group with the time of their acknowledgement; positions rise.
     std::map<std::string, std::deque<std::pair<Time, Position>>> acknowledgements;
-    std::uint64_t highestToken = 0;
+    // Promotion orders by their arrival; of those with one token the first one.
+    std::vector<Promoted> promoted;
     std::uint64_t acknowledgedCount = 0;
     std::uint64_t readCount = 0;
     std::vector<std::string> found;
--- a/src/soak/audit_test.cc
+++ b/src/soak/audit_test.cc
@@ -102,9 +102,34 @@
     statement.values = { { "zone", "a" } };
     audit.onSent("s", statement, start);
     audit.onRun("s", { { "zone", "b" } }, logOf({}));
-    audit.onToken(2);
-    audit.onToken(2);
+    audit.onPromotion({ "g", "e1", "a", 2 }, false, start);
+    audit.onPromotion({ "g", "e1", "a", 2 }, false, start);
     CHECK(audit.violations().size() == 2);
-    audit.onToken(1);
+    audit.onPromotion({ "g", "e1", "a", 1 }, false, start);
     CHECK(audit.violations().size() == 3);
 }
+
+TEST_CASE("Audit, finds two daemons that order promotions with one token")
+{
+    Audit audit;
+    audit.onPromotion({ "g", "e1", "a", 2 }, false, start);
+    CHECK(audit.violations().empty());
+    audit.onPromotion({ "h", "e1", "b", 2 }, false, start);
+    CHECK(audit.violations().size() == 1);
+}
+
+TEST_CASE("Audit, finds daemons that order promotions in turn while they are in touch with the store")
+{
+    const auto play = [](const std::string& last, bool inTouch, Duration between) {
+        Audit audit;
+        audit.onPromotion({ "g", "e2", "a", 1 }, true, start);
+        audit.onPromotion({ "h", "e1", "b", 2 }, inTouch, start + between);
+        audit.onPromotion({ "g", "e2", last, 3 }, true, start + 2 * between);
+        return audit.violations().size();
+    };
+    CHECK(play("a", true, 1s) == 1);
+    // One daemon that orders again, a daemon that was out of touch, and orders far apart are allowed.
+    CHECK(play("b", true, 1s) == 0);
+    CHECK(play("a", false, 1s) == 0);
+    CHECK(play("a", true, 2s) == 0);
+}
--- a/src/soak/fault_link.cc
+++ b/src/soak/fault_link.cc
@@ -15,6 +15,23 @@
 
 } // namespace
 
+const char* linkCutName(LinkCut how)
+{
+    switch (how) {
+    case LinkCut::None:
+        return "none";
+    case LinkCut::Silent:
+        return "silent";
+    case LinkCut::Reset:
+        return "reset";
+    case LinkCut::Refused:
+        return "refused";
+    case LinkCut::OneWay:
+        break;
+    }
+    return "one_way";
+}
+
 struct FaultLink::Pair {
     explicit Pair(asio::ip::tcp::socket client)
         : client(std::move(client))
@@ -40,10 +57,13 @@
     : context(context)
     , random(random)
     , target(std::move(target))
-    , acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    , boundPort(this->acceptor.local_endpoint().port())
+    , reservation(context, asio::ip::tcp::v4())
+    , acceptor(context)
 {
-    this->accept();
+    this->reservation.set_option(asio::socket_base::reuse_address(true));
+    this->reservation.bind({ asio::ip::address_v4::loopback(), 0 });
+    this->boundPort = this->reservation.local_endpoint().port();
+    this->listen();
 }
 
 FaultLink::~FaultLink()
@@ -52,6 +72,29 @@
         pair->closeBoth();
 }
 
+void FaultLink::listen()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), this->boundPort);
+    this->acceptor.open(address.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(address);
+    this->acceptor.listen();
+    this->accept();
+}
+
+void FaultLink::cut(LinkCut how)
+{
+    this->present = how;
+    if (how == LinkCut::Refused)
+        this->acceptor.close();
+    else if (!this->acceptor.is_open())
+        this->listen();
+    if (how == LinkCut::Refused || how == LinkCut::Reset)
+        this->reset(1.0);
+    else if (how != LinkCut::None)
+        this->silence(1.0, how == LinkCut::Silent);
+}
+
 void FaultLink::accept()
 {
     this->acceptor.async_accept(
@@ -59,7 +102,13 @@
             if (weak.expired() || error)
                 return;
             const auto pair = std::make_shared<Pair>(std::move(socket));
-            pair->silent = { this->dark, this->dark };
+            if (this->present == LinkCut::Reset) {
+                pair->closeBoth();
+                this->accept();
+                return;
+            }
+            const bool silent = this->present == LinkCut::Silent;
+            pair->silent = { silent, silent || this->present == LinkCut::OneWay };
             pair->server.async_connect(this->target(), [this, weak, pair](const asio::error_code& failed) {
                 if (weak.expired())
                     return;
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -8,8 +8,20 @@
 
 namespace endivetrestle::soak {
 
+// Which faults a soak injects.
+enum class SoakScenario {
+    // All kinds, at random times.
+    Mixed,
+    // One daemon at a time is cut off from the store and all other daemons, while primaries are released.
+    CutDaemon,
+    // Some daemons lose the store or their watches, and then primaries are released, so that daemons have lists of
+    // endpoints of different age.
+    OldLists,
+};
+
 struct SoakSettings {
     std::uint64_t seed = 1;
+    SoakScenario scenario = SoakScenario::Mixed;
     int seconds = 20;
     int daemons = 4;
     int groups = 2;
@@ -34,10 +46,11 @@
 
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
-// and continue), harmed connections to the store, to
-// endpoints and between daemons, endpoints that crash, lag, drain or lose answers,
-// and a store that is down, loses answers or forgets its history. At the end everything is healed, and most statements
-// must succeed again and every daemon must stop within its grace period.
+// and continue), harmed connections to the store, to endpoints and between daemons, endpoints that crash, lag, drain,
+// leave or lose answers, and a store that is down, loses answers or forgets its history. Every daemon has connections
+// of its own to the store, to each endpoint and to each other daemon, so that a fault may concern some daemons only. At
+// the end everything is healed, and most statements must succeed again and every daemon must stop within its grace
+// period.
 SoakReport runSoak(const SoakSettings& settings);
 
 std::string formatReport(const SoakReport& report);
--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -7,7 +7,7 @@
 
 void SoakRun::scheduleFault()
 {
-    this->faultTimer.expires_after(std::chrono::milliseconds(100 + this->random() % 1200));
+    this->faultTimer.expires_after(this->pauseBetweenFaults());
     this->faultTimer.async_wait([this](const asio::error_code& error) {
         if (error)
             return;
@@ -16,6 +16,20 @@
     });
 }
 
+std::chrono::milliseconds SoakRun::pauseBetweenFaults()
+{
+    switch (this->settings.scenario) {
+    case SoakScenario::CutDaemon:
+        return std::chrono::milliseconds(3000 + this->random() % 5000);
+    case SoakScenario::OldLists:
+        // Leaves time in which all daemons are in touch with the store.
+        return std::chrono::milliseconds(7000 + this->random() % 8000);
+    case SoakScenario::Mixed:
+        break;
+    }
+    return std::chrono::milliseconds(100 + this->random() % 1200);
+}
+
 void SoakRun::note(const std::string& fault)
 {
     this->report.faults.push_back(std::to_string(toSeconds(bootNow() - this->startedAt)) + " " + fault);
@@ -28,9 +42,19 @@
 
 void SoakRun::injectFault()
 {
-    const auto kind = this->random() % 19;
+    if (this->settings.scenario == SoakScenario::CutDaemon) {
+        this->cutDaemon();
+        return;
+    }
+    if (this->settings.scenario == SoakScenario::OldLists) {
+        this->loseStoreForSome();
+        return;
+    }
+    const auto kind = this->random() % 24;
     if (kind < 5)
         this->harmDaemon(kind);
+    else if (kind >= 19)
+        this->harmSome(kind);
     else if (kind >= 16)
         this->harmDaemonLinks(kind);
     else if (kind < 12)
@@ -39,6 +63,28 @@
         this->harmStore(kind);
 }
 
+// Faults that concern some daemons only.
+void SoakRun::harmSome(std::uint64_t kind)
+{
+    switch (kind) {
+    case 19:
+        this->cutDaemon();
+        return;
+    case 20:
+        this->cutStore();
+        return;
+    case 21:
+        this->cutPrimary();
+        return;
+    case 22:
+        this->forgetWatches();
+        return;
+    default:
+        this->release(*this->groups.at(this->random() % this->groups.size()));
+        return;
+    }
+}
+
 void SoakRun::harmDaemon(std::uint64_t kind)
 {
     const auto index = this->random() % this->daemons.size();
@@ -48,10 +94,12 @@
     const auto name = "daemon " + std::to_string(index + 1);
     if (kind < 2) {
         this->note("kill " + name);
+        this->harmed(index, std::chrono::milliseconds(0));
         daemon.endExpected = true;
         daemon.process->signal(SIGKILL);
     } else if (kind == 2 && !daemon.endExpected) {
         this->note("terminate " + name);
+        this->harmed(index, std::chrono::milliseconds(0));
         daemon.endExpected = true;
         daemon.process->signal(SIGTERM);
     } else if (kind == 3)
@@ -65,21 +113,22 @@
 void SoakRun::harmDaemonLinks(std::uint64_t kind)
 {
     const auto index = this->random() % this->daemons.size();
-    auto& daemon = this->daemons.at(index);
+    const auto duration = this->upTo(4000);
+    const bool bothWays = this->random() % 2 == 0;
     this->note("harm links to daemon " + std::to_string(index + 1) + " kind " + std::to_string(kind));
-    for (auto* link : { daemon.peerLink.get(), daemon.forwardLink.get() }) {
-        switch (kind) {
-        case 16:
-            link->reset(0.7);
-            break;
-        case 17:
-            link->silence(0.7, this->random() % 2 == 0);
-            break;
-        default:
-            link->dark = true;
-            link->silence(1.0, true);
-            this->later(this->upTo(4000), [link] { link->dark = false; });
-            break;
+    this->harmed(index, duration);
+    for (auto& daemon : this->daemons) {
+        for (auto* link : { daemon.peers[index].calls.get(), daemon.peers[index].statements.get() }) {
+            if (link == nullptr)
+                continue;
+            if (kind == 16)
+                link->reset(0.7);
+            else if (kind == 17)
+                link->silence(0.7, bothWays);
+            else {
+                link->cut(LinkCut::Silent);
+                this->later(duration, [link] { link->cut(LinkCut::None); });
+            }
         }
     }
 }
@@ -87,6 +136,7 @@
 void SoakRun::pause(std::size_t index, std::chrono::milliseconds duration, const std::string& name)
 {
     this->note("pause " + name + " for " + std::to_string(duration.count()) + " ms");
+    this->harmed(index, duration);
     this->daemons.at(index).process->signal(SIGSTOP);
     this->later(duration, [this, index] { this->daemons.at(index).process->signal(SIGCONT); });
 }
@@ -94,6 +144,8 @@
 void SoakRun::harmMember(std::uint64_t kind)
 {
     auto& member = this->members.at(this->random() % this->members.size());
+    if (member.left)
+        return;
     auto* endpoint = member.endpoint;
     const auto duration = this->upTo(4000);
     this->note("harm " + endpoint->id + " kind " + std::to_string(kind) + (endpoint->primary ? " (primary)" : ""));
@@ -104,20 +156,29 @@
         endpoint->crash();
         member.lapsesAt = bootNow() + std::chrono::seconds(2);
         this->later(duration, [&member, endpoint] {
+            if (member.left)
+                return;
             ++member.processStartMs;
             endpoint->restart();
         });
         return;
     case 6:
-        member.link->reset(0.7);
+        for (const auto& link : member.links)
+            link->reset(0.7);
         return;
-    case 7:
-        member.link->silence(0.6, this->random() % 2 == 0);
+    case 7: {
+        const bool bothWays = this->random() % 2 == 0;
+        for (const auto& link : member.links)
+            link->silence(0.6, bothWays);
         return;
+    }
     case 8:
-        member.link->dark = true;
-        member.link->silence(1.0, true);
-        this->later(duration, [&member] { member.link->dark = false; });
+        for (const auto& link : member.links)
+            link->cut(LinkCut::Silent);
+        this->later(duration, [&member] {
+            for (const auto& link : member.links)
+                link->cut(LinkCut::None);
+        });
         return;
     case 9:
         endpoint->loseAnswers = 0.2;
@@ -138,6 +199,7 @@
 {
     const auto duration = this->upTo(6000);
     this->note("harm store kind " + std::to_string(kind));
+    this->storeHarmedUntil = std::max(this->storeHarmedUntil, bootNow() + duration);
     switch (kind) {
     case 12:
         this->store.down = true;
@@ -147,17 +209,28 @@
         this->store.loseAnswers = 0.3;
         this->later(duration, [this] { this->store.loseAnswers = 0; });
         return;
-    case 14:
-        this->storeLink.silence(0.7, this->random() % 2 == 0);
+    case 14: {
+        const bool bothWays = this->random() % 2 == 0;
+        for (auto& daemon : this->daemons)
+            daemon.storeLink->silence(0.7, bothWays);
         this->store.compact();
         return;
+    }
     default:
-        this->storeLink.reset(0.7);
+        for (auto& daemon : this->daemons)
+            daemon.storeLink->reset(0.7);
         this->putConfiguration();
         return;
     }
 }
 
+// Notes that a daemon is harmed from now on for some time.
+void SoakRun::harmed(std::size_t index, std::chrono::milliseconds duration)
+{
+    auto& until = this->daemons.at(index).harmedUntil;
+    until = std::max(until, bootNow() + duration);
+}
+
 void SoakRun::heal()
 {
     this->note("heal");
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -1,6 +1,8 @@
 // Setup, clients, processes and the end of a soak run.
 #include "soak/soak_run.h"
 
+#include "process/fleet_rows.h"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -28,6 +30,8 @@
 constexpr std::uint16_t peerPort = 17440;
 constexpr std::uint16_t forwardPort = 17441;
 
+std::string daemonName(std::size_t index) { return "d" + std::to_string(index + 1); }
+
 asio::ip::tcp::endpoint loopback(std::uint16_t port) { return { asio::ip::address_v4::loopback(), port }; }
 
 } // namespace
@@ -36,10 +40,9 @@
     : settings(settings)
     , random(settings.seed)
     , store(this->context, this->random,
-          [this](const std::string& group, const std::string& id, std::uint64_t token) {
-              return this->promote(group, id, token);
+          [this](const std::string& group, const std::string& id, const std::string& holder, std::uint64_t token) {
+              return this->promote(group, id, holder, token);
           })
-    , storeLink(this->context, this->random, [this] { return loopback(this->store.port()); })
     , ticker(this->context)
     , faultTimer(this->context)
 {
@@ -72,15 +75,21 @@
         this->groups.push_back(
             std::make_unique<StandinGroup>(this->context, "g" + std::to_string(i), this->audit, this->random));
         this->groups.back()->maxConnections = static_cast<std::size_t>(this->settings.connections);
-        for (const auto& endpoint : this->groups.back()->members) {
-            auto& member = this->members.emplace_back();
-            member.endpoint = endpoint.get();
-            member.link = std::make_unique<FaultLink>(
-                this->context, this->random, [target = endpoint.get()] { return loopback(target->port()); });
-        }
+        for (const auto& endpoint : this->groups.back()->members)
+            this->addMember(*endpoint);
     }
 }
 
+SoakRun::Member& SoakRun::addMember(StandinMember& endpoint)
+{
+    auto& member = this->members.emplace_back();
+    member.endpoint = &endpoint;
+    for (int i = 0; i < this->settings.daemons; ++i)
+        member.links.push_back(std::make_unique<FaultLink>(
+            this->context, this->random, [&endpoint] { return loopback(endpoint.port()); }));
+    return member;
+}
+
 void SoakRun::putConfiguration()
 {
     json routes = json::array();
@@ -106,13 +115,14 @@
     const auto now = bootNow();
     for (auto& member : this->members) {
         const auto& endpoint = *member.endpoint;
-        const auto row = !endpoint.up && now >= member.lapsesAt
+        const auto row = member.left || (!endpoint.up && now >= member.lapsesAt)
             ? std::string()
             : json {
                   { "Service", endpoint.id.substr(0, endpoint.id.find('-')) },
-                  { "Address", "127.0.0.1:" + std::to_string(member.link->port()) }, { "Zone", "z" },
-                  { "Version", "v1" }, { "Capacity", 4 }, { "State", member.draining ? "draining" : "ready" },
-                  { "WarmupLeftMs", 0 }, { "DbRole", endpoint.primary ? "primary" : "replica" }, { "Seq", 1 },
+                  // Each daemon sees the address of its own link (storeView).
+                  { "Address", "127.0.0.1:" + std::to_string(endpoint.port()) }, { "Zone", "z" }, { "Version", "v1" },
+                  { "Capacity", 4 }, { "State", member.draining ? "draining" : "ready" }, { "WarmupLeftMs", 0 },
+                  { "DbRole", endpoint.primary ? "primary" : "replica" }, { "Seq", 1 },
                   { "born", member.processStartMs }
               }.dump();
         if (row == member.lastRow)
@@ -131,29 +141,74 @@
     const auto process = getpid();
     const std::string network
         = "127." + std::to_string(1 + process / 250 % 250) + "." + std::to_string(1 + process % 250) + ".";
+    for (int i = 1; i <= this->settings.daemons; ++i)
+        this->daemons.emplace_back().address = { asio::ip::make_address(network + std::to_string(i)), clientPort };
+    this->addLinks();
     for (int i = 1; i <= this->settings.daemons; ++i)
         this->startDaemon(i, network + std::to_string(i));
 }
 
+void SoakRun::addLinks()
+{
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        auto& daemon = this->daemons[i];
+        daemon.storeClient
+            = this->store.addClient([this, i](const std::string& table, const std::string& key,
+                                        const std::string& value) { return this->storeView(i, table, key, value); });
+        const auto storeAddress = [this, i] { return loopback(this->store.port(this->daemons[i].storeClient)); };
+        daemon.storeLink = std::make_unique<FaultLink>(this->context, this->random, storeAddress);
+        daemon.promotionLink = std::make_unique<FaultLink>(this->context, this->random, storeAddress);
+        daemon.peers.resize(this->daemons.size());
+        for (std::size_t other = 0; other < this->daemons.size(); ++other) {
+            if (other == i)
+                continue;
+            const auto address = this->daemons[other].address.address();
+            const auto linkTo = [&](std::uint16_t port) {
+                return std::make_unique<FaultLink>(
+                    this->context, this->random, [address, port] { return asio::ip::tcp::endpoint(address, port); });
+            };
+            daemon.peers[other] = { linkTo(peerPort), linkTo(forwardPort) };
+        }
+    }
+}
+
+// Rows that hold addresses, with those of the daemon's own links.
+std::string SoakRun::storeView(
+    std::size_t daemon, const std::string& table, const std::string& key, const std::string& value) const
+{
+    const auto linkAddress = [](const FaultLink& link) { return SocketAddress { "127.0.0.1", link.port() }; };
+    if (table == leaseTable) {
+        auto lease = key == promotionLockKey ? std::nullopt : decodeLeaseRow({ table, key, value });
+        for (std::size_t other = 0; lease && other < this->daemons.size(); ++other) {
+            if (other == daemon || lease->daemon.value != daemonName(other))
+                continue;
+            lease->address = linkAddress(*this->daemons[daemon].peers[other].calls);
+            lease->forwardAddress = linkAddress(*this->daemons[daemon].peers[other].statements);
+            return encodeRow(*lease).value;
+        }
+        return value;
+    }
+    const auto member = std::find_if(this->members.begin(), this->members.end(),
+        [&](const Member& candidate) { return candidate.endpoint->id == key; });
+    if (table != "servers" || value.empty() || member == this->members.end())
+        return value;
+    auto row = json::parse(value);
+    row["Address"] = toString(linkAddress(*member->links[daemon]));
+    return row.dump();
+}
+
 void SoakRun::startDaemon(int number, const std::string& ip)
 {
-    const auto address = asio::ip::make_address(ip);
-    auto& daemon = this->daemons.emplace_back();
-    daemon.address = { address, clientPort };
-    daemon.peerLink = std::make_unique<FaultLink>(
-        this->context, this->random, [address] { return asio::ip::tcp::endpoint(address, peerPort); });
-    daemon.forwardLink = std::make_unique<FaultLink>(
-        this->context, this->random, [address] { return asio::ip::tcp::endpoint(address, forwardPort); });
-    const auto name = "d" + std::to_string(number);
+    auto& daemon = this->daemons.at(static_cast<std::size_t>(number) - 1);
+    const auto name = daemonName(static_cast<std::size_t>(number) - 1);
     const auto file = this->settings.directory + "/" + name + ".toml";
     // Two data centres, so that a group has two owners when connections are scarce.
     std::ofstream(file) << "NodeName = \"" << name << "\"\nIp = \"" << ip << "\"\nZone = \"z" << number % 2
                         << "\"\nRegion = \"r\"\nInternalPorts = [" << peerPort << ", " << forwardPort
-                        << "]\n[Advertise]\nPeers = \"127.0.0.1:" << daemon.peerLink->port()
-                        << "\"\nForward = \"127.0.0.1:" << daemon.forwardLink->port()
-                        << "\"\n[ListenAddrs]\nFrontend = \"" << ip << ":" << clientPort << "\"\nReadiness = \"" << ip
-                        << ":18785\"\n[platform]\nAddress = \"127.0.0.1:" << this->storeLink.port()
-                        << "\"\n[Cloud]\nAddress = \"127.0.0.1:" << this->store.port() << "\"\n[Bounds]\nGraceS = 6\n";
+                        << "]\n[ListenAddrs]\nFrontend = \"" << ip << ":" << clientPort << "\"\nReadiness = \"" << ip
+                        << ":18785\"\n[platform]\nAddress = \"127.0.0.1:" << daemon.storeLink->port()
+                        << "\"\n[Cloud]\nAddress = \"127.0.0.1:" << daemon.promotionLink->port()
+                        << "\"\n[Bounds]\nGraceS = 6\n";
     daemon.process = std::make_unique<DaemonProcess>(file, this->settings.directory + "/" + name + ".log");
     daemon.process->start();
 }
@@ -205,11 +260,21 @@
     });
 }
 
-int SoakRun::promote(const std::string& group, const std::string& id, std::uint64_t token)
+// Whether neither a daemon nor the store was harmed in the last seconds.
+bool SoakRun::inTouch(Time now) const
+{
+    constexpr Duration stableTime = std::chrono::seconds(4);
+    return now >= this->storeHarmedUntil + stableTime
+        && std::all_of(this->daemons.begin(), this->daemons.end(),
+            [&](const Daemon& daemon) { return now >= daemon.harmedUntil + stableTime && !daemon.stopped; });
+}
+
+int SoakRun::promote(const std::string& group, const std::string& id, const std::string& holder, std::uint64_t token)
 {
     constexpr int accepted = 200;
     constexpr int rejected = 409;
-    this->audit.onToken(token);
+    const auto now = bootNow();
+    this->audit.onPromotion({ group, id, holder, token }, this->inTouch(now), now);
     for (const auto& candidate : this->groups) {
         auto* member = candidate->name == group ? candidate->find(id) : nullptr;
         if (member == nullptr || !member->up)
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -24,19 +24,32 @@
 private:
     struct Member {
         StandinMember* endpoint = nullptr;
-        std::unique_ptr<FaultLink> link;
+        // Through these the daemons reach it, by their index.
+        std::vector<std::unique_ptr<FaultLink>> links;
         bool draining = false;
+        // Whether it has ended for good.
+        bool left = false;
         std::int64_t processStartMs = 1;
         std::string lastRow;
         // Time at which the registry entry lapses after a crash.
         Time lapsesAt;
     };
+    // What one daemon uses to reach another one: for calls, and for forwarded statements.
+    struct PeerLinks {
+        std::unique_ptr<FaultLink> calls;
+        std::unique_ptr<FaultLink> statements;
+    };
     struct Daemon {
         std::unique_ptr<DaemonProcess> process;
         asio::ip::tcp::endpoint address;
-        // Through these other daemons reach it for calls and for forwarded statements.
-        std::unique_ptr<FaultLink> peerLink;
-        std::unique_ptr<FaultLink> forwardLink;
+        // Its number among the clients of the store, and its links to the store and to the promotion service.
+        std::size_t storeClient = 0;
+        std::unique_ptr<FaultLink> storeLink;
+        std::unique_ptr<FaultLink> promotionLink;
+        // Its links to the other daemons, by their index; its own entry is empty.
+        std::vector<PeerLinks> peers;
+        // End of the latest fault of this daemon or its links.
+        Time harmedUntil;
         // Whether an end of the process is expected.
         bool endExpected = false;
         bool stopped = false;
@@ -44,6 +57,10 @@
 
     // soak_run.cc
     void makeGroups();
+    Member& addMember(StandinMember& endpoint);
+    void addLinks();
+    [[nodiscard]] std::string storeView(
+        std::size_t daemon, const std::string& table, const std::string& key, const std::string& value) const;
     void putConfiguration();
     void putRegistry();
     void startDaemons();
@@ -51,7 +68,8 @@
     void startClients();
     void tick();
     void watchDaemon(std::size_t index);
-    int promote(const std::string& group, const std::string& id, std::uint64_t token);
+    int promote(const std::string& group, const std::string& id, const std::string& holder, std::uint64_t token);
+    [[nodiscard]] bool inTouch(Time now) const;
     void later(std::chrono::milliseconds delay, std::function<void()> action);
     void runFor(std::chrono::milliseconds duration);
     void checkRecovery();
@@ -59,16 +77,31 @@
 
     // soak_faults.cc
     void scheduleFault();
+    [[nodiscard]] std::chrono::milliseconds pauseBetweenFaults();
     void injectFault();
     void harmDaemon(std::uint64_t kind);
     void harmDaemonLinks(std::uint64_t kind);
+    void harmSome(std::uint64_t kind);
     void pause(std::size_t index, std::chrono::milliseconds duration, const std::string& name);
     void harmMember(std::uint64_t kind);
     void harmStore(std::uint64_t kind);
+    void harmed(std::size_t daemon, std::chrono::milliseconds duration);
     void heal();
     void note(const std::string& fault);
     [[nodiscard]] std::chrono::milliseconds upTo(int milliseconds);
 
+    // soak_partial_faults.cc
+    void cutDaemon();
+    void cutStore();
+    void cutPrimary();
+    void forgetWatches();
+    void loseStoreForSome();
+    void releasePrimaries(std::chrono::milliseconds within);
+    void release(StandinGroup& group);
+    void setDaemonLinks(std::size_t index, LinkCut how);
+    [[nodiscard]] std::vector<std::size_t> someDaemons();
+    [[nodiscard]] LinkCut anyCut();
+
     static constexpr Duration staleness = std::chrono::milliseconds(600);
 
     SoakSettings settings;
@@ -80,12 +113,13 @@
     std::vector<std::unique_ptr<StandinGroup>> groups;
     std::deque<Member> members;
     StandinStore store;
-    FaultLink storeLink;
     std::deque<Daemon> daemons;
     std::vector<std::unique_ptr<SoakClient>> clients;
     asio::steady_timer ticker;
     asio::steady_timer faultTimer;
     int configurationVersion = 0;
+    // End of the latest fault of the store.
+    Time storeHarmedUntil;
 };
 
 } // namespace endivetrestle::soak
--- a/src/soak/standin_group.cc
+++ b/src/soak/standin_group.cc
@@ -256,10 +256,17 @@
     , random(random)
 {
     for (int i = 1; i <= 3; ++i)
-        this->members.push_back(std::make_unique<StandinMember>(context, *this, this->name + "-" + std::to_string(i)));
+        this->addMember(context);
     this->members.front()->primary = true;
 }
 
+StandinMember& StandinGroup::addMember(asio::io_context& context)
+{
+    const auto id = this->name + "-" + std::to_string(this->members.size() + 1);
+    this->members.push_back(std::make_unique<StandinMember>(context, *this, id));
+    return *this->members.back();
+}
+
 StandinMember* StandinGroup::leader()
 {
     StandinMember* best = nullptr;
--- a/src/soak/standin_group.h
+++ b/src/soak/standin_group.h
@@ -84,6 +84,8 @@
 public:
     StandinGroup(asio::io_context& context, std::string name, Audit& audit, std::mt19937_64& random);
 
+    // Starts a new member, which holds nothing at first.
+    StandinMember& addMember(asio::io_context& context);
     // Makes the member lead the next term with what it has received.
     void promote(const std::string& id);
     // Moves records from the primary to the replicas; called every few milliseconds.
--- a/src/soak/standin_store.cc
+++ b/src/soak/standin_store.cc
@@ -46,11 +46,26 @@
 } // namespace
 
 StandinStore::StandinStore(asio::io_context& context, std::mt19937_64& random, Promote promote)
-    : random(random)
+    : context(context)
+    , random(random)
     , promote(std::move(promote))
 {
-    this->server = std::make_unique<HttpServer>(context, HttpServerSettings {},
-        [this](const HttpRequest& request, const HttpServer::Answer& answer) { this->handle(request, answer); });
+}
+
+std::size_t StandinStore::addClient(View view)
+{
+    const auto number = this->clients.size();
+    auto& client = this->clients.emplace_back();
+    client.view = std::move(view);
+    client.server = std::make_unique<HttpServer>(this->context, HttpServerSettings {},
+        [this, number](
+            const HttpRequest& request, const HttpServer::Answer& answer) { this->handle(number, request, answer); });
+    return number;
+}
+
+void StandinStore::forgetWatches(std::size_t client)
+{
+    std::erase_if(this->watches, [client](const Watch& watch) { return watch.client == client; });
 }
 
 std::int64_t StandinStore::nowMs() const
@@ -70,39 +85,40 @@
 
 void StandinStore::compact() { this->compactedTo = this->version; }
 
-void StandinStore::handle(const HttpRequest& request, const HttpServer::Answer& answer)
+void StandinStore::handle(std::size_t number, const HttpRequest& request, const HttpServer::Answer& answer)
 {
-    if (this->down) {
+    const auto& client = this->clients.at(number);
+    if (this->down || client.refused) {
         answer({ unavailable, "application/json", "{}" });
         return;
     }
     if (request.path == "/v1/rows-feed") {
-        this->watch(request.query, answer);
+        this->watch(number, request.query, answer);
         return;
     }
     if (request.path == "/v1/rows-get") {
-        answer(this->read(request.query));
+        answer(this->read(client, request.query));
         return;
     }
-    const auto response = request.path == "/promote" ? this->promotion(request) : this->change(request.body);
+    const auto response = request.path == "/promote" ? this->promotion(request) : this->change(client, request.body);
     // A lost answer keeps the caller waiting until it gives up.
     if (std::uniform_real_distribution<double>(0, 1)(this->random) >= this->loseAnswers)
         answer(response);
 }
 
-HttpResponse StandinStore::read(const std::string& query)
+HttpResponse StandinStore::read(const Client& client, const std::string& query)
 {
     const auto table = parameter(query, "Table");
     json list = json::array();
     for (const auto& [key, row] : this->rows) {
         if (key.first == table && !row.removed)
-            list.push_back(encodeRow(table, key.second, row.value, row.version));
+            list.push_back(encodeRow(table, key.second, client.view(table, key.second, row.value), row.version));
     }
     return respond(
         ok, { { "rows", list }, { "HasMore", false }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
 }
 
-HttpResponse StandinStore::change(const std::string& body)
+HttpResponse StandinStore::change(const Client& client, const std::string& body)
 {
     const auto request = json::parse(body, nullptr, false);
     json present = json::array();
@@ -113,7 +129,8 @@
         const bool exists = found != this->rows.end() && !found->second.removed;
         holds = holds && condition.at("SchemaVersion") == (exists ? found->second.version : 0);
         if (exists)
-            present.push_back(encodeRow(key.first, key.second, found->second.value, found->second.version));
+            present.push_back(encodeRow(
+                key.first, key.second, client.view(key.first, key.second, found->second.value), found->second.version));
     }
     if (!holds)
         return respond(
@@ -129,13 +146,14 @@
     return respond(ok, { { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
 }
 
-std::string StandinStore::changedSince(const std::string& table, std::uint64_t after, bool& any) const
+std::string StandinStore::changedSince(const Watch& watch, bool& any) const
 {
+    const auto& view = this->clients.at(watch.client).view;
     json list = json::array();
     for (const auto& [key, row] : this->rows) {
-        if (key.first != table || row.version <= after)
+        if (key.first != watch.table || row.version <= watch.after)
             continue;
-        list.push_back(encodeRow(table, key.second, row.value, row.version));
+        list.push_back(encodeRow(watch.table, key.second, view(watch.table, key.second, row.value), row.version));
         if (row.removed)
             list.back()["Deleted"] = true;
     }
@@ -143,9 +161,9 @@
     return json { { "rows", list }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } }.dump();
 }
 
-void StandinStore::watch(const std::string& query, const HttpServer::Answer& answer)
+void StandinStore::watch(std::size_t client, const std::string& query, const HttpServer::Answer& answer)
 {
-    Watch watch { parameter(query, "Table"), std::stoull(parameter(query, "after")),
+    Watch watch { client, parameter(query, "Table"), std::stoull(parameter(query, "after")),
         this->nowMs() + std::stoll(parameter(query, "WaitMs")), answer };
     if (watch.after < this->compactedTo)
         answer({ gone, "application/json", "{}" });
@@ -158,8 +176,8 @@
     std::vector<Watch> kept;
     for (auto& watch : std::exchange(this->watches, {})) {
         bool any = false;
-        const auto body = this->changedSince(watch.table, watch.after, any);
-        if (this->down)
+        const auto body = this->changedSince(watch, any);
+        if (this->down || this->clients.at(watch.client).refused)
             watch.answer({ unavailable, "application/json", "{}" });
         else if (any || watch.untilMs <= this->nowMs())
             watch.answer({ ok, "application/json", body });
@@ -174,7 +192,9 @@
     const auto body = json::parse(request.body, nullptr, false);
     const auto token = request.headers.find("Fence-Token");
     const auto number = token == request.headers.end() ? 0 : std::stoull(token->second);
-    return respond(this->promote(body.at("Service"), body.at("Id"), number), json::object());
+    const auto holder = request.headers.find("Duty-Holder");
+    const auto name = holder == request.headers.end() ? std::string() : holder->second;
+    return respond(this->promote(body.at("Service"), body.at("Id"), name, number), json::object());
 }
 
 } // namespace endivetrestle::soak
