Decide on replacements from the registry as it is while the lock is held

Callers saw: requests to leaving endpoints and a primary that went to and fro.

Cause: a daemon whose watch of the registry a silent store had lost decided from a list that was more than a hundred versions old: the present primary was missing there, so it counted as gone, and the endpoint that had been draining looked ready. The promotion lock was held properly by each daemon in turn; it says who decides, not that what is decided from is of this time.

Change: TableFeed::catchUp reads the changes since its version without waiting, on a connection that no watch holds up. FleetController does so with the lock held before a replacement, and checks a planned reason again; Promotion does so before it chooses a candidate. An endpoint missing from the list counts as gone only after a grace period.

--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -107,6 +107,9 @@
         else
             drained();
     };
+    hooks.refreshEndpoints
+        = [this](std::function<void(bool)> callback) { this->registryFeed->catchUp(std::move(callback)); };
+    hooks.missingEndpointsAreGone = [this] { return this->directory.isSettled(bootNow()); };
     hooks.endpointsOf = [this](const DatabaseId& group) { return this->directory.recordsOf(group); };
     hooks.watchedGroups = [this] {
         std::vector<WatchedGroup> result;
--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -52,6 +52,8 @@
 
 bool EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, Time now)
 {
+    if (!this->gracePeriodStart)
+        this->gracePeriodStart = now;
     bool changed = false;
     std::set<EndpointId> listed;
     for (const auto& record : records) {
@@ -83,6 +85,7 @@
 
 void EndpointDirectory::restartGrace(Time now)
 {
+    this->gracePeriodStart = now;
     for (auto& [id, since] : this->vanishedSince)
         since = now;
 }
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -56,6 +56,13 @@
     // Restarts the grace period of all vanished entries. Called when the store is reachable again after an outage.
     void restartGrace(Time now);
 
+    // Whether an endpoint that is not listed is gone. It may be missing for another reason for a grace period after the
+    // first list, or after the store is reachable again: entries of live endpoints have expired meanwhile.
+    [[nodiscard]] bool isSettled(Time now) const
+    {
+        return this->gracePeriodStart && now >= *this->gracePeriodStart + removalGrace;
+    }
+
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const { return this->listed; }
     // Returns the listed endpoints of one group, without iterating over other groups.
     [[nodiscard]] std::vector<EndpointRecord> recordsOf(const DatabaseId& group) const;
@@ -71,6 +78,8 @@
     std::map<EndpointId, EndpointRecord> listed;
     std::map<DatabaseId, std::set<EndpointId>> members;
     std::set<DatabaseId> changedGroups;
+    // Time of the first list, or time since which the store has been reachable again.
+    std::optional<Time> gracePeriodStart;
     // Start of the grace period of each vanished entry.
     std::map<EndpointId, Time> vanishedSince;
 };
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace endivetrestle {
@@ -121,8 +122,10 @@
     [[nodiscard]] std::vector<LeaseRow> reachabilityVoters(const DatabaseId& group) const;
     void onReachabilityAnswer(const DatabaseId& group);
     void startPromotion(const PrimaryRow& observedRow, const std::string& reason);
+    void checkReason(const PrimaryRow& observedRow, const std::string& reason);
     void runPromotion(const PrimaryRow& observedRow, const std::string& reason);
     void promotionEnded(const DatabaseId& group);
+    void releaseIdleLock();
     [[nodiscard]] std::string plannedReplacementReason(const PrimaryRow& row) const;
     [[nodiscard]] std::size_t ownRank() const;
     [[nodiscard]] std::size_t ownRank(const WatchedGroup& group) const;
@@ -171,6 +174,8 @@
     std::size_t liveCount = 1;
     std::map<DatabaseId, ReachabilityPoll> reachabilityPolls;
     std::map<DatabaseId, std::unique_ptr<Promotion>> promotions;
+    // Groups whose reason for a replacement is being checked while this daemon holds the promotion lock.
+    std::set<DatabaseId> checkedGroups;
     // Earliest time of the next attempt to replace the primary of a group.
     std::map<DatabaseId, Time> nextAttemptAt;
     // Time since which a planned replacement or an adoption of a group's primary has been due.
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -17,6 +17,9 @@
 // Delay of each daemon behind the previous one in rank order for planned replacements, which all owners notice at the
 // same time.
 constexpr Duration plannedReplacementStagger = std::chrono::milliseconds(600);
+// Reasons of planned replacements, which the registry tells.
+constexpr const char* drainingReason = "draining";
+constexpr const char* goneReason = "gone";
 
 } // namespace
 
@@ -27,7 +30,8 @@
         const auto found = this->rows.find(group);
         const auto pause = this->nextAttemptAt.find(group);
         const bool paused = pause != this->nextAttemptAt.end() && at < pause->second;
-        if (found == this->rows.end() || paused || this->promotions.count(group) != 0)
+        if (found == this->rows.end() || paused || this->promotions.count(group) != 0
+            || this->checkedGroups.count(group) != 0)
             continue;
         const auto& row = found->second;
         if (row.replacing) {
@@ -56,8 +60,8 @@
     const auto found = std::find_if(
         records.begin(), records.end(), [&](const EndpointRecord& record) { return record.id == row.endpoint; });
     if (found == records.end())
-        return "gone";
-    return found->draining ? "draining" : "";
+        return this->hooks.missingEndpointsAreGone() ? goneReason : "";
+    return found->draining ? drainingReason : "";
 }
 
 // Rank of this daemon among all live daemons, ordered by name.
@@ -158,7 +162,7 @@
 {
     this->nextAttemptAt[observedRow.group] = this->now() + attemptDelay;
     if (this->promotionLock.isHeld(this->now())) {
-        this->runPromotion(observedRow, reason);
+        this->checkReason(observedRow, reason);
         return;
     }
     this->store.readAll(
@@ -174,24 +178,53 @@
             this->promotionLock.acquire(
                 present, this->clock, this->now(), [this, observedRow, reason, weak](bool held) {
                     if (!weak.expired() && held)
-                        this->runPromotion(observedRow, reason);
+                        this->checkReason(observedRow, reason);
                 });
         });
 }
 
-// Starts a replacement if the row has not changed since the decision. Another daemon may have replaced the primary
-// while this one acquired the promotion lock, and replacing the new primary would roll back acknowledged writes.
+// The lock tells which daemon may decide; it does not tell that what this daemon decides from is of this time. Its list
+// of endpoints may be older than the primary's row, and another daemon may have acted on a newer one. So the list is
+// read again while the lock is held.
+void FleetController::checkReason(const PrimaryRow& observedRow, const std::string& reason)
+{
+    const auto& group = observedRow.group;
+    this->checkedGroups.insert(group);
+    this->hooks.refreshEndpoints([this, observedRow, reason, weak = std::weak_ptr<int>(this->lifetime)](bool current) {
+        if (weak.expired())
+            return;
+        this->checkedGroups.erase(observedRow.group);
+        if (current) {
+            this->runPromotion(observedRow, reason);
+            return;
+        }
+        logEvent(LogLevel::Info, "promotion_put_off",
+            { { "group", observedRow.group.value }, { "reason", reason }, { "cause", "registry_not_read" } });
+        this->releaseIdleLock();
+    });
+}
+
+void FleetController::releaseIdleLock()
+{
+    if (this->promotions.empty() && this->checkedGroups.empty())
+        this->promotionLock.release();
+}
+
+// Starts a replacement if the row has not changed since the decision and the reason still holds. Another daemon may
+// have replaced the primary while this one acquired the promotion lock, and replacing the new primary would roll back
+// acknowledged writes.
 void FleetController::runPromotion(const PrimaryRow& observedRow, const std::string& reason)
 {
     const auto& group = observedRow.group;
     const auto found = this->rows.find(group);
     const bool same = found != this->rows.end() && found->second.version == observedRow.version;
-    if (this->stopping || !same || this->promotions.count(group) != 0) {
+    const bool planned = reason == drainingReason || reason == goneReason;
+    const bool reasonHolds = same && (!planned || !this->plannedReplacementReason(found->second).empty());
+    if (this->stopping || !reasonHolds || this->promotions.count(group) != 0) {
         logEvent(LogLevel::Info, "promotion_not_needed",
             { { "group", group.value }, { "reason", reason }, { "decided_on", observedRow.version },
                 { "present", found == this->rows.end() ? 0 : found->second.version } });
-        if (this->promotions.empty())
-            this->promotionLock.release();
+        this->releaseIdleLock();
         return;
     }
     auto promotion = std::make_unique<Promotion>(
@@ -208,8 +241,7 @@
         if (weak.expired())
             return;
         this->promotions.erase(group);
-        if (this->promotions.empty())
-            this->promotionLock.release();
+        this->releaseIdleLock();
     });
 }
 
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -335,3 +335,41 @@
     CHECK(simulation.daemonsUsingLeader() == 4);
     CHECK(simulation.violations.empty());
 }
+
+TEST_CASE("FleetController, does not replace a primary that only its own old list of endpoints lacks")
+{
+    // Guards against daemons with lists of different age that replace a primary in turn.
+    for (const std::size_t daemonCount : { 2, 4, 7 }) {
+        for (const auto before : { 0s, 3s, 20s }) {
+            FleetSimulation simulation(daemonCount);
+            simulation.endpoints[e2].listed = false;
+            simulation.endpoints[EndpointId("e3")].listed = false;
+            simulation.runFor(warmUp);
+            simulation.loseRegistryWatch(0);
+            simulation.endpoints[e2].listed = true;
+            simulation.runFor(before);
+            simulation.endpoints[e1].draining = true;
+            simulation.runFor(20s);
+            CAPTURE(daemonCount, before.count());
+            INFO(simulation.describeViolations());
+            CHECK(simulation.leader() == e2);
+            CHECK(simulation.promotions == 1);
+            CHECK(simulation.violations.empty());
+        }
+    }
+}
+
+TEST_CASE("FleetController, replaces a primary that leaves although its own list is old")
+{
+    // Guards against a candidate that has been leaving for a while, chosen from an old list.
+    FleetSimulation simulation(3);
+    simulation.runFor(warmUp);
+    simulation.loseRegistryWatch(0);
+    simulation.endpoints[e2].draining = true;
+    simulation.runFor(1s);
+    simulation.endpoints[e1].up = false;
+    simulation.runFor(5s);
+    INFO(simulation.describeViolations());
+    CHECK(simulation.leader() == EndpointId("e3"));
+    CHECK(simulation.violations.empty());
+}
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -73,7 +73,11 @@
     std::function<void(const PrimaryRow&)> usePrimary;
     // Stops using the primary of a group; the callback runs when no statement is outstanding there.
     std::function<void(const DatabaseId&, std::function<void()>)> suspendLocally;
-    // Registered endpoints of a group.
+    // Brings the registered endpoints up to the present state of the store. The callback tells whether this succeeded.
+    std::function<void(std::function<void(bool)>)> refreshEndpoints;
+    // Whether an endpoint that is not registered is gone, and not only missing after an outage of the store.
+    std::function<bool()> missingEndpointsAreGone;
+    // Registered endpoints of a group, as this daemon last read them.
     std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
     // Groups of the current configuration.
     std::function<std::vector<DatabaseId>()> groups;
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -42,6 +42,8 @@
         std::uint64_t received = 100;
         bool up = true;
         bool draining = false;
+        // Whether the registry has an entry.
+        bool listed = true;
     };
 
     using Endpoints = std::map<EndpointId, Endpoint>;
@@ -64,6 +66,9 @@
         bool peersUnreachable = false;
         // Whether what the daemon and the others send to each other while it is cut off is refused at once.
         bool cutRefuses = false;
+        // Whether the daemon misses changes of the registry; it then decides from the list that it had before.
+        bool registryStale = false;
+        std::map<DatabaseId, std::vector<EndpointRecord>> oldList;
         std::map<DatabaseId, PrimaryUse> primaries;
         int incarnation = 0;
         // Events that arrived while the daemon was frozen.
@@ -145,6 +150,7 @@
         auto& daemon = *this->daemons[index];
         daemon.running = true;
         daemon.frozen = false;
+        daemon.registryStale = false;
         ++daemon.incarnation;
         daemon.primaries.clear();
         daemon.deferredEvents.clear();
@@ -169,6 +175,15 @@
             this->after(index, Duration::zero(), std::move(action));
     }
 
+    // The daemon keeps the present list of endpoints and misses later changes of it.
+    void loseRegistryWatch(std::size_t index)
+    {
+        auto& daemon = *this->daemons[index];
+        daemon.registryStale = true;
+        for (const auto& id : this->groups())
+            daemon.oldList[id] = this->registryOf(id);
+    }
+
     // Ends all faults and starts the daemons that are down.
     void heal()
     {
@@ -184,6 +199,7 @@
         for (std::size_t i = 0; i < this->daemons.size(); ++i) {
             this->daemons[i]->storeUnreachable = false;
             this->daemons[i]->peersUnreachable = false;
+            this->daemons[i]->registryStale = false;
             if (!this->daemons[i]->running)
                 this->startDaemon(i);
             this->unfreeze(i);
@@ -521,6 +537,7 @@
                 this->violations.push_back("promotion ordered with token " + std::to_string(token) + " after token "
                     + std::to_string(this->highestToken));
             this->highestToken = std::max(this->highestToken, token);
+            this->checkCandidate(ofGroup, id);
             if (!this->groupEndpoints.at(ofGroup).at(id).up) {
                 this->after(index, messageDelay, [callback] { callback(PromotionOutcome::Rejected); });
                 return;
@@ -536,17 +553,19 @@
             this->daemons[index]->primaries[ofGroup].suspended = true;
             this->after(index, this->drainDelay, drained);
         };
-        hooks.endpointsOf = [this](const DatabaseId& id) {
-            std::vector<EndpointRecord> records;
-            for (const auto& [endpointId, endpoint] : this->groupEndpoints.at(id)) {
-                EndpointRecord record;
-                record.id = endpointId;
-                record.group = id;
-                record.draining = endpoint.draining;
-                record.claimsPrimary = endpoint.primary;
-                records.push_back(record);
-            }
-            return records;
+        hooks.refreshEndpoints = [this, index](const std::function<void(bool)>& callback) {
+            this->callStore(
+                index, "refresh", [] { return StoreResult { StoreStatus::Done }; },
+                [this, index, callback](const StoreResult& result) {
+                    const bool current = result.status == StoreStatus::Done;
+                    this->daemons[index]->registryStale = this->daemons[index]->registryStale && !current;
+                    callback(current);
+                });
+        };
+        hooks.missingEndpointsAreGone = [] { return true; };
+        hooks.endpointsOf = [this, index](const DatabaseId& id) {
+            const auto& daemon = *this->daemons[index];
+            return daemon.registryStale ? daemon.oldList.at(id) : this->registryOf(id);
         };
         hooks.groups = [this] { return this->groups(); };
         hooks.watchedGroups = [this] {
@@ -568,6 +587,23 @@
         return hooks;
     }
 
+    // Present entries of a group's endpoints in the registry.
+    [[nodiscard]] std::vector<EndpointRecord> registryOf(const DatabaseId& id) const
+    {
+        std::vector<EndpointRecord> records;
+        for (const auto& [endpointId, endpoint] : this->groupEndpoints.at(id)) {
+            if (!endpoint.listed)
+                continue;
+            EndpointRecord record;
+            record.id = endpointId;
+            record.group = id;
+            record.draining = endpoint.draining;
+            record.claimsPrimary = endpoint.primary;
+            records.push_back(record);
+        }
+        return records;
+    }
+
     // The promotion of an endpoint takes effect.
     void completePromotion(const DatabaseId& ofGroup, const EndpointId& id)
     {
@@ -583,6 +619,19 @@
         ++this->promotions;
     }
 
+    // An endpoint that has been leaving for a while may not become the primary while another one could.
+    void checkCandidate(const DatabaseId& ofGroup, const EndpointId& id)
+    {
+        const auto& members = this->groupEndpoints.at(ofGroup);
+        const auto usable
+            = [&](const Endpoint& endpoint) { return endpoint.up && endpoint.listed && !endpoint.draining; };
+        const bool other = std::any_of(members.begin(), members.end(),
+            [&](const auto& entry) { return entry.first != id && usable(entry.second); });
+        if (members.at(id).draining && other)
+            this->violations.push_back("promotion of " + id.value + " of " + ofGroup.value + ", which drains, at "
+                + std::to_string(toSeconds(this->clock.time_since_epoch())) + " s");
+    }
+
     // No daemon may use an endpoint other than the leader of the highest term.
     void checkOnlyLeaderIsUsed()
     {
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -191,17 +191,31 @@
         this->schedule(drainCheck, [this] { this->checkAllSuspended(); });
         return;
     }
-    this->queryEndpoints();
+    this->refreshEndpoints();
 }
 
-void Promotion::queryEndpoints()
+// The candidate is chosen from the endpoints that are registered now. This daemon may have missed changes since it last
+// read them, while the others were asked to stop or before.
+void Promotion::refreshEndpoints()
 {
     this->enterStep("query");
+    this->context.hooks.refreshEndpoints(this->guarded([this](bool current) {
+        if (current)
+            this->queryEndpoints();
+        else if (this->context.promotionLock.isHeld(this->context.now()))
+            this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
+        else
+            this->finish(false);
+    }));
+}
+
+void Promotion::queryEndpoints()
+{
     this->reports.clear();
     const auto records = this->context.hooks.endpointsOf(this->initialRow.group);
     this->queriesOutstanding = records.size();
     if (records.empty()) {
-        this->schedule(queryRetryDelay, [this] { this->queryEndpoints(); });
+        this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
         return;
     }
     for (const auto& record : records) {
@@ -248,7 +262,7 @@
         // No replica can take over. If the old primary still answers, it is confirmed as the primary.
         this->rejectedEndpoints.clear();
         if (!oldAnswers || !old->second.isPrimary || this->isDraining(old->first)) {
-            this->schedule(queryRetryDelay, [this] { this->queryEndpoints(); });
+            this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
             return;
         }
         best = &old->second;
@@ -317,7 +331,7 @@
                 return;
             case PromotionOutcome::Rejected:
                 this->rejectedEndpoints.insert(this->candidate);
-                this->schedule(orderRetryDelay, [this] { this->queryEndpoints(); });
+                this->schedule(orderRetryDelay, [this] { this->refreshEndpoints(); });
                 return;
             }
         }));
@@ -340,7 +354,7 @@
                 return;
             }
             if (waited > leadershipTimeout)
-                this->queryEndpoints();
+                this->refreshEndpoints();
             else
                 this->schedule(leadershipPollInterval, [this] { this->awaitLeadership(); });
         }));
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -37,12 +37,12 @@
 // Replaces the primary of one group.
 //
 // Steps: claim the group's row, on condition that the promotion lock is held; wait until every daemon has stopped using
-// the primary, which is known from its confirmation or the expiry of its lease; query the endpoints for their
-// positions; if the old primary still answers, wait until the best replica has caught up with it, and demote it; order
-// the promotion; wait until the new primary leads with a higher term; record and announce it. A step that fails is
-// retried, or the promotion ends and the controller starts a new one, which claims the row again. Each step is safe if
-// another daemon has taken over, because the claim, the order and the record are bound to the lock, its fencing token
-// and the version of the row.
+// the primary, which is known from its confirmation or the expiry of its lease; read which endpoints are registered now
+// and query them for their positions; if the old primary still answers, wait until the best replica has caught up with
+// it, and demote it; order the promotion; wait until the new primary leads with a higher term; record and announce it.
+// A step that fails is retried, or the promotion ends and the controller starts a new one, which claims the row again.
+// Each step is safe if another daemon has taken over, because the claim, the order and the record are bound to the
+// lock, its fencing token and the version of the row.
 class Promotion {
 public:
     // The initial row is the current row of the group, which the claim replaces. The callback runs once, when the
@@ -63,6 +63,7 @@
     void requestSuspend(const DaemonId& daemon);
     void refreshLeaseHolders();
     void checkAllSuspended();
+    void refreshEndpoints();
     void queryEndpoints();
     void chooseCandidate();
     void waitForCatchUp(const EndpointId& old);
--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -26,14 +26,17 @@
     this->hooks.reachable(value);
 }
 
-void TableFeed::readAll()
+void TableFeed::readAll(const std::function<void(bool)>& callback)
 {
-    this->store.readAll(this->table, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+    const auto take = [this, callback, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
-        if (result.status != StoreStatus::Done) {
+        // A snapshot older than what has been reported comes from a call that was overtaken.
+        if (result.status != StoreStatus::Done || result.version < this->lastVersion) {
             this->setReachable(false);
             this->retry(true);
+            if (callback)
+                callback(false);
             return;
         }
         // The snapshot is reported before the store is reported as reachable, so that the grace period of entries that
@@ -42,7 +45,44 @@
         this->hooks.snapshot(result.rows);
         this->setReachable(true);
         this->watch();
-    });
+        if (callback)
+            callback(true);
+    };
+    this->store.readAll(this->table, take);
+}
+
+void TableFeed::catchUp(std::function<void(bool)> callback)
+{
+    const auto take
+        = [this, callback = std::move(callback), weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+              if (weak.expired())
+                  return;
+              if (result.status == StoreStatus::HistoryLost) {
+                  logEvent(LogLevel::Info, "feed_history_lost",
+                      { { "table", this->table }, { "version", this->lastVersion } });
+                  this->readAll(callback);
+                  return;
+              }
+              const bool current = result.status == StoreStatus::Done && this->lastVersion != 0;
+              if (current)
+                  this->takeChanges(result);
+              callback(current);
+          };
+    this->store.watch(this->table, this->lastVersion, Duration::zero(), take);
+}
+
+// Reports the rows that are newer than what has been reported. A watch and a reading beside it may be answered in
+// either order.
+void TableFeed::takeChanges(const StoreResult& result)
+{
+    std::vector<StoreRow> rows;
+    for (const auto& row : result.rows) {
+        if (row.version == 0 || row.version > this->lastVersion)
+            rows.push_back(row);
+    }
+    if (!rows.empty())
+        this->hooks.changed(rows);
+    this->lastVersion = std::max(this->lastVersion, result.version);
 }
 
 void TableFeed::scheduleWatch()
@@ -62,15 +102,13 @@
 {
     this->watchedAt = this->hooks.now();
     this->store.watch(this->table, this->lastVersion, watchTimeout,
-        [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-            if (weak.expired())
+        [this, number = ++this->watchNumber, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+            if (weak.expired() || number != this->watchNumber)
                 return;
             switch (result.status) {
             case StoreStatus::Done:
                 this->setReachable(true);
-                if (!result.rows.empty())
-                    this->hooks.changed(result.rows);
-                this->lastVersion = std::max(this->lastVersion, result.version);
+                this->takeChanges(result);
                 this->scheduleWatch();
                 return;
             case StoreStatus::HistoryLost:
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -23,7 +23,8 @@
 };
 
 // Follows the changes of one table in the store: reads the whole table once and then watches for changes after the
-// version that was read. A watch that fails is repeated from the same version, so that no change is missed.
+// version that was read. A watch that fails is repeated from the same version, so that no change is missed. Rows are
+// reported in the order of their versions, whichever call brings them.
 class TableFeed {
 public:
     // Time that a watch waits for a change. Keep-alive probes detect a broken connection earlier.
@@ -38,14 +39,19 @@
     TableFeed& operator=(const TableFeed&) = delete;
 
     void start();
+    // Reads what has changed up to now. The callback tells whether all of it has been reported; it is not if the store
+    // does not answer, or if the table has not been read yet. The outstanding watch alone does not tell: the store may
+    // have lost it, and its connection stays open then.
+    void catchUp(std::function<void(bool)> callback);
 
     // Version of the table up to which changes have been reported.
     [[nodiscard]] std::uint64_t version() const { return this->lastVersion; }
     [[nodiscard]] bool isReachable() const { return this->reachable; }
 
 private:
-    void readAll();
+    void readAll(const std::function<void(bool)>& callback = nullptr);
     void watch();
+    void takeChanges(const StoreResult& result);
     void scheduleWatch();
     void retry(bool readWholeTable);
     void setReachable(bool value);
@@ -55,6 +61,8 @@
     TimerService& timers;
     TableFeedHooks hooks;
     std::uint64_t lastVersion = 0;
+    // Number of the present watch. Answers to earlier ones are ignored.
+    std::uint64_t watchNumber = 0;
     bool reachable = true;
     // Start of the last watch.
     Time watchedAt;
--- a/src/process/table_store.h
+++ b/src/process/table_store.h
@@ -81,7 +81,8 @@
     // Reads all rows of a table.
     virtual void readAll(const std::string& table, Callback callback) = 0;
     virtual void change(const StoreChange& change, Callback callback) = 0;
-    // Waits until a row of the table has changed after the version, at most for the given time.
+    // Waits until a row of the table has changed after the version, at most for the given time. A watch that does not
+    // wait is not held up by one that does.
     virtual void watch(const std::string& table, std::uint64_t after, Duration wait, Callback callback) = 0;
 };
 
