End the call under way when an HTTP client is destroyed

Cause: State::shutDown cleared the queue but left the call active, so the handler that the closed socket runs once more took the callback from an empty queue.

Test: LoopHttpClient, does not run the callback of a call when it is destroyed before the answer.

--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -62,6 +62,9 @@
     void shutDown()
     {
         this->stopped = true;
+        // Handlers of the call under way run once more and must find that it is over.
+        this->active = false;
+        ++this->callSequence;
         this->timer.cancel();
         this->closeSocket();
         this->queue.clear();
--- /dev/null
+++ b/src/edge/loop_http_client_test.cc
@@ -0,0 +1,29 @@
+#include "edge/loop_http_client.h"
+
+#include "edge/http_server.h"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace endivetrestle;
+using namespace std::chrono_literals;
+
+TEST_CASE("LoopHttpClient, does not run the callback of a call when it is destroyed before the answer")
+{
+    // Guards against a daemon that ends by itself when it gives up a watch.
+    asio::io_context context;
+    HttpServer::Answer held;
+    HttpServer server(context, {}, [&](const HttpRequest&, HttpServer::Answer answer) { held = std::move(answer); });
+    auto client = std::make_unique<LoopHttpClient>(context, SocketAddress { "127.0.0.1", server.port() });
+    int answers = 0;
+    HttpCall call;
+    call.target = "/watch";
+    client->send(call, 10s, [&](const HttpAnswer&) { ++answers; });
+    client->send(call, 10s, [&](const HttpAnswer&) { ++answers; });
+    while (!held)
+        context.run_one();
+    client.reset();
+    context.run_for(100ms);
+    CHECK(answers == 0);
+}
