Watch anew when the store answers again

Callers saw: after a silent store was back, requests went by an old configuration and to endpoints that had left, for up to 29 s.

Cause: the store's answer to a watch was lost. Its connection stays open and the kernel answers the keep-alive probes, so only the watch's own limit of 28 s ended it, although other calls of the daemon had failed and succeeded meanwhile.

Change: StoreContact passes calls on and notices when the store answers again after a call had no answer; then the feeds give up their watches and watch anew. TableFeed does the same when another reading has brought rows that the watch does not tell within 0.5 s. A refusal is an answer and starts nothing.

--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -32,7 +32,8 @@
     , context(1)
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , incarnation(makeIncarnation())
-    , store(this->context, this->settings.storeAddress)
+    , storeClient(this->context, this->settings.storeAddress)
+    , store(this->storeClient, [this] { this->onStoreRegained(); })
     , promotions(this->context, this->settings.promotionAddress)
     , peers(this->context)
 {
@@ -141,6 +142,13 @@
     this->registryFeed->start();
 }
 
+// Whatever lost the answers of other calls may have lost the watches as well.
+void SessionProxy::onStoreRegained()
+{
+    this->configurationFeed->watchAgain();
+    this->registryFeed->watchAgain();
+}
+
 void SessionProxy::onConfigurationRows(const std::vector<StoreRow>& rows)
 {
     for (const auto& row : rows) {
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -17,6 +17,7 @@
 #include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
+#include "process/store_contact.h"
 #include "process/table_feed.h"
 
 #include <asio/signal_set.hpp>
@@ -78,6 +79,7 @@
 
     void listen();
     void startFeeds();
+    void onStoreRegained();
     void onConfigurationRows(const std::vector<StoreRow>& rows);
     void onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot);
     void updateGroups();
@@ -108,7 +110,9 @@
     TimerService timers;
     asio::signal_set signals;
     std::string incarnation;
-    platform::StoreClient store;
+    platform::StoreClient storeClient;
+    // All calls to the store go through it.
+    StoreContact store;
     platform::PromotionClient promotions;
     PeerCalls peers;
     std::shared_ptr<const RouteTable> routes;
--- a/src/edge/session_proxy_lifecycle.cc
+++ b/src/edge/session_proxy_lifecycle.cc
@@ -53,7 +53,7 @@
     };
     const auto reload = planReload(this->settings, *next);
     this->settings = reload.settings;
-    this->store.setServer(this->settings.storeAddress);
+    this->storeClient.setServer(this->settings.storeAddress);
     this->promotions.setServer(this->settings.promotionAddress);
     this->sessions->setMaxSessions(this->sessionLimit());
     logEvent(LogLevel::Info, "settings_reloaded",
--- a/src/process/endpoint_directory_test.cc
+++ b/src/process/endpoint_directory_test.cc
@@ -72,3 +72,17 @@
     CHECK(clock.lowerBoundMs(start + 1100ms) == 6000);
     CHECK(clock.upperBoundMs(start + 1100ms) >= 6100);
 }
+
+TEST_CASE("EndpointDirectory, takes a missing endpoint for gone only after a grace period")
+{
+    // Guards against replacing a primary whose entry expired during an outage of the store and is not back yet.
+    EndpointDirectory directory;
+    const auto grace = EndpointDirectory::removalGrace;
+    CHECK_FALSE(directory.isSettled(start));
+    directory.replaceAll({}, start);
+    CHECK_FALSE(directory.isSettled(start + grace / 2));
+    CHECK(directory.isSettled(start + grace));
+    directory.restartGrace(start + grace);
+    CHECK_FALSE(directory.isSettled(start + grace));
+    CHECK(directory.isSettled(start + 2 * grace));
+}
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -279,6 +279,7 @@
                 this->index, "change", [&shared = this->simulation, change] { return shared.tables.apply(change); },
                 std::move(callback), late);
         }
+        void abandonWatches(const std::string&) override { }
         // Answers immediately, even if nothing has changed.
         void watch(const std::string& table, std::uint64_t after, Duration, Callback callback) override
         {
--- a/src/process/lease_batch_test.cc
+++ b/src/process/lease_batch_test.cc
@@ -17,6 +17,7 @@
         this->callbacks.push_back(std::move(callback));
     }
     void watch(const std::string&, std::uint64_t, Duration, Callback) override { }
+    void abandonWatches(const std::string&) override { }
 
     std::vector<StoreChange> changes;
     std::vector<Callback> callbacks;
--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -64,6 +64,8 @@
                   return;
               }
               const bool current = result.status == StoreStatus::Done && this->lastVersion != 0;
+              if (current && !result.rows.empty())
+                  this->checkWatchLater();
               if (current)
                   this->takeChanges(result);
               callback(current);
@@ -71,6 +73,26 @@
     this->store.watch(this->table, this->lastVersion, Duration::zero(), take);
 }
 
+// What another reading has brought, the outstanding watch has to tell as well.
+void TableFeed::checkWatchLater()
+{
+    this->timers.subscribeAt(this->hooks.now() + watchDelayLimit,
+        [this, number = this->watchNumber, weak = std::weak_ptr<int>(this->lifetime)](Time) {
+            if (!weak.expired() && number == this->watchNumber)
+                this->watchAgain();
+        });
+}
+
+void TableFeed::watchAgain()
+{
+    if (!this->watching)
+        return;
+    this->store.abandonWatches(this->table);
+    // The list may be old, so entries that are missing now get their grace period again.
+    this->setReachable(false);
+    this->watch();
+}
+
 // Reports the rows that are newer than what has been reported. A watch and a reading beside it may be answered in
 // either order.
 void TableFeed::takeChanges(const StoreResult& result)
@@ -101,10 +123,12 @@
 void TableFeed::watch()
 {
     this->watchedAt = this->hooks.now();
+    this->watching = true;
     this->store.watch(this->table, this->lastVersion, watchTimeout,
         [this, number = ++this->watchNumber, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
             if (weak.expired() || number != this->watchNumber)
                 return;
+            this->watching = false;
             switch (result.status) {
             case StoreStatus::Done:
                 this->setReachable(true);
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -31,6 +31,8 @@
     static constexpr Duration watchTimeout = std::chrono::seconds(28);
     // Minimum time between the starts of two watches, so that changes in quick succession are read together.
     static constexpr Duration minWatchInterval = std::chrono::milliseconds(250);
+    // Time after which a watch is lost if it has not told what another reading has brought.
+    static constexpr Duration watchDelayLimit = std::chrono::milliseconds(500);
     // Delay before a call that the store refused or did not answer is repeated.
     static constexpr Duration retryDelay = std::chrono::milliseconds(250);
 
@@ -43,6 +45,8 @@
     // does not answer, or if the table has not been read yet. The outstanding watch alone does not tell: the store may
     // have lost it, and its connection stays open then.
     void catchUp(std::function<void(bool)> callback);
+    // Gives up the outstanding watch, if there is one, and watches anew. Call when the watch may be lost.
+    void watchAgain();
 
     // Version of the table up to which changes have been reported.
     [[nodiscard]] std::uint64_t version() const { return this->lastVersion; }
@@ -51,6 +55,7 @@
 private:
     void readAll(const std::function<void(bool)>& callback = nullptr);
     void watch();
+    void checkWatchLater();
     void takeChanges(const StoreResult& result);
     void scheduleWatch();
     void retry(bool readWholeTable);
@@ -63,6 +68,8 @@
     std::uint64_t lastVersion = 0;
     // Number of the present watch. Answers to earlier ones are ignored.
     std::uint64_t watchNumber = 0;
+    // Whether a watch is outstanding.
+    bool watching = false;
     bool reachable = true;
     // Start of the last watch.
     Time watchedAt;
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -1,6 +1,7 @@
 #include "process/table_feed.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace endivetrestle;
 using namespace std::chrono_literals;
@@ -12,17 +13,25 @@
 public:
     void readAll(const std::string&, Callback callback) override { this->reads.push_back(std::move(callback)); }
     void change(const StoreChange&, Callback) override { }
-    void watch(const std::string&, std::uint64_t after, Duration, Callback callback) override
+    void watch(const std::string&, std::uint64_t after, Duration wait, Callback callback) override
     {
         this->watchedAfter = after;
-        this->watches.push_back(std::move(callback));
+        (wait == Duration::zero() ? this->catchUps : this->watches).push_back(std::move(callback));
+    }
+    void abandonWatches(const std::string&) override
+    {
+        this->abandoned = std::move(this->watches);
+        this->watches.clear();
     }
 
     void answerRead(const StoreResult& result) { this->answer(this->reads, result); }
     void answerWatch(const StoreResult& result) { this->answer(this->watches, result); }
+    void answerCatchUp(const StoreResult& result) { this->answer(this->catchUps, result); }
 
     std::vector<Callback> reads;
     std::vector<Callback> watches;
+    std::vector<Callback> catchUps;
+    std::vector<Callback> abandoned;
     std::uint64_t watchedAfter = 0;
 
 private:
@@ -121,3 +130,96 @@
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 1));
     CHECK(fixture.snapshots.size() == 1);
 }
+
+TEST_CASE("TableFeed, reports changes that its watch has not told when it catches up")
+{
+    // Guards against a decision from an old list.
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    std::optional<bool> current;
+    fixture.feed->catchUp([&](bool value) { current = value; });
+    CHECK(fixture.store.watchedAfter == 7);
+    CHECK(!current);
+    auto changes = FeedFixture::result(StoreStatus::Done, 9, 2);
+    changes.rows[0].version = 8;
+    changes.rows[1].version = 9;
+    fixture.store.answerCatchUp(changes);
+    CHECK(current == true);
+    CHECK(fixture.changes == 2);
+    // The watch tells the same rows later, or only the earlier one.
+    fixture.store.answerWatch(changes);
+    CHECK(fixture.changes == 2);
+    CHECK(fixture.feed->version() == 9);
+}
+
+TEST_CASE("TableFeed, does not count as caught up without an answer or without a first reading")
+{
+    FeedFixture fixture;
+    std::vector<bool> current;
+    const auto note = [&](bool value) { current.push_back(value); };
+    fixture.feed->catchUp(note);
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Done, 5, 1));
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    fixture.feed->catchUp(note);
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Unknown, 0));
+    CHECK(current == std::vector<bool> { false, false });
+    CHECK(fixture.changes == 0);
+}
+
+TEST_CASE("TableFeed, reads the whole table to catch up when the history is lost")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    std::optional<bool> current;
+    fixture.feed->catchUp([&](bool value) { current = value; });
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::HistoryLost, 0));
+    CHECK(!current);
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 20, 3));
+    CHECK(current == true);
+    CHECK(fixture.snapshots == std::vector<std::size_t> { 2, 3 });
+}
+
+TEST_CASE("TableFeed, replaces a watch that does not tell what another reading has brought")
+{
+    // Guards against a watch that a silent store has lost, which would be noticed after half a minute.
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Done, 9, 1));
+    CHECK(fixture.store.abandoned.empty());
+    fixture.now += TableFeed::watchDelayLimit;
+    fixture.timers.advance(fixture.now);
+    CHECK(fixture.store.abandoned.size() == 1);
+    CHECK(fixture.store.watches.size() == 1);
+    CHECK(fixture.store.watchedAfter == 9);
+    CHECK(!fixture.reachable);
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9));
+    CHECK(fixture.reachable);
+}
+
+TEST_CASE("TableFeed, keeps a watch that tells what another reading has brought")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Done, 9, 1));
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9, 1));
+    fixture.now += TableFeed::watchDelayLimit;
+    fixture.timers.advance(fixture.now);
+    CHECK(fixture.store.abandoned.empty());
+    CHECK(fixture.store.watches.size() == 1);
+}
+
+TEST_CASE("TableFeed, watches anew on request unless it is about to read or watch anyway")
+{
+    FeedFixture fixture;
+    fixture.feed->watchAgain();
+    CHECK(fixture.store.watches.empty());
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    fixture.feed->watchAgain();
+    CHECK(fixture.store.abandoned.size() == 1);
+    CHECK(fixture.store.watches.size() == 1);
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::Unknown, 0));
+    fixture.feed->watchAgain();
+    CHECK(fixture.store.watches.empty());
+}
--- a/src/process/table_store.h
+++ b/src/process/table_store.h
@@ -66,12 +66,15 @@
     std::uint64_t version = 0;
     // Steady clock of the store.
     std::int64_t storeMs = 0;
+    // Whether the store answered at all.
+    bool answered = false;
     // Times at which the call was sent and answered here.
     Time sentAt;
     Time answeredAt;
 };
 
-// Table service of the platform, as the session proxy uses it. Every call is answered exactly once.
+// Table service of the platform, as the session proxy uses it. Every call is answered exactly once, except a watch that
+// was given up.
 class TableStore {
 public:
     using Callback = std::function<void(const StoreResult&)>;
@@ -84,6 +87,8 @@
     // Waits until a row of the table has changed after the version, at most for the given time. A watch that does not
     // wait is not held up by one that does.
     virtual void watch(const std::string& table, std::uint64_t after, Duration wait, Callback callback) = 0;
+    // Gives up the watches of a table that wait; their callbacks do not run. Used when their connection may be lost.
+    virtual void abandonWatches(const std::string& table) = 0;
 };
 
 } // namespace endivetrestle
