Acknowledge a write only in the term in which it was sent

What callers may see: a write or commit acknowledged although the endpoint has dropped it.

Cause: when the answer arrives, the daemon checked that the endpoint is the primary. After two replacements, back to the same endpoint, that is true again, but of another term, and the endpoint dropped what it had accepted before.

GroupScheduler, rolls back a transaction of an earlier term of the primary: continued before.

Change: a connection notes the term in which its statement or transaction started; in another one a write is in doubt and a transaction is rolled back. A primary confirmed in its own term keeps its statements (third test).

--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -5,6 +5,7 @@
 #include "connection/session_state.h"
 #include "request/scheduled_statement.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 
@@ -49,6 +50,8 @@
     bool writableTransaction = false;
     // Whether a write of the open transaction has been sent.
     bool transactionWrote = false;
+    // Term of the group's primary when the statement that runs, or the open transaction, was started.
+    std::uint64_t startedInTerm = 0;
     // Time at which the outstanding command was sent.
     Time sentAt;
     Time idleSince;
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -185,7 +185,7 @@
         this->refuse(execution, ReplyCode::Aborted, "the transaction was rolled back", "connection_lost");
         return;
     }
-    const bool usable = this->primaryUsable(now) && connection->endpoint == *this->primaryId;
+    const bool usable = this->primaryUsable(now) && this->isPrimarySinceStart(*connection);
     if (connection->writableTransaction && !usable) {
         this->hooks.close(id);
         this->eraseConnection(id);
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -166,6 +166,7 @@
     bool prepareAgain(EndpointConnection& connection, Time now);
     void recordPosition(EndpointState& endpoint, const EndpointConnection& connection,
         const std::optional<Position>& position, Time now);
+    [[nodiscard]] bool isPrimarySinceStart(const EndpointConnection& connection) const;
     [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
     void requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -55,6 +55,8 @@
     const auto& work = execution->work;
     connection.phase = EndpointConnection::Phase::Running;
     connection.execution = execution;
+    if (!connection.inTransaction)
+        connection.startedInTerm = this->primaryTerm;
     ++target.endpoint->running;
     target.endpoint->updateBusyPeak();
     ++execution->attempts;
@@ -231,10 +233,16 @@
     return true;
 }
 
+// Whether the endpoint has been the primary since the statement or its transaction was started. An endpoint that was
+// replaced and leads again has dropped what it accepted in its earlier term.
+bool GroupScheduler::isPrimarySinceStart(const EndpointConnection& connection) const
+{
+    return this->primaryId && connection.endpoint == *this->primaryId && connection.startedInTerm == this->primaryTerm;
+}
+
 bool GroupScheduler::mayAcknowledge(const EndpointConnection& connection, Time now) const
 {
-    return this->primaryId && connection.endpoint == *this->primaryId && !this->suspensionConfirmed
-        && this->hooks.leaseValid(now);
+    return this->isPrimarySinceStart(connection) && !this->suspensionConfirmed && this->hooks.leaseValid(now);
 }
 
 void GroupScheduler::onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
--- a/src/process/group_scheduler_test.cc
+++ b/src/process/group_scheduler_test.cc
@@ -296,6 +296,47 @@
     CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
 }
 
+TEST_CASE("GroupScheduler, does not acknowledge a write of an earlier term of the primary")
+{
+    // Guards against acknowledging a write that the endpoint dropped when it was replaced, before it led again.
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.scheduler->setPrimary(EndpointId("e2"), 2, fixture.now);
+    fixture.scheduler->setPrimary(EndpointId("e1"), 3, fixture.now);
+    fixture.succeed(fixture.take());
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+}
+
+TEST_CASE("GroupScheduler, acknowledges a write when the primary was confirmed in its term")
+{
+    SchedulerFixture fixture;
+    fixture.submit(SchedulerFixture::write());
+    fixture.scheduler->suspendPrimary(fixture.now, [] {});
+    fixture.scheduler->setPrimary(EndpointId("e1"), 1, fixture.now);
+    fixture.succeed(fixture.take());
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.succeeded);
+}
+
+TEST_CASE("GroupScheduler, rolls back a transaction of an earlier term of the primary")
+{
+    SchedulerFixture fixture;
+    auto begin = SchedulerFixture::write();
+    begin.start = TransactionStart::Plain;
+    fixture.submit(begin);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    REQUIRE(fixture.results.size() == 1);
+    REQUIRE(fixture.results[0].connection);
+    fixture.scheduler->setPrimary(EndpointId("e2"), 2, fixture.now);
+    fixture.scheduler->setPrimary(EndpointId("e1"), 3, fixture.now);
+    fixture.scheduler->continueTransaction(
+        *fixture.results[0].connection, fixture.makeExecution(SchedulerFixture::commit()), fixture.now);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[1].answer.code == ReplyCode::Aborted);
+}
+
 TEST_CASE("GroupScheduler, serves waiting writes at the new primary")
 {
     SchedulerFixture fixture;
