Read the claimed row before continuing a replacement

What callers may see: acknowledged writes lost, because a daemon that continues a replacement of another one demotes the primary before the last and does not wait for what the last one holds.

Cause: the request to stop using a primary names the claim only. The daemon put the claim's version into the row that it knew, which may be that of an earlier primary, and then ignored the row from the store because it has the same version.

Evidence: the test, before the change: claim old_primary=e1 reason=unfinished while e2 leads, and e2 still leads in its term after the promotion of e3.

Change: FleetController remembers groups of which it knows the claim only, takes their row of the same version, and does not take over before.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -139,8 +139,11 @@
 void FleetController::applyRow(const PrimaryRow& row)
 {
     const auto known = this->rows.find(row.group);
-    if (known != this->rows.end() && row.version <= known->second.version)
+    if (known != this->rows.end() && row.version < known->second.version)
         return;
+    if (known != this->rows.end() && row.version == known->second.version && this->unreadClaims.count(row.group) == 0)
+        return;
+    this->unreadClaims.erase(row.group);
     this->rows[row.group] = row;
     // The row of a finished replacement also proves that there was a claim.
     this->claims.add(row.claimVersion(), row.previousEpoch);
@@ -199,6 +202,7 @@
         row.replacing = true;
         row.version = claim.version;
         row.previousEpoch = claim.previousEpoch;
+        this->unreadClaims.insert(claim.group);
         this->replacingSince.try_emplace(claim.group, this->now());
     }
     this->suspend(claim.group, std::move(done));
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -166,6 +166,9 @@
     Time nextListing;
     Time nextFleetRead;
     std::map<DatabaseId, PrimaryRow> rows;
+    // Groups of which another daemon has told the claim, and whose row has not been read since. The claim names neither
+    // the primary that is replaced nor its term.
+    std::set<DatabaseId> unreadClaims;
     std::map<DatabaseId, Suspension> suspensions;
     // Time at which this daemon first saw that the primary of a group is being replaced.
     std::map<DatabaseId, Time> replacingSince;
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -35,7 +35,8 @@
             continue;
         const auto& row = found->second;
         if (row.replacing) {
-            if (at - this->replacingSince[group] > takeoverTimeout)
+            const bool known = this->unreadClaims.count(group) == 0;
+            if (known && at - this->replacingSince[group] > takeoverTimeout)
                 this->startPromotion(row, "unfinished");
             continue;
         }
--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -373,3 +373,36 @@
     CHECK(simulation.leader() == EndpointId("e3"));
     CHECK(simulation.violations.empty());
 }
+
+TEST_CASE("FleetController, knows the primary that it replaces when it takes over a claim that it was only told of")
+{
+    // Guards against a daemon that missed a replacement and then continues the next one: it would demote the primary
+    // before the last one, and would not wait for what the last one holds.
+    FleetSimulation simulation(2);
+    simulation.runFor(warmUp);
+    // The second daemon keeps its lease through the first one, and misses the announcement of the new primary.
+    simulation.daemons[1]->storeUnreachable = true;
+    simulation.onCall = [&](std::size_t daemon, const std::string& call) {
+        if (daemon == 0 && call == "announce")
+            simulation.daemons[1]->peersUnreachable = true;
+    };
+    simulation.endpoints[e1].draining = true;
+    simulation.runFor(2s);
+    REQUIRE(simulation.leader() == e2);
+    simulation.onCall = nullptr;
+    simulation.daemons[1]->peersUnreachable = false;
+    simulation.runFor(3s);
+    REQUIRE(simulation.daemons[1]->controller->leaseValid(simulation.now()));
+    bool chooses = false;
+    simulation.onCall
+        = [&](std::size_t daemon, const std::string& call) { chooses = chooses || (daemon == 0 && call == "query"); };
+    simulation.endpoints[e2].draining = true;
+    REQUIRE(simulation.runUntil([&] { return chooses; }));
+    simulation.onCall = nullptr;
+    simulation.kill(0);
+    simulation.daemons[1]->storeUnreachable = false;
+    simulation.runFor(30s);
+    CHECK(simulation.leader() == EndpointId("e3"));
+    CHECK(!simulation.endpoints[e2].primary);
+    CHECK(simulation.violations.empty());
+}
