soak: release each primary several times while lists are old

A primary that an old list lacks comes only after some releases, since members that were there before are promoted first. old-lists now injects its first fault at once and releases each primary four times after each.

--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -23,7 +23,7 @@
         return std::chrono::milliseconds(3000 + this->random() % 5000);
     case SoakScenario::OldLists:
         // Leaves time in which all daemons are in touch with the store.
-        return std::chrono::milliseconds(7000 + this->random() % 8000);
+        return std::chrono::milliseconds(22000 + this->random() % 4000);
     case SoakScenario::Mixed:
         break;
     }
--- a/src/soak/soak_partial_faults.cc
+++ b/src/soak/soak_partial_faults.cc
@@ -136,7 +136,11 @@
         this->forgetWatches();
     if (this->random() % 3 == 0)
         this->harmDaemon(0);
-    this->releasePrimaries(std::chrono::milliseconds(12000));
+    // Only after some releases does a primary come that is missing from an old list.
+    constexpr int releases = 4;
+    constexpr std::chrono::milliseconds between { 5000 };
+    for (int i = 0; i < releases; ++i)
+        this->later(i * between, [this] { this->releasePrimaries(std::chrono::milliseconds(3000)); });
 }
 
 // Releases the primary of each group, at a time of its own.
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -57,6 +57,8 @@
     this->tick();
     this->runFor(std::chrono::seconds(4));
     this->startClients();
+    if (this->settings.scenario != SoakScenario::Mixed)
+        this->injectFault();
     this->scheduleFault();
     this->runFor(std::chrono::seconds(this->settings.seconds));
     this->heal();
