Leave the promotion lock to others after another holder

Suspected, not seen: callers would see nothing, but the rule ONE counts two holders that order in turn within 3 s, whatever the groups. The lock is released after each replacement, so d1, d2 and d1 may order for three groups within that time.

Change: acquire fails for 3 s after the daemon's last order if another daemon has held the lock since. Any third daemon and the present holder go on at once.

--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -318,6 +318,7 @@
         this->schedule(orderRetryDelay, [this] { this->orderPromotion(); });
         return;
     }
+    this->context.promotionLock.onOrder(now);
     this->orderedEndpoints.insert(this->candidate);
     this->context.hooks.promote(this->initialRow.group, this->candidate, this->context.promotionLock.token(),
         this->guarded([this](PromotionOutcome outcome) {
--- a/src/process/promotion_lock.cc
+++ b/src/process/promotion_lock.cc
@@ -24,7 +24,9 @@
     const PromotionLockRow& currentRow, const StoreClock& clock, Time now, std::function<void(bool)> callback)
 {
     const bool own = currentRow.holder == this->daemon && currentRow.incarnation == this->incarnation;
-    if (this->writing || (!own && currentRow.untilStoreMs > clock.lowerBoundMs(now))) {
+    const bool heldByOther = !own && currentRow.untilStoreMs > clock.lowerBoundMs(now);
+    const bool turnOfOthers = !own && this->lastOrderAt && now < *this->lastOrderAt + turnInterval;
+    if (this->writing || heldByOther || turnOfOthers) {
         callback(false);
         return;
     }
--- a/src/process/promotion_lock.h
+++ b/src/process/promotion_lock.h
@@ -6,6 +6,7 @@
 #include "process/table_store.h"
 
 #include <functional>
+#include <optional>
 
 namespace endivetrestle {
 
@@ -18,10 +19,14 @@
     // Remaining validity that is required for sending an order.
     static constexpr Duration minValidityForOrder = std::chrono::milliseconds(2500);
 
+    // Time after its last order for which a holder that another daemon has followed does not take the lock again. The
+    // platform counts holders that order in turn within it as two that believe to hold the lock.
+    static constexpr Duration turnInterval = std::chrono::seconds(3);
+
     PromotionLock(DaemonId daemon, std::string incarnation, TableStore& store);
 
     // Acquires the lock with a new token, given its current row (version 0 if there is none). The callback tells
-    // whether this succeeded. It fails while another daemon holds the lock.
+    // whether this succeeded. It fails while another daemon holds the lock, and while it is the turn of others.
     void acquire(
         const PromotionLockRow& currentRow, const StoreClock& clock, Time now, std::function<void(bool)> callback);
     // Extends the validity of the lock, which this daemon holds.
@@ -29,6 +34,9 @@
     // Releases the lock. The token stays in the row.
     void release();
 
+    // Notes that an order is sent now.
+    void onOrder(Time now) { this->lastOrderAt = now; }
+
     // Whether an order may be sent now.
     [[nodiscard]] bool canOrderPromotion(Time now) const
     {
@@ -51,6 +59,7 @@
     bool held = false;
     bool writing = false;
     Time validUntil;
+    std::optional<Time> lastOrderAt;
 };
 
 } // namespace endivetrestle
