Wait for an endpoint that has followed the last primary

Cause: the best of the members that answer was promoted, also one that came back with the log of an older term, while those with the commits of later terms were down for some more seconds.

Evidence: in the simulation, before the change, e1 is promoted although e2, whose term it has not followed, is back after 1 s.

Change: the row of the group names the term of the last primary. While only members answer that have not followed it, the replacement waits, 10 s at most, the time that a change of primary may take; a last primary that answers as such is confirmed.

--- a/src/process/fleet_controller_test.cc
+++ b/src/process/fleet_controller_test.cc
@@ -406,3 +406,49 @@
     CHECK(!simulation.endpoints[e2].primary);
     CHECK(simulation.violations.empty());
 }
+
+namespace {
+
+// Two primaries crash in turn; then only the first one is back, which lacks the term of the second one.
+void crashTwoPrimaries(FleetSimulation& simulation)
+{
+    const EndpointId e3("e3");
+    simulation.runFor(warmUp);
+    simulation.endpoints[e3].up = false;
+    simulation.endpoints[e1].up = false;
+    simulation.runFor(3s);
+    REQUIRE(simulation.leader() == e2);
+    simulation.endpoints[e2].up = false;
+    simulation.endpoints[e1].up = true;
+    simulation.endpoints[e1].primary = false;
+}
+
+} // namespace
+
+TEST_CASE("FleetController, waits for an endpoint that has followed the last primary")
+{
+    // Guards against reads that lack acknowledged commits, because a member that came back with an older log leads.
+    for (const auto downFor : { 1s, 4s, 7s }) {
+        FleetSimulation simulation(4);
+        crashTwoPrimaries(simulation);
+        simulation.runFor(downFor);
+        CAPTURE(downFor.count());
+        CHECK(simulation.promotions == 1);
+        // Once it is back, it leads again, or another endpoint does that has followed it.
+        simulation.endpoints[e2].up = true;
+        simulation.runFor(5s);
+        CHECK(simulation.daemonsUsingLeader() == 4);
+        CHECK(simulation.violations.empty());
+    }
+}
+
+TEST_CASE("FleetController, promotes an endpoint with an older log when no other one comes back")
+{
+    // Guards against a group that has no primary for good. Target of the letter: a change of primary within 11 s, here
+    // beside the time to detect the crash.
+    FleetSimulation simulation(4);
+    crashTwoPrimaries(simulation);
+    simulation.runFor(13s);
+    CHECK(simulation.leader() == e1);
+    CHECK(simulation.violations.empty());
+}
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -513,6 +513,7 @@
                                   const std::function<void(std::optional<EndpointReport>)>& callback) {
             this->recordCall(index, "query");
             this->after(index, messageDelay, [this, ofGroup, id, callback] {
+                this->followLeader(ofGroup);
                 const auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
                 if (!endpoint.up) {
                     callback(std::nullopt);
@@ -605,6 +606,19 @@
         return records;
     }
 
+    // Replicas that run take the term of the leader, if it runs.
+    void followLeader(const DatabaseId& ofGroup)
+    {
+        auto& members = this->groupEndpoints.at(ofGroup);
+        const auto present = members.find(this->leader(ofGroup));
+        if (present == members.end() || !present->second.up)
+            return;
+        for (auto& [id, endpoint] : members) {
+            if (endpoint.up && !endpoint.primary)
+                endpoint.term = std::max(endpoint.term, present->second.term);
+        }
+    }
+
     // The promotion of an endpoint takes effect.
     void completePromotion(const DatabaseId& ofGroup, const EndpointId& id)
     {
@@ -617,6 +631,7 @@
             return;
         endpoint.primary = true;
         endpoint.term = term + 1;
+        this->followLeader(ofGroup);
         ++this->promotions;
     }
 
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -15,6 +15,8 @@
 constexpr Duration leaseRefreshInterval = std::chrono::milliseconds(400);
 // Delay before the endpoints are queried again when none could be chosen.
 constexpr Duration queryRetryDelay = std::chrono::milliseconds(300);
+// Longest wait for an endpoint that has followed the last primary. A change of primary may take 11 s.
+constexpr Duration completeLogTimeout = std::chrono::seconds(10);
 // Interval at which the position of the candidate is compared with that of the old primary, and the longest time to
 // wait for it to catch up.
 constexpr Duration catchUpPollInterval = std::chrono::milliseconds(30);
@@ -199,6 +201,9 @@
 void Promotion::refreshEndpoints()
 {
     this->enterStep("query");
+    const auto now = this->context.now();
+    if (this->context.promotionLock.needsExtension(now))
+        this->context.promotionLock.extend(this->context.clock, now, [](bool) {});
     this->context.hooks.refreshEndpoints(this->guarded([this](bool current) {
         if (current)
             this->queryEndpoints();
@@ -258,16 +263,22 @@
     }
     const auto old = this->reports.find(this->initialRow.endpoint);
     const bool oldAnswers = old != this->reports.end();
-    if (best == nullptr) {
+    const bool oldMayLead = oldAnswers && old->second.isPrimary && !this->isDraining(old->first);
+    const bool incomplete = best != nullptr && best->term < this->initialRow.term;
+    if (best == nullptr || (incomplete && oldMayLead)) {
         // No replica can take over. If the old primary still answers, it is confirmed as the primary.
         this->rejectedEndpoints.clear();
-        if (!oldAnswers || !old->second.isPrimary || this->isDraining(old->first)) {
+        if (!oldMayLead) {
             this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
             return;
         }
         best = &old->second;
         this->candidate = old->first;
     }
+    if (this->waitForCompleteLog(*best)) {
+        this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
+        return;
+    }
     this->candidateAlreadyLeads = best->isPrimary && best->term == this->highestTerm;
     if (oldAnswers && old->first != this->candidate && !this->candidateAlreadyLeads)
         this->waitForCatchUp(old->first);
@@ -275,6 +286,22 @@
         this->orderPromotion();
 }
 
+// An endpoint that has not followed the primary of the last term lacks what was acknowledged in it. Those that have it
+// may be back soon, and until then nothing is read that lacks it.
+bool Promotion::waitForCompleteLog(const EndpointReport& best)
+{
+    if (best.term >= this->initialRow.term)
+        return false;
+    const auto now = this->context.now();
+    if (!this->incompleteSince) {
+        this->incompleteSince = now;
+        logEvent(LogLevel::Warning, "promotion_waits_for_log",
+            { { "group", this->initialRow.group.value }, { "candidate", this->candidate.value },
+                { "candidate_term", best.term }, { "last_term", this->initialRow.term } });
+    }
+    return now < *this->incompleteSince + completeLogTimeout;
+}
+
 void Promotion::waitForCatchUp(const EndpointId& old)
 {
     const auto target = this->reports.at(old).received;
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,6 +75,7 @@
     void finish(bool succeeded);
     void enterStep(const char* step);
     void schedule(Duration delay, std::function<void()> action);
+    [[nodiscard]] bool waitForCompleteLog(const EndpointReport& best);
     static bool isAhead(const EndpointReport& left, const EndpointReport& right);
     [[nodiscard]] bool isDraining(const EndpointId& endpoint) const;
 
@@ -109,6 +111,8 @@
     // Endpoints whose promotion this attempt has ordered.
     std::set<EndpointId> orderedEndpoints;
     EndpointId candidate;
+    // Time since which only endpoints have answered that lack the term of the last primary.
+    std::optional<Time> incompleteSince;
     // Highest term that an endpoint reported.
     std::uint64_t highestTerm = 0;
     // Whether no other endpoint can lead with a higher term: all have answered, and no promotion has been ordered so
