--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -107,6 +107,28 @@
     CHECK(fixture.session->isIdle());
 }
 
+TEST_CASE("ClientSession, rolls back the transaction when its commit was refused")
+{
+    // Guards against a connection that stays pinned to a transaction which its session has forgotten.
+    for (const auto code : { ReplyCode::Busy, ReplyCode::ReadOnly, ReplyCode::Failed }) {
+        SessionFixture fixture("orders");
+        fixture.send(StatementKind::Begin, "BEGIN");
+        fixture.send(StatementKind::Write, "WRITE 1 x");
+        fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+        fixture.world.succeed(fixture.world.take(), SessionPhase::Transaction);
+        fixture.send(StatementKind::Commit, "COMMIT");
+        fixture.world.fail(fixture.world.take(), code, SessionPhase::Transaction);
+        CHECK_FALSE(fixture.lastReply().succeeded);
+        CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+        const auto rollback = fixture.world.take();
+        REQUIRE(rollback.command.kind == CommandKind::Rollback);
+        fixture.world.succeed(rollback);
+        // The connection serves others again.
+        fixture.send(StatementKind::Write, "WRITE 1 y");
+        CHECK(fixture.world.take().connection == rollback.connection);
+    }
+}
+
 TEST_CASE("ClientSession, answers a rollback at once and rolls the endpoint back")
 {
     SessionFixture fixture("orders");
