soak: replicas that lag, and a group that is led by the member promoted last

What was wrong: after the present primary was demoted, the stand-in took a member of an earlier term that still thought it led for the leader, did not promote it again, and dropped the commits of the later term without noting it. And replicas had no lag after the first records, so a read at a replaced primary rarely missed anything.

Change: the member promoted last leads, until it is demoted; a replica receives a record 40 ms after its commit. One line of comment is wrapped.

--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -247,8 +247,8 @@
     if (this->transaction == TransactionPhase::None)
         return;
     if (work.statement.kind == StatementKind::Commit) {
-        // The endpoint refused the commit and keeps the transaction open. The client has been promised that nothing of it
-        // is kept, or retries it as a whole.
+        // The endpoint refused the commit and keeps the transaction open. The client has been promised that nothing of
+        // it is kept, or retries it as a whole.
         auto* runner = result.connection ? this->hooks.runner(this->transactionRoute->group) : nullptr;
         if (runner != nullptr)
             runner->endTransaction(*result.connection, this->hooks.now());
--- a/src/soak/standin_group.cc
+++ b/src/soak/standin_group.cc
@@ -243,7 +243,7 @@
 void StandinMember::append(const std::vector<std::string>& writes)
 {
     const Position position { this->term, this->received().index + 1 };
-    this->log.push_back({ position, writes });
+    this->log.push_back({ position, writes, bootNow() });
     this->appliedCount = this->log.size();
     const bool superseded = this->group.leader() != this;
     for (const auto& id : writes)
@@ -257,7 +257,8 @@
 {
     for (int i = 1; i <= 3; ++i)
         this->addMember(context);
-    this->members.front()->primary = true;
+    this->lastPromoted = this->members.front().get();
+    this->lastPromoted->primary = true;
 }
 
 StandinMember& StandinGroup::addMember(asio::io_context& context)
@@ -267,15 +268,7 @@
     return *this->members.back();
 }
 
-StandinMember* StandinGroup::leader()
-{
-    StandinMember* best = nullptr;
-    for (const auto& member : this->members) {
-        if (member->primary && (best == nullptr || member->term > best->term))
-            best = member.get();
-    }
-    return best;
-}
+StandinMember* StandinGroup::leader() { return this->lastPromoted->primary ? this->lastPromoted : nullptr; }
 
 StandinMember* StandinGroup::find(const std::string& id)
 {
@@ -295,6 +288,7 @@
     for (const auto& other : this->members)
         highest = std::max(highest, other->term);
     this->audit.onRolledBack(this->name, member->received(), highest + 1);
+    this->lastPromoted = member;
     member->primary = true;
     member->term = highest + 1;
     member->appliedCount = member->log.size();
@@ -305,6 +299,11 @@
     auto* source = this->leader();
     if (source == nullptr || !source->up)
         return;
+    const auto due = bootNow() - this->replicationDelay;
+    const auto available
+        = static_cast<std::size_t>(std::partition_point(source->log.begin(), source->log.end(),
+                                       [&](const StandinMember::Record& record) { return record.committedAt <= due; })
+            - source->log.begin());
     // A replaced primary learns of its successor after about a second.
     constexpr int ticksUntilLearned = 200;
     for (const auto& member : this->members) {
@@ -318,15 +317,11 @@
             --common;
         member->log.resize(common);
         member->term = source->term;
-        const auto available = source->log.size() > this->lagRecords ? source->log.size() - this->lagRecords : 0;
         const auto target = std::max(common, available);
         member->log.insert(member->log.end(), source->log.begin() + static_cast<std::ptrdiff_t>(common),
             source->log.begin() + static_cast<std::ptrdiff_t>(target));
         member->appliedCount = member->log.size();
     }
-    // Without new records the replicas catch up.
-    if (this->lagRecords > 0 && this->random() % 4 == 0)
-        --this->lagRecords;
 }
 
 } // namespace endivetrestle::soak
--- a/src/soak/standin_group.h
+++ b/src/soak/standin_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "edge/line_socket.h"
 #include "soak/audit.h"
 
@@ -19,6 +20,7 @@
     struct Record {
         Position position;
         std::vector<std::string> writes;
+        Time committedAt;
     };
 
     StandinMember(asio::io_context& context, StandinGroup& group, std::string id);
@@ -90,17 +92,22 @@
     void promote(const std::string& id);
     // Moves records from the primary to the replicas; called every few milliseconds.
     void replicate();
+    // The member that was promoted last, or null if it was demoted. A member of an earlier term that still takes itself
+    // for the primary does not lead.
     StandinMember* leader();
     StandinMember* find(const std::string& id);
 
     std::string name;
     Audit& audit;
     std::mt19937_64& random;
-    // Records by which replicas stay behind in receiving and in applying.
-    std::size_t lagRecords = 2;
+    // Time after its commit until a replica receives a record.
+    std::chrono::milliseconds replicationDelay { 40 };
     // Connections that each member accepts.
     std::size_t maxConnections = 32;
     std::vector<std::unique_ptr<StandinMember>> members;
+
+private:
+    StandinMember* lastPromoted = nullptr;
 };
 
 } // namespace endivetrestle::soak
