Give up an outstanding watch before a new one

Read in the diff, not seen: when a feed catches up and the history is lost, it reads the whole table and watches anew while its earlier watch is still outstanding. The store client sends one call at a time on the connection of watches, so the new watch would wait behind a lost one for up to 29 s.

Change: TableFeed::watch gives up the outstanding watch first. The test of the lost history checks it.

--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace endivetrestle {
 
@@ -87,7 +88,6 @@
 {
     if (!this->watching)
         return;
-    this->store.abandonWatches(this->table);
     // The list may be old, so entries that are missing now get their grace period again.
     this->setReachable(false);
     this->watch();
@@ -122,8 +122,10 @@
 
 void TableFeed::watch()
 {
+    // The store client would keep a new watch waiting behind one that is lost.
+    if (std::exchange(this->watching, true))
+        this->store.abandonWatches(this->table);
     this->watchedAt = this->hooks.now();
-    this->watching = true;
     this->store.watch(this->table, this->lastVersion, watchTimeout,
         [this, number = ++this->watchNumber, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
             if (weak.expired() || number != this->watchNumber)
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -177,6 +177,9 @@
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 20, 3));
     CHECK(current == true);
     CHECK(fixture.snapshots == std::vector<std::size_t> { 2, 3 });
+    // A watch from before the loss would hold up the new one.
+    CHECK(fixture.store.abandoned.size() == 1);
+    CHECK(fixture.store.watches.size() == 1);
 }
 
 TEST_CASE("TableFeed, replaces a watch that does not tell what another reading has brought")
