--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -235,9 +235,17 @@
 {
     this->note("heal");
     this->faultTimer.cancel();
-    // Faults that are under way end by themselves within their time; paused daemons go on at once.
-    for (auto& daemon : this->daemons)
-        daemon.process->signal(SIGCONT);
+    this->healed = true;
+    // Faults of endpoints that are under way end by themselves within their time; paused daemons go on at once.
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        this->daemons[i].process->signal(SIGCONT);
+        this->setDaemonLinks(i, LinkCut::None);
+        this->store.setRefused(this->daemons[i].storeClient, false);
+    }
+    for (auto& member : this->members) {
+        for (const auto& link : member.links)
+            link->cut(LinkCut::None);
+    }
     this->store.down = false;
     this->store.loseAnswers = 0;
 }
--- a/src/soak/soak_partial_faults.cc
+++ b/src/soak/soak_partial_faults.cc
@@ -157,7 +157,7 @@
     auto* leader = group.leader();
     const auto old = std::find_if(this->members.begin(), this->members.end(),
         [&](const Member& candidate) { return candidate.endpoint == leader; });
-    if (old == this->members.end() || old->draining || !leader->up)
+    if (this->healed || old == this->members.end() || old->draining || !leader->up)
         return;
     auto& added = group.addMember(this->context);
     this->note("release " + leader->id + ", new member " + added.id);
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -120,6 +120,8 @@
     int configurationVersion = 0;
     // End of the latest fault of the store.
     Time storeHarmedUntil;
+    // Whether the time with faults is over.
+    bool healed = false;
 };
 
 } // namespace endivetrestle::soak
