Show that leases and primaries do not survive a store that is restored from a copy

The simulated store and the soak's store only ever raised their versions. Both now come back from a copy some seconds old: versions go back and are given out again, positions that do not exist get 410, answers carry Store-Era, and the operators and endpoints write again. The simulation also checks that no two daemons order with one token. The soak asks for recovery in each group, with writes and reads apart, because a group that stands still hid behind the others.

--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -28,7 +28,7 @@
         "connections that an endpoint accepts (1 to 1000); below twice the number of daemons, statements are forwarded "
         "to owners. 0: by seed, 32 if it is even and one less than that bound if it is odd",
         false, 0, "N", line };
-    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists" };
+    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists", "restored" };
     TCLAP::ValuesConstraint<std::string> scenarioNames { scenarios };
     TCLAP::ValueArg<std::string> scenario { "", "scenario", "which faults are injected", false, "mixed", &scenarioNames,
         line };
@@ -56,6 +56,8 @@
 {
     if (name == "cut-daemon")
         return soak::SoakScenario::CutDaemon;
+    if (name == "restored")
+        return soak::SoakScenario::Restored;
     return name == "old-lists" ? soak::SoakScenario::OldLists : soak::SoakScenario::Mixed;
 }
 
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -15,9 +15,10 @@
 namespace endivetrestle {
 
 // Deterministic simulation for tests of the fleet controller: several daemons, the store, the promotion service and the
-// database groups, all on virtual time. Faults are injected through public members. The simulation checks two safety
-// rules after every event: no daemon uses an endpoint other than the leader, and promotion tokens never decrease. It
-// collects violations instead of asserting, so that a test can print the seed and the step.
+// database groups, all on virtual time. Faults are injected through public members. The simulation checks three safety
+// rules after every event: no daemon uses an endpoint other than the leader, promotion tokens never decrease, and no two
+// daemons order with the same token. It collects violations instead of asserting, so that a test can print the seed and
+// the step.
 class FleetSimulation {
 public:
     // Each group has three endpoints of its own, of which the first one is the primary.
@@ -101,6 +102,8 @@
     SimulatedTables tables { [this] { return this->clock; } };
     int promotions = 0;
     std::uint64_t highestToken = 0;
+    // Daemon that ordered promotions with each token.
+    std::map<std::uint64_t, std::size_t> tokenHolders;
 
     [[nodiscard]] Time now() const { return this->clock; }
 
@@ -184,6 +187,15 @@
             daemon.oldList[id] = this->registryOf(id);
     }
 
+    // The store is away for a while and comes back as it was when the copy was taken.
+    void restoreStore(const SimulatedTables::Copy& copy, Duration awayFor)
+    {
+        this->storeDown = true;
+        this->runFor(awayFor);
+        this->tables.restore(copy);
+        this->storeDown = false;
+    }
+
     // Ends all faults and starts the daemons that are down.
     void heal()
     {
@@ -538,6 +550,9 @@
             if (token < this->highestToken)
                 this->violations.push_back("promotion ordered with token " + std::to_string(token) + " after token "
                     + std::to_string(this->highestToken));
+            if (const auto holder = this->tokenHolders.try_emplace(token, index).first->second; holder != index)
+                this->violations.push_back("daemons " + std::to_string(holder) + " and " + std::to_string(index)
+                    + " order promotions with token " + std::to_string(token));
             this->highestToken = std::max(this->highestToken, token);
             this->checkCandidate(ofGroup, id);
             if (!this->groupEndpoints.at(ofGroup).at(id).up) {
--- a/src/process/simulated_tables_test.h
+++ b/src/process/simulated_tables_test.h
@@ -20,6 +20,23 @@
     {
     }
 
+    // Rows and newest version at one moment, from which the store may be restored.
+    struct Copy {
+        std::map<std::pair<std::string, std::string>, StoreRow> rows;
+        std::uint64_t version = 0;
+    };
+
+    [[nodiscard]] Copy copy() const { return { this->rows, this->version }; }
+    // Loses what was acknowledged since the copy was taken. Versions go back with it and are given out again.
+    void restore(const Copy& copy)
+    {
+        this->rows = copy.rows;
+        this->version = copy.version;
+        ++this->era;
+    }
+
+    // Number of the present era. It rises by one each time that the store is restored.
+    std::uint64_t era = 1;
     // Whether the store has lost the history of earlier changes.
     bool historyLost = false;
     // Number of rows of the fleet table that were returned.
@@ -30,6 +47,14 @@
         return this->rows.count({ table, key }) != 0;
     }
 
+    // Whether the promotion lock has ever been taken.
+    [[nodiscard]] bool hasLock() const
+    {
+        return std::any_of(this->rows.begin(), this->rows.end(), [](const auto& entry) {
+            return entry.first.second.find(promotionLockKey) != std::string::npos;
+        });
+    }
+
     StoreResult read(const std::string& table)
     {
         auto result = this->collect(table, 0);
@@ -41,7 +66,7 @@
     StoreResult changes(const std::string& table, std::uint64_t after)
     {
         auto result = this->collect(table, after);
-        if (this->historyLost) {
+        if (this->historyLost || after > this->version) {
             result.status = StoreStatus::HistoryLost;
             result.rows.clear();
         }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -17,6 +17,8 @@
     // Some daemons lose the store or their watches, and then primaries are released, so that daemons have lists of
     // endpoints of different age.
     OldLists,
+    // Primaries are replaced while the store loses what it has acknowledged and comes back from a copy.
+    Restored,
 };
 
 struct SoakSettings {
@@ -47,10 +49,10 @@
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
 // and continue), harmed connections to the store, to endpoints and between daemons, endpoints that crash, lag, drain,
-// leave or lose answers, and a store that is down, loses answers or forgets its history. Every daemon has connections
+// leave or lose answers, and a store that is down, loses answers, forgets its history or comes back from an older copy. Every daemon has connections
 // of its own to the store, to each endpoint and to each other daemon, so that a fault may concern some daemons only. At
-// the end everything is healed, and most statements must succeed again and every daemon must stop within its grace
-// period.
+// the end everything is healed, and most statements must succeed again, in each group and for writes and reads apart, and
+// every daemon must stop within its grace period.
 SoakReport runSoak(const SoakSettings& settings);
 
 std::string formatReport(const SoakReport& report);
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -79,6 +79,7 @@
     if (this->stopped)
         return;
     ++this->counts.lost;
+    ++this->presentCounts().lost;
     this->timeout.cancel();
     this->timer.expires_after(std::chrono::milliseconds(20 + this->random() % 100));
     this->timer.async_wait([this](const asio::error_code& error) {
@@ -133,8 +134,10 @@
         return;
     }
     this->checkAnswer();
-    if (this->expected != Expect::Startup)
+    if (this->expected != Expect::Startup) {
         ++this->counts.succeeded;
+        ++this->presentCounts().succeeded;
+    }
     switch (this->expected) {
     case Expect::SetValue:
         this->values[this->pendingValue.first] = this->pendingValue.second;
@@ -174,7 +177,8 @@
 void SoakClient::onFailure(const std::string& state)
 {
     const bool promise = promisesNothingKept(this->errorCode);
-    ++(promise ? this->counts.refused : this->counts.unknown);
+    for (auto* total : { &this->counts, &this->presentCounts() })
+        ++(promise ? total->refused : total->unknown);
     if (promise && this->inTransaction)
         this->audit.onRefused(this->transactionWrites);
     else if (promise && this->expected == Expect::Write)
@@ -191,6 +195,12 @@
     }
 }
 
+ClientCounts& SoakClient::presentCounts()
+{
+    const bool writes = this->expected == Expect::Write || this->expected == Expect::Commit || this->inTransaction;
+    return writes || !this->route.maxStaleness ? this->atPrimary : this->reads;
+}
+
 void SoakClient::nextOperation()
 {
     if (this->inTransaction) {
--- a/src/soak/soak_client.h
+++ b/src/soak/soak_client.h
@@ -20,7 +20,7 @@
     bool readsOwnWrites = false;
 };
 
-// Counts of all clients.
+// Counts of clients.
 struct ClientCounts {
     std::uint64_t succeeded = 0;
     std::uint64_t refused = 0;
@@ -41,6 +41,12 @@
     void start();
     void stop();
 
+    [[nodiscard]] const ClientRoute& usedRoute() const { return this->route; }
+    // Statements of this client, by how they ended: writes, commits and all statements of routes that need the primary
+    // on one side, all others on the other side.
+    [[nodiscard]] const ClientCounts& primaryCounts() const { return this->atPrimary; }
+    [[nodiscard]] const ClientCounts& readCounts() const { return this->reads; }
+
 private:
     enum class Expect { Startup, Begin, Read, Write, Commit, Rollback, SetValue };
 
@@ -54,11 +60,16 @@
     void onFailure(const std::string& state);
     void checkAnswer();
     void armTimeout();
+    // Counts of the kind to which the present statement belongs.
+    [[nodiscard]] ClientCounts& presentCounts();
 
     asio::io_context& context;
     std::mt19937_64& random;
     Audit& audit;
+    // Counts of all clients of the run.
     ClientCounts& counts;
+    ClientCounts atPrimary;
+    ClientCounts reads;
     std::string name;
     ClientRoute route;
     std::function<asio::ip::tcp::endpoint()> pickDaemon;
--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -24,6 +24,8 @@
     case SoakScenario::OldLists:
         // Leaves time in which all daemons are in touch with the store.
         return std::chrono::milliseconds(22000 + this->random() % 4000);
+    case SoakScenario::Restored:
+        return std::chrono::milliseconds(9000 + this->random() % 5000);
     case SoakScenario::Mixed:
         break;
     }
@@ -50,8 +52,14 @@
         this->loseStoreForSome();
         return;
     }
-    const auto kind = this->random() % 24;
-    if (kind < 5)
+    if (this->settings.scenario == SoakScenario::Restored) {
+        this->restoreStore();
+        return;
+    }
+    const auto kind = this->random() % 25;
+    if (kind == 24)
+        this->restoreStore();
+    else if (kind < 5)
         this->harmDaemon(kind);
     else if (kind >= 19)
         this->harmSome(kind);
@@ -224,6 +232,48 @@
     }
 }
 
+// Replaces primaries, and then takes the store away and brings it back as it was some seconds before. Operators and
+// endpoints write again soon after; what the daemons had written is gone.
+void SoakRun::restoreStore()
+{
+    this->releasePrimaries(std::chrono::milliseconds(1500));
+    const auto lostAfter = std::chrono::milliseconds(500 + this->random() % 3500);
+    const auto awayFor = this->upTo(2500);
+    const auto age = std::chrono::milliseconds(1000 + this->random() % 8000);
+    const auto writtenAgainAfter = std::chrono::milliseconds(this->random() % 1500);
+    const bool killSome = this->random() % 3 == 0;
+    const bool cutSome = this->random() % 3 == 0;
+    this->later(lostAfter, [this, awayFor, age, killSome, cutSome] {
+        if (this->healed)
+            return;
+        this->note("restore the store from a copy of " + std::to_string(age.count()) + " ms before, away for "
+            + std::to_string(awayFor.count()) + " ms");
+        this->storeHarmedUntil = std::max(this->storeHarmedUntil, bootNow() + awayFor);
+        this->store.down = true;
+        this->writersAway = true;
+        if (cutSome)
+            this->cutStore();
+        if (killSome)
+            this->harmDaemon(0);
+    });
+    this->later(lostAfter + awayFor, [this, age] {
+        if (!this->writersAway)
+            return;
+        this->store.restore(age);
+        this->store.down = false;
+    });
+    this->later(lostAfter + awayFor + writtenAgainAfter, [this] { this->writeAgain(); });
+}
+
+// The operators and the endpoints write again what they have written before.
+void SoakRun::writeAgain()
+{
+    this->writersAway = false;
+    for (auto& member : this->members)
+        member.lastRow = "?";
+    this->putConfiguration();
+}
+
 // Notes that a daemon is harmed from now on for some time.
 void SoakRun::harmed(std::size_t index, std::chrono::milliseconds duration)
 {
@@ -248,6 +298,8 @@
     }
     this->store.down = false;
     this->store.loseAnswers = 0;
+    if (this->writersAway)
+        this->writeAgain();
 }
 
 } // namespace endivetrestle::soak
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -114,6 +114,8 @@
 
 void SoakRun::putRegistry()
 {
+    if (this->writersAway)
+        return;
     const auto now = bootNow();
     for (auto& member : this->members) {
         const auto& endpoint = *member.endpoint;
@@ -302,14 +304,37 @@
 
 void SoakRun::checkRecovery()
 {
-    const auto before = this->report.counts;
+    const auto before = this->countsByGroup();
     this->runFor(recoveryWindow);
-    const auto& now = this->report.counts;
-    const auto good = now.succeeded - before.succeeded;
-    const auto bad = now.refused - before.refused + now.unknown - before.unknown + now.lost - before.lost;
-    if (static_cast<double>(good) < recoveredShare * static_cast<double>(good + bad) || good == 0)
-        this->audit.violate("after healing only " + std::to_string(good) + " of " + std::to_string(good + bad)
-            + " statements succeeded");
+    for (const auto& [kind, now] : this->countsByGroup()) {
+        const auto& earlier = before.at(kind);
+        const auto good = now.succeeded - earlier.succeeded;
+        const auto bad = now.refused - earlier.refused + now.unknown - earlier.unknown + now.lost - earlier.lost;
+        if (static_cast<double>(good) < recoveredShare * static_cast<double>(good + bad) || good == 0)
+            this->audit.violate("after healing only " + std::to_string(good) + " of " + std::to_string(good + bad) + " "
+                + kind + " succeeded");
+    }
+}
+
+// Counts of each group, those that need its primary apart from the others: a group that stands still must not hide
+// behind the others, nor its writes behind its reads.
+std::map<std::string, ClientCounts> SoakRun::countsByGroup() const
+{
+    std::map<std::string, ClientCounts> result;
+    const auto add = [&](const std::string& kind, const ClientCounts& counts) {
+        auto& total = result[kind];
+        total.succeeded += counts.succeeded;
+        total.refused += counts.refused;
+        total.unknown += counts.unknown;
+        total.lost += counts.lost;
+    };
+    for (const auto& client : this->clients) {
+        const auto& route = client->usedRoute();
+        add("statements at the primary of " + route.group, client->primaryCounts());
+        if (route.maxStaleness)
+            add("reads of " + route.group, client->readCounts());
+    }
+    return result;
 }
 
 void SoakRun::stopAll()
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 
@@ -73,6 +74,7 @@
     void later(std::chrono::milliseconds delay, std::function<void()> action);
     void runFor(std::chrono::milliseconds duration);
     void checkRecovery();
+    [[nodiscard]] std::map<std::string, ClientCounts> countsByGroup() const;
     void stopAll();
 
     // soak_faults.cc
@@ -85,6 +87,8 @@
     void pause(std::size_t index, std::chrono::milliseconds duration, const std::string& name);
     void harmMember(std::uint64_t kind);
     void harmStore(std::uint64_t kind);
+    void restoreStore();
+    void writeAgain();
     void harmed(std::size_t daemon, std::chrono::milliseconds duration);
     void heal();
     void note(const std::string& fault);
@@ -118,6 +122,8 @@
     asio::steady_timer ticker;
     asio::steady_timer faultTimer;
     int configurationVersion = 0;
+    // Whether the operators and the endpoints have not yet written again what the store has lost.
+    bool writersAway = false;
     // End of the latest fault of the store.
     Time storeHarmedUntil;
     // Whether the time with faults is over.
--- a/src/soak/standin_store.cc
+++ b/src/soak/standin_store.cc
@@ -16,6 +16,10 @@
 constexpr int gone = 410;
 constexpr int unavailable = 503;
 
+// Interval at which copies are kept, and the age of the oldest one.
+constexpr std::int64_t copyIntervalMs = 250;
+constexpr std::int64_t oldestCopyMs = 12'000;
+
 // Value of a query parameter, with percent escapes undone.
 std::string parameter(const std::string& query, const std::string& name)
 {
@@ -41,8 +45,6 @@
         { "SchemaVersion", version } };
 }
 
-HttpResponse respond(int status, const json& body) { return { status, "application/json", body.dump() }; }
-
 } // namespace
 
 StandinStore::StandinStore(asio::io_context& context, std::mt19937_64& random, Promote promote)
@@ -85,11 +87,38 @@
 
 void StandinStore::compact() { this->compactedTo = this->version; }
 
+void StandinStore::keepCopy()
+{
+    const auto now = this->nowMs();
+    if (!this->copies.empty() && now < this->copies.back().atMs + copyIntervalMs)
+        return;
+    this->copies.push_back({ now, this->rows, this->version });
+    while (this->copies.front().atMs < now - oldestCopyMs)
+        this->copies.pop_front();
+}
+
+void StandinStore::restore(std::chrono::milliseconds age)
+{
+    const auto wanted = this->nowMs() - age.count();
+    while (this->copies.size() > 1 && this->copies.back().atMs > wanted)
+        this->copies.pop_back();
+    this->rows = this->copies.back().rows;
+    this->version = this->copies.back().version;
+    ++this->era;
+    for (const auto& watch : std::exchange(this->watches, {}))
+        watch.answer(this->respond(unavailable, "{}"));
+}
+
+HttpResponse StandinStore::respond(int status, const std::string& body) const
+{
+    return { status, "application/json", body, { { "Store-Era", std::to_string(this->era) } } };
+}
+
 void StandinStore::handle(std::size_t number, const HttpRequest& request, const HttpServer::Answer& answer)
 {
     const auto& client = this->clients.at(number);
     if (this->down || client.refused) {
-        answer({ unavailable, "application/json", "{}" });
+        answer(this->respond(unavailable, "{}"));
         return;
     }
     if (request.path == "/v1/rows-feed") {
@@ -114,8 +143,9 @@
         if (key.first == table && !row.removed)
             list.push_back(encodeRow(table, key.second, client.view(table, key.second, row.value), row.version));
     }
-    return respond(
-        ok, { { "rows", list }, { "HasMore", false }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+    const json body { { "rows", list }, { "HasMore", false }, { "SchemaVersion", this->version },
+        { "NowMs", this->nowMs() } };
+    return this->respond(ok, body.dump());
 }
 
 HttpResponse StandinStore::change(const Client& client, const std::string& body)
@@ -132,9 +162,10 @@
             present.push_back(encodeRow(
                 key.first, key.second, client.view(key.first, key.second, found->second.value), found->second.version));
     }
-    if (!holds)
-        return respond(
-            conflict, { { "rows", present }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+    if (!holds) {
+        const json current { { "rows", present }, { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } };
+        return this->respond(conflict, current.dump());
+    }
     ++this->version;
     for (const auto& row : request.at("SetKeys")) {
         std::string value;
@@ -143,7 +174,8 @@
     }
     for (const auto& row : request.at("Remove"))
         this->rows[{ row.at("Table"), row.at("Key") }] = { "", this->version, true };
-    return respond(ok, { { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } });
+    const json done { { "SchemaVersion", this->version }, { "NowMs", this->nowMs() } };
+    return this->respond(ok, done.dump());
 }
 
 std::string StandinStore::changedSince(const Watch& watch, bool& any) const
@@ -165,22 +197,23 @@
 {
     Watch watch { client, parameter(query, "Table"), std::stoull(parameter(query, "after")),
         this->nowMs() + std::stoll(parameter(query, "WaitMs")), answer };
-    if (watch.after < this->compactedTo)
-        answer({ gone, "application/json", "{}" });
+    if (watch.after < this->compactedTo || watch.after > this->version)
+        answer(this->respond(gone, "{}"));
     else
         this->watches.push_back(std::move(watch));
 }
 
 void StandinStore::tick()
 {
+    this->keepCopy();
     std::vector<Watch> kept;
     for (auto& watch : std::exchange(this->watches, {})) {
         bool any = false;
         const auto body = this->changedSince(watch, any);
         if (this->down || this->clients.at(watch.client).refused)
-            watch.answer({ unavailable, "application/json", "{}" });
+            watch.answer(this->respond(unavailable, "{}"));
         else if (any || watch.untilMs <= this->nowMs())
-            watch.answer({ ok, "application/json", body });
+            watch.answer(this->respond(ok, body));
         else
             kept.push_back(std::move(watch));
     }
@@ -194,7 +227,7 @@
     const auto number = token == request.headers.end() ? 0 : std::stoull(token->second);
     const auto holder = request.headers.find("Duty-Holder");
     const auto name = holder == request.headers.end() ? std::string() : holder->second;
-    return respond(this->promote(body.at("Service"), body.at("Id"), name, number), json::object());
+    return this->respond(this->promote(body.at("Service"), body.at("Id"), name, number), "{}");
 }
 
 } // namespace endivetrestle::soak
--- a/src/soak/standin_store.h
+++ b/src/soak/standin_store.h
@@ -39,7 +39,10 @@
     void remove(const std::string& table, const std::string& key);
     // Drops the history, so that watches must read everything again.
     void compact();
-    // Answers watches whose time is over; called every few milliseconds.
+    // Comes back as it was at the given age, or as early as there is a copy: what it has acknowledged since is gone, and
+    // its versions are given out again.
+    void restore(std::chrono::milliseconds age);
+    // Answers watches whose time is over and keeps copies; called every few milliseconds.
     void tick();
 
     // Refuses every call.
@@ -53,6 +56,12 @@
         std::uint64_t version = 0;
         bool removed = false;
     };
+    // What the store held at one moment.
+    struct Copy {
+        std::int64_t atMs = 0;
+        std::map<std::pair<std::string, std::string>, Row> rows;
+        std::uint64_t version = 0;
+    };
     struct Client {
         std::unique_ptr<HttpServer> server;
         View view;
@@ -74,6 +83,8 @@
     HttpResponse promotion(const HttpRequest& request);
     [[nodiscard]] std::string changedSince(const Watch& watch, bool& any) const;
     [[nodiscard]] std::int64_t nowMs() const;
+    [[nodiscard]] HttpResponse respond(int status, const std::string& body) const;
+    void keepCopy();
 
     asio::io_context& context;
     std::mt19937_64& random;
@@ -82,6 +93,10 @@
     std::uint64_t version = 1;
     // Versions up to this one are no longer in the history.
     std::uint64_t compactedTo = 0;
+    // Number that all answers carry. It rises each time that the store is restored.
+    std::uint64_t era = 1;
+    // Copies of the last seconds, the oldest one first.
+    std::deque<Copy> copies;
     std::vector<Watch> watches;
     std::deque<Client> clients;
 };
