Keep an endpoint draining when an entry of a copy says it is ready

Callers: statements sent to an endpoint that is about to end, after the store came back as it was before it drained. Change: for the grace period after a restore an entry of the same process does not take the draining back; an endpoint that has started again counts as its entry says. Test: EndpointDirectory, does not take a draining endpoint for ready because of an entry of a copy.

--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -4,8 +4,9 @@
 
 namespace endivetrestle {
 
-bool EndpointDirectory::apply(const EndpointId& id, const std::optional<EndpointRecord>& record, Time now)
+bool EndpointDirectory::apply(const EndpointId& id, const std::optional<EndpointRecord>& entry, Time now)
 {
+    const auto record = entry ? std::optional(this->withKnownDraining(*entry, now)) : std::nullopt;
     if (!record) {
         if (this->listed.count(id) != 0)
             this->vanishedSince.try_emplace(id, now);
@@ -21,6 +22,21 @@
     return true;
 }
 
+EndpointRecord EndpointDirectory::withKnownDraining(EndpointRecord record, Time now) const
+{
+    const auto known = this->listed.find(record.id);
+    if (this->copyDistrustedUntil && now < *this->copyDistrustedUntil && known != this->listed.end()
+        && known->second.processStartMs == record.processStartMs)
+        record.draining = record.draining || known->second.draining;
+    return record;
+}
+
+void EndpointDirectory::onRestored(Time now)
+{
+    this->restartGrace(now);
+    this->copyDistrustedUntil = now + removalGrace;
+}
+
 void EndpointDirectory::put(const EndpointRecord& record)
 {
     this->listed[record.id] = record;
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -56,6 +56,11 @@
     // Restarts the grace period of all vanished entries. Called when the store is reachable again after an outage.
     void restartGrace(Time now);
 
+    // Call when the store has come back from a copy. Entries may be missing as after an outage, and others may tell
+    // what was so when the copy was taken: until the grace period has ended, an entry of a process that is draining does
+    // not make it ready again.
+    void onRestored(Time now);
+
     // Whether an endpoint that is not listed is gone. It may be missing for another reason for a grace period after the
     // first list, or after the store is reachable again: entries of live endpoints have expired meanwhile.
     [[nodiscard]] bool isSettled(Time now) const
@@ -73,6 +78,7 @@
 
 private:
     void put(const EndpointRecord& record);
+    [[nodiscard]] EndpointRecord withKnownDraining(EndpointRecord record, Time now) const;
     void removeFromGroup(const EndpointRecord& record);
 
     std::map<EndpointId, EndpointRecord> listed;
@@ -80,6 +86,8 @@
     std::set<DatabaseId> changedGroups;
     // Time of the first list, or time since which the store has been reachable again.
     std::optional<Time> gracePeriodStart;
+    // End of the time in which entries may be those of a copy.
+    std::optional<Time> copyDistrustedUntil;
     // Start of the grace period of each vanished entry.
     std::map<EndpointId, Time> vanishedSince;
 };
--- a/src/process/endpoint_directory_test.cc
+++ b/src/process/endpoint_directory_test.cc
@@ -86,3 +86,25 @@
     CHECK_FALSE(directory.isSettled(start + grace));
     CHECK(directory.isSettled(start + 2 * grace));
 }
+
+TEST_CASE("EndpointDirectory, does not take a draining endpoint for ready because of an entry of a copy")
+{
+    // Guards against statements for an endpoint that leaves, after the store came back as it was before that.
+    EndpointDirectory directory;
+    auto draining = record("a");
+    draining.draining = true;
+    directory.apply(EndpointId("a"), draining, start);
+    directory.onRestored(start);
+    directory.replaceAll({ record("a") }, start + 100ms);
+    CHECK(directory.records().at(EndpointId("a")).draining);
+    auto restarted = record("a");
+    restarted.processStartMs = 5;
+    directory.apply(EndpointId("a"), restarted, start + 200ms);
+    CHECK_FALSE(directory.records().at(EndpointId("a")).draining);
+    // What is written again later counts as it is.
+    restarted.draining = true;
+    directory.apply(EndpointId("a"), restarted, start + 300ms);
+    restarted.draining = false;
+    directory.apply(EndpointId("a"), restarted, start + EndpointDirectory::removalGrace);
+    CHECK_FALSE(directory.records().at(EndpointId("a")).draining);
+}
