--- a/src/edge/loop_http_client_test.cc
+++ b/src/edge/loop_http_client_test.cc
@@ -36,9 +36,11 @@
         answer({ 200, "application/json", "{}", { { "store-ERA", "17" }, { "Other", "x y" } } });
     });
     LoopHttpClient client(context, SocketAddress { "127.0.0.1", server.port() });
+    HttpCall call;
+    call.target = "/";
     std::vector<HttpAnswer> answers;
     for (int i = 0; i < 2; ++i)
-        client.send({}, 10s, [&](const HttpAnswer& answer) { answers.push_back(answer); });
+        client.send(call, 10s, [&](const HttpAnswer& answer) { answers.push_back(answer); });
     while (answers.size() < 2)
         context.run_one();
     for (const auto& answer : answers) {
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -33,23 +33,26 @@
     return found->get<std::uint64_t>();
 }
 
+// Version in a field of a decoded body; no value if the field holds none.
+std::optional<StoreVersion> version(const json& body, const char* name) { return parseStoreVersion(text(body, name)); }
+
 std::optional<PrimaryRow> decodePrimary(const json& value)
 {
     if (!value.is_object())
         return std::nullopt;
     const auto term = number(value, "term");
-    const auto version = number(value, "version");
-    if (!term || !version || text(value, "group").empty() || text(value, "endpoint").empty())
+    const auto rowVersion = version(value, "version");
+    if (!term || !rowVersion || text(value, "group").empty() || text(value, "endpoint").empty())
         return std::nullopt;
     PrimaryRow row;
     row.group = DatabaseId(text(value, "group"));
     row.endpoint = EndpointId(text(value, "endpoint"));
     row.term = *term;
     row.writer = DaemonId(text(value, "writer"));
-    row.version = *version;
+    row.version = *rowVersion;
     row.assumeEarlierRelease();
-    const auto claim = number(value, "claim");
-    const auto previousEpoch = number(value, "previous_epoch");
+    const auto claim = version(value, "claim");
+    const auto previousEpoch = version(value, "previous_epoch");
     if (claim && previousEpoch) {
         row.finishedClaim = *claim;
         row.previousEpoch = *previousEpoch;
@@ -62,7 +65,8 @@
 std::string encodeMessage(const Claim& claim)
 {
     return json {
-        { "group", claim.group.value }, { "claim", claim.version }, { "previous_epoch", claim.previousEpoch }
+        { "group", claim.group.value }, { "claim", toString(claim.version) },
+        { "previous_epoch", toString(claim.previousEpoch) }
     }.dump();
 }
 
@@ -76,8 +80,8 @@
     json list = json::array();
     for (const auto& row : rows) {
         list.push_back({ { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
-            { "version", row.version }, { "writer", row.writer.value }, { "claim", row.finishedClaim },
-            { "previous_epoch", row.previousEpoch } });
+            { "version", toString(row.version) }, { "writer", row.writer.value },
+            { "claim", toString(row.finishedClaim) }, { "previous_epoch", toString(row.previousEpoch) } });
     }
     return json { { "rows", list } }.dump();
 }
@@ -86,18 +90,24 @@
 {
     const auto row = encodeRow(renewal.row);
     return json {
-        { "daemon", row.key }, { "lease", row.value }, { "version", renewal.rowVersion }, { "urgent", renewal.urgent }
+        { "daemon", row.key }, { "lease", row.value }, { "version", toString(renewal.rowVersion) },
+        { "urgent", renewal.urgent }
     }.dump();
 }
 
 std::string encodeMessage(const StoreResult& result)
 {
     return json {
-        { "done", result.status == StoreStatus::Done }, { "version", result.version }, { "clock", result.storeMs },
-        { "epoch", epochVersionIn(result) }
+        { "done", result.status == StoreStatus::Done }, { "version", toString(result.version) },
+        { "clock", result.storeMs }, { "epoch", epochVersionIn(result).number }
     }.dump();
 }
 
+std::string encodeMessage(const std::optional<StoreVersion>& newestClaim)
+{
+    return newestClaim ? json { { "claim", toString(*newestClaim) } }.dump() : std::string("{}");
+}
+
 std::string encodeMessage(const BootstrapAnswer& answer)
 {
     json leases = json::array();
@@ -107,14 +117,14 @@
     }
     json body { { "leases", leases } };
     if (const auto& row = answer.configuration)
-        body["configuration"] = { { "key", row->key }, { "value", row->value }, { "version", row->version } };
+        body["configuration"] = { { "key", row->key }, { "value", row->value }, { "version", toString(row->version) } };
     return body.dump();
 }
 
-std::optional<std::uint64_t> decodeBootstrapQuestion(const std::string& body)
+std::optional<StoreVersion> decodeBootstrapQuestion(const std::string& body)
 {
     const auto value = json::parse(body, nullptr, false);
-    return value.is_object() ? number(value, "version") : std::nullopt;
+    return value.is_object() ? version(value, "version") : std::nullopt;
 }
 
 std::optional<BootstrapAnswer> decodeBootstrapAnswer(const std::string& body)
@@ -135,10 +145,11 @@
     const auto configuration = value.find("configuration");
     if (configuration == value.end())
         return answer;
-    const auto version = configuration->is_object() ? number(*configuration, "version") : std::nullopt;
-    if (!version)
+    const auto rowVersion = configuration->is_object() ? version(*configuration, "version") : std::nullopt;
+    if (!rowVersion)
         return std::nullopt;
-    answer.configuration = StoreRow { "", text(*configuration, "key"), text(*configuration, "value"), *version, false };
+    answer.configuration
+        = StoreRow { "", text(*configuration, "key"), text(*configuration, "value"), *rowVersion, false };
     return answer;
 }
 
@@ -147,11 +158,11 @@
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object())
         return std::nullopt;
-    const auto claim = number(value, "claim");
+    const auto claim = version(value, "claim");
     const auto group = text(value, "group");
     if (!claim || group.empty())
         return std::nullopt;
-    return Claim { DatabaseId(group), *claim, number(value, "previous_epoch").value_or(*claim) };
+    return Claim { DatabaseId(group), *claim, version(value, "previous_epoch").value_or(*claim) };
 }
 
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body)
@@ -185,11 +196,11 @@
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object())
         return std::nullopt;
-    const auto version = number(value, "version");
+    const auto rowVersion = version(value, "version");
     const auto row = decodeLeaseRow({ leaseTable, text(value, "daemon"), text(value, "lease") });
-    if (!version || !row || row->daemon.empty())
+    if (!rowVersion || !row || row->daemon.empty())
         return std::nullopt;
-    return LeaseRenewal { *row, *version, value.value("urgent", json()) == json(true) };
+    return LeaseRenewal { *row, *rowVersion, value.value("urgent", json()) == json(true) };
 }
 
 std::optional<StoreResult> decodeRenewalAnswer(const std::string& body)
@@ -197,17 +208,17 @@
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object())
         return std::nullopt;
-    const auto version = number(value, "version");
+    const auto storeVersion = version(value, "version");
     const auto clock = value.find("clock");
-    if (!version || clock == value.end() || !clock->is_number_integer())
+    if (!storeVersion || clock == value.end() || !clock->is_number_integer())
         return std::nullopt;
     StoreResult result;
     result.status = value.value("done", json()) == json(true) ? StoreStatus::Done : StoreStatus::Refused;
-    result.version = *version;
+    result.version = *storeVersion;
     result.storeMs = clock->get<std::int64_t>();
-    // Daemons of an earlier release send no epoch.
+    const auto era = storeVersion->era;
     if (const auto epoch = number(value, "epoch").value_or(0); epoch != 0)
-        result.rows.push_back({ fleetTable, epochKey, "", epoch });
+        result.rows.push_back({ fleetTable, toString(EraKey { era, epochKey }), "", { era, epoch } });
     return result;
 }
 
@@ -257,19 +268,19 @@
         });
 }
 
-void PeerCalls::askWitness(const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback)
+void PeerCalls::askWitness(const SocketAddress& address, std::function<void(std::optional<StoreVersion>)> callback)
 {
     this->clientFor(address).send(
         makeCall(peerWitnessPath, "{}"), suspendTimeout, [callback = std::move(callback)](const HttpAnswer& answer) {
             const auto body = json::parse(answer.body, nullptr, false);
-            callback(body.is_object() ? number(body, "claim") : std::nullopt);
+            callback(body.is_object() ? version(body, "claim") : std::nullopt);
         });
 }
 
-void PeerCalls::askBootstrap(const SocketAddress& address, std::uint64_t rowVersion,
+void PeerCalls::askBootstrap(const SocketAddress& address, StoreVersion rowVersion,
     std::function<void(const std::optional<BootstrapAnswer>&)> callback)
 {
-    this->clientFor(address).send(makeCall(peerBootstrapPath, json { { "version", rowVersion } }.dump()),
+    this->clientFor(address).send(makeCall(peerBootstrapPath, json { { "version", toString(rowVersion) } }.dump()),
         bootstrapTimeout, [callback = std::move(callback)](const HttpAnswer& answer) {
             callback(answer.status == 200 ? decodeBootstrapAnswer(answer.body) : std::nullopt);
         });
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -33,6 +33,8 @@
 std::string encodeMessage(const LeaseRenewal& renewal);
 // Answer to a renewal: how the call to the store ended, its version and its clock.
 std::string encodeMessage(const StoreResult& result);
+// Answer of a witness: the newest claim that it knows; no value if it has no lease itself.
+std::string encodeMessage(const std::optional<StoreVersion>& newestClaim);
 std::string encodeMessage(const BootstrapAnswer& answer);
 // The decoders return no value for a body that is not such a message.
 std::optional<Claim> decodeClaim(const std::string& body);
@@ -41,7 +43,7 @@
 std::optional<LeaseRenewal> decodeRenewalMessage(const std::string& body);
 std::optional<StoreResult> decodeRenewalAnswer(const std::string& body);
 // Row version of the configuration that the asking daemon has.
-std::optional<std::uint64_t> decodeBootstrapQuestion(const std::string& body);
+std::optional<StoreVersion> decodeBootstrapQuestion(const std::string& body);
 std::optional<BootstrapAnswer> decodeBootstrapAnswer(const std::string& body);
 
 // Calls to other daemons over HTTP. A connection to each daemon is kept open.
@@ -54,9 +56,9 @@
     void announce(const SocketAddress& address, const std::vector<PrimaryRow>& rows);
     void renew(const SocketAddress& address, const LeaseRenewal& renewal, Duration timeout, std::function<Time()> now,
         TableStore::Callback callback);
-    void askWitness(const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback);
+    void askWitness(const SocketAddress& address, std::function<void(std::optional<StoreVersion>)> callback);
     // Asks a daemon for the configuration, if its row is newer than the given version, and for the list of daemons.
-    void askBootstrap(const SocketAddress& address, std::uint64_t rowVersion,
+    void askBootstrap(const SocketAddress& address, StoreVersion rowVersion,
         std::function<void(const std::optional<BootstrapAnswer>&)> callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -17,8 +17,8 @@
     renewal.row.forwardAddress = { "10.0.0.1", 7441 };
     renewal.row.dataCentre = DataCentre("bkk-a");
     renewal.row.untilStoreMs = 123456789;
-    renewal.row.epochVersion = 9;
-    renewal.rowVersion = 8;
+    renewal.row.epochVersion = { 4, 9 };
+    renewal.rowVersion = { 4, 8 };
     renewal.urgent = true;
     return renewal;
 }
@@ -34,12 +34,12 @@
 {
     StoreResult result;
     result.status = StoreStatus::Done;
-    result.version = 31;
+    result.version = { 4, 31 };
     result.storeMs = -5;
     const auto done = decodeRenewalAnswer(encodeMessage(result));
     REQUIRE(done);
     CHECK(done->status == StoreStatus::Done);
-    CHECK(done->version == 31);
+    CHECK(done->version == StoreVersion { 4, 31 });
     CHECK(done->storeMs == -5);
     // Guards against a daemon that takes a conflict, which another daemon's row may have caused, for its own.
     result.status = StoreStatus::Conflict;
@@ -51,22 +51,22 @@
 {
     StoreResult result;
     result.status = StoreStatus::Conflict;
-    result.version = 31;
-    result.rows.push_back({ fleetTable, epochKey, "{}", 30 });
+    result.version = { 4, 31 };
+    result.rows.push_back({ fleetTable, "4/epoch", "{}", { 4, 30 } });
     const auto answer = decodeRenewalAnswer(encodeMessage(result));
     REQUIRE(answer);
-    CHECK(epochVersionIn(*answer) == 30);
+    CHECK(epochVersionIn(*answer) == StoreVersion { 4, 30 });
     result.rows.clear();
-    CHECK(epochVersionIn(*decodeRenewalAnswer(encodeMessage(result))) == 0);
+    CHECK_FALSE(epochVersionIn(*decodeRenewalAnswer(encodeMessage(result))).isSet());
 }
 
 // Guards against a daemon that ends because another one sends rubbish.
 TEST_CASE("PeerCalls, finds no message in bodies that are none")
 {
     for (const char* body :
-        { "", "[]", "{}", "{\"daemon\":5}", "{\"daemon\":\"d\",\"lease\":\"{}\",\"version\":1}",
-            R"({"daemon":"d","lease":"{\"address\":5}","version":1})",
-            R"({"daemon":"d","lease":"{\"address\":\"1.2.3.4:5\",\"forward\":\"1.2.3.4:5\",\"until\":\"x\"}","version":1})",
+        { "", "[]", "{}", "{\"daemon\":5}", "{\"daemon\":\"d\",\"lease\":\"{}\",\"version\":\"1.1\"}",
+            R"({"daemon":"d","lease":"{\"address\":5}","version":"1.1"})",
+            R"({"daemon":"d","lease":"{\"address\":\"1.2.3.4:5\",\"forward\":\"1.2.3.4:5\",\"until\":\"x\"}","version":"1.1"})",
             "{\"done\":true}", "{\"version\":\"x\",\"clock\":1}" }) {
         CAPTURE(body);
         CHECK_FALSE(decodeRenewalMessage(body));
@@ -84,8 +84,8 @@
 
 TEST_CASE("PeerCalls, keeps announced primaries")
 {
-    const PrimaryRow first { DatabaseId("a"), false, EndpointId("e1"), 3, DaemonId("d1"), 9 };
-    const PrimaryRow second { DatabaseId("b"), false, EndpointId("e2"), 1, DaemonId("d1"), 9 };
+    const PrimaryRow first { DatabaseId("a"), false, EndpointId("e1"), 3, DaemonId("d1"), { 4, 9 } };
+    const PrimaryRow second { DatabaseId("b"), false, EndpointId("e2"), 1, DaemonId("d1"), { 4, 9 } };
     CHECK(decodePrimaryMessage(encodeMessage({ first, second })) == std::vector<PrimaryRow> { first, second });
 }
 
@@ -103,7 +103,7 @@
 BootstrapAnswer sampleBootstrap()
 {
     BootstrapAnswer answer;
-    answer.configuration = StoreRow { "", "config", R"({"Version":7})", 41, false };
+    answer.configuration = StoreRow { "", "config", R"({"Version":7})", { 4, 41 }, false };
     answer.leases.push_back(sampleRenewal().row);
     return answer;
 }
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -33,7 +33,8 @@
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , incarnation(makeIncarnation())
     , storeClient(this->context, this->settings.storeAddress)
-    , store(this->storeClient, [this] { this->onStoreRegained(); })
+    , store(this->storeClient,
+          { [this] { this->onStoreRegained(); }, [this](std::uint64_t era) { this->onStoreEraChanged(era); } })
     , promotions(this->context, this->settings.promotionAddress)
     , peers(this->context)
 {
@@ -149,6 +150,16 @@
     this->registryFeed->watchAgain();
 }
 
+// What the feeds have read is of an earlier era, and their watches may be lost. Endpoints write again what the store
+// has lost, so their entries get the grace period of those that lapsed while the store was away.
+void SessionProxy::onStoreEraChanged(std::uint64_t era)
+{
+    this->fleet->onEraChanged(era);
+    this->directory.onRestored(bootNow());
+    this->configurationFeed->watchAgain();
+    this->registryFeed->watchAgain();
+}
+
 void SessionProxy::onConfigurationRows(const std::vector<StoreRow>& rows)
 {
     for (const auto& row : rows) {
@@ -156,11 +167,17 @@
             continue;
         auto table = platform::decodeConfigurationRow(row.value);
         if (!table) {
-            logEvent(LogLevel::Error, "configuration_unreadable", { { "row_version", row.version } });
+            logEvent(LogLevel::Error, "configuration_unreadable", { { "row_version", toString(row.version) } });
             continue;
         }
-        if (this->routes && table->version <= this->routes->version)
+        if (this->routes && table->version <= this->routes->version) {
+            // The operators write again what the store has lost; until then the newer configuration stays in force.
+            if (table->version < this->routes->version)
+                logEvent(LogLevel::Info, "older_configuration_ignored",
+                    { { "version", table->version }, { "in_force", this->routes->version },
+                        { "row_version", toString(row.version) } });
             continue;
+        }
         logEvent(LogLevel::Info, "configuration_in_force",
             { { "version", table->version }, { "routes", table->routes.size() } });
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
@@ -178,7 +195,8 @@
     for (const auto& row : rows) {
         auto record = row.removed ? std::nullopt : platform::decodeEndpointRow(row.key, row.value);
         if (!row.removed && !record)
-            logEvent(LogLevel::Warning, "registry_row_unreadable", { { "key", row.key }, { "version", row.version } });
+            logEvent(LogLevel::Warning, "registry_row_unreadable",
+                { { "key", row.key }, { "version", toString(row.version) } });
         if (!snapshot)
             this->directory.apply(EndpointId(row.key), record, now);
         else if (record)
@@ -280,6 +298,8 @@
     state.leaseLeftSeconds = toSeconds(this->fleet->leaseEnd() - now);
     state.configurationFeedReachable = this->configurationFeed->isReachable();
     state.registryFeedReachable = this->registryFeed->isReachable();
+    state.storeEra = this->fleet->storeEra();
+    state.joinedEra = this->fleet->hasJoinedEra();
     state.droppedLogLines = droppedLogLines();
     this->metrics.state(state);
     return this->metrics.serialize();
@@ -338,7 +358,7 @@
             group.scheduler->tick(now);
     }
     this->fleet->tick();
-    const bool storeAnswered = this->configurationFeed->version() != 0;
+    const bool storeAnswered = this->configurationFeed->version().isSet();
     if (!storeAnswered)
         this->bootstrap->tick(this->configurationRow.version, now);
     const auto idleLimit = (this->routes ? this->routes->transactionIdleLimit : Duration::zero()) + forwardedIdleSlack;
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -63,7 +63,7 @@
     void queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
         std::function<void(std::optional<EndpointReport>)> callback);
     void makeBootstrap();
-    [[nodiscard]] BootstrapAnswer bootstrapAnswer(std::uint64_t knownRowVersion) const;
+    [[nodiscard]] BootstrapAnswer bootstrapAnswer(StoreVersion knownRowVersion) const;
     void applyBootstrap(const BootstrapAnswer& answer);
     void handlePeer(const HttpRequest& request, HttpServer::Answer answer);
 
@@ -80,6 +80,7 @@
     void listen();
     void startFeeds();
     void onStoreRegained();
+    void onStoreEraChanged(std::uint64_t era);
     void onConfigurationRows(const std::vector<StoreRow>& rows);
     void onRegistryRows(const std::vector<StoreRow>& rows, bool snapshot);
     void updateGroups();
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -66,10 +66,9 @@
         this->peers.renew(
             address, renewal, timeout, [] { return bootNow(); }, std::move(callback));
     };
-    hooks.askWitness
-        = [this](const SocketAddress& address, std::function<void(std::optional<std::uint64_t>)> callback) {
-              this->peers.askWitness(address, std::move(callback));
-          };
+    hooks.askWitness = [this](const SocketAddress& address, std::function<void(std::optional<StoreVersion>)> callback) {
+        this->peers.askWitness(address, std::move(callback));
+    };
     hooks.askReachable = [this](const SocketAddress& address, const DatabaseId& group, const EndpointId& endpoint,
                              std::function<void(std::optional<bool>)> callback) {
         this->peers.askReachable(address, { group, endpoint }, std::move(callback));
@@ -135,7 +134,7 @@
 }
 
 // What a daemon is told that the store does not answer.
-BootstrapAnswer SessionProxy::bootstrapAnswer(std::uint64_t knownRowVersion) const
+BootstrapAnswer SessionProxy::bootstrapAnswer(StoreVersion knownRowVersion) const
 {
     BootstrapAnswer answer;
     if (this->configurationRow.version > knownRowVersion)
@@ -154,7 +153,7 @@
 void SessionProxy::makeBootstrap()
 {
     SeedBootstrapHooks hooks;
-    hooks.ask = [this](const SocketAddress& seed, std::uint64_t rowVersion, auto callback) {
+    hooks.ask = [this](const SocketAddress& seed, StoreVersion rowVersion, auto callback) {
         this->peers.askBootstrap(seed, rowVersion, std::move(callback));
     };
     hooks.apply = [this](const BootstrapAnswer& answer) { this->applyBootstrap(answer); };
@@ -164,7 +163,7 @@
 void SessionProxy::applyBootstrap(const BootstrapAnswer& answer)
 {
     // What the store has answered meanwhile is newer.
-    if (this->configurationFeed->version() != 0 || this->fleet->peersKnown())
+    if (this->configurationFeed->version().isSet() || this->fleet->peersKnown())
         return;
     std::vector<LeaseRow> others;
     for (const auto& lease : answer.leases) {
@@ -173,7 +172,8 @@
     }
     logEvent(LogLevel::Info, "bootstrapped_from_seed",
         { { "daemons", others.size() },
-            { "row_version", answer.configuration ? answer.configuration->version : this->configurationRow.version } });
+            { "row_version",
+                toString(answer.configuration ? answer.configuration->version : this->configurationRow.version) } });
     this->onLiveDaemons(others);
     if (answer.configuration)
         this->onConfigurationRows({ *answer.configuration });
@@ -183,12 +183,15 @@
 {
     constexpr int badRequest = 400;
     constexpr int notFound = 404;
+    constexpr int conflict = 409;
     constexpr int unavailable = 503;
     if (request.path == peerSuspendPath) {
         if (const auto claim = decodeClaim(request.body)) {
-            this->fleet->onSuspendRequest(*claim, [answer = std::move(answer)] {
+            const bool accepted = this->fleet->onSuspendRequest(*claim, [answer] {
                 answer(HttpResponse { 200, "application/json", "{}" });
             });
+            if (!accepted)
+                answer(HttpResponse { conflict, "application/json", "{}" });
             return;
         }
     } else if (request.path == peerPrimaryPath) {
@@ -205,9 +208,7 @@
             return;
         }
     } else if (request.path == peerWitnessPath) {
-        const auto claim = this->fleet->newestKnownClaim();
-        answer(HttpResponse {
-            200, "application/json", claim ? "{\"claim\":" + std::to_string(*claim) + "}" : std::string("{}") });
+        answer(HttpResponse { 200, "application/json", encodeMessage(this->fleet->newestKnownClaim()) });
         return;
     } else if (request.path == peerBootstrapPath) {
         if (const auto rowVersion = decodeBootstrapQuestion(request.body)) {
--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -88,27 +88,27 @@
         return;
     this->fleetReadPending = true;
     this->nextFleetRead = this->now() + replacementPollInterval;
-    const auto callback = [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+    const bool wholeTable = !this->fleetVersion.isSet();
+    const auto callback = [this, wholeTable, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (!weak.expired())
-            this->onFleetRead(result);
+            this->onFleetRead(result, wholeTable);
     };
-    if (this->fleetVersion == 0)
+    if (wholeTable)
         this->store.readAll(fleetTable, callback);
     else
         this->store.watch(fleetTable, this->fleetVersion, Duration::zero(), callback);
 }
 
-void FleetController::onFleetRead(const StoreResult& result)
+void FleetController::onFleetRead(const StoreResult& result, bool wholeTable)
 {
     this->fleetReadPending = false;
-    const bool changesOnly = this->fleetVersion != 0;
     // An answer of maximum size may lack rows of the last change. Its epoch must not be used, because this daemon would
     // then confirm a claim that it has not seen.
-    const bool cut = changesOnly && result.rows.size() >= maxChangedRows;
+    const bool cut = !wholeTable && result.rows.size() >= maxChangedRows;
     if (result.status == StoreStatus::HistoryLost || (result.status == StoreStatus::Done && cut)) {
         logEvent(LogLevel::Info, "fleet_read_again",
-            { { "version", this->fleetVersion }, { "reason", cut ? "many_changes" : "history_lost" } });
-        this->fleetVersion = 0;
+            { { "version", toString(this->fleetVersion) }, { "reason", cut ? "many_changes" : "history_lost" } });
+        this->fleetVersion = {};
         this->readFleet();
         return;
     }
@@ -117,19 +117,32 @@
         return;
     }
     this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-    std::uint64_t epoch = 0;
+    if (wholeTable)
+        this->takeFleetTable(result);
+    else
+        this->takeFleetChanges(result);
+}
+
+void FleetController::takeFleetChanges(const StoreResult& result)
+{
     for (const auto& row : result.rows) {
         if (row.removed)
-            logEvent(LogLevel::Warning, "fleet_row_removed", { { "key", row.key }, { "version", row.version } });
-        else if (row.key == epochKey)
-            epoch = row.version;
-        else if (const auto primary = decodePrimaryRow(row))
+            logEvent(
+                LogLevel::Warning, "fleet_row_removed", { { "key", row.key }, { "version", toString(row.version) } });
+        else if (const auto primary = decodePrimaryRow(row); primary && primary->version.era == this->era)
             this->applyRow(*primary);
     }
+    this->fleetWasRead(epochVersionIn(result), result.version);
+}
+
+// All rows up to a version have been applied. An epoch that is not set has not changed.
+void FleetController::fleetWasRead(StoreVersion epoch, StoreVersion upTo)
+{
     this->claims.addAllUpTo(epoch);
-    this->fleetVersion = std::max(this->fleetVersion, result.version);
+    this->fleetVersion = std::max(this->fleetVersion, upTo);
     if (!this->fleetTableLoaded)
-        logEvent(LogLevel::Info, "fleet_read", { { "groups", this->rows.size() }, { "epoch", epoch } });
+        logEvent(LogLevel::Info, "fleet_read",
+            { { "groups", this->rows.size() }, { "epoch", toString(epoch) }, { "era", this->era } });
     this->fleetTableLoaded = true;
     // The renewal needs the version of this daemon's row, which the concurrent listing of the leases provides.
     if (this->peersKnown() && this->now() >= this->nextRenewal)
@@ -171,8 +184,9 @@
     }
     if (done)
         entry->second.drainedCallbacks.push_back(std::move(done));
-    logEvent(
-        LogLevel::Info, "primary_suspended", { { "group", group.value }, { "version", this->rows.at(group).version } });
+    const auto row = this->rows.find(group);
+    const auto version = row == this->rows.end() ? StoreVersion() : row->second.version;
+    logEvent(LogLevel::Info, "primary_suspended", { { "group", group.value }, { "version", toString(version) } });
     this->hooks.suspendLocally(group, [this, group, weak = std::weak_ptr<int>(this->lifetime)] {
         if (weak.expired())
             return;
@@ -182,19 +196,28 @@
         found->second.drained = true;
         const auto waiting = std::move(found->second.drainedCallbacks);
         found->second.drainedCallbacks.clear();
+        // A primary that the present era does not have is adopted anew.
+        if (this->rows.count(group) == 0)
+            this->suspensions.erase(found);
         for (const auto& callback : waiting)
             callback();
     });
 }
 
-void FleetController::onSuspendRequest(const Claim& claim, std::function<void()> done)
+bool FleetController::onSuspendRequest(const Claim& claim, std::function<void()> done)
 {
+    // A confirmation would count for a claim that no other daemon knows any more.
+    if (claim.version.era < this->era) {
+        logEvent(LogLevel::Info, "claim_of_earlier_era",
+            { { "group", claim.group.value }, { "claim", toString(claim.version) }, { "era", this->era } });
+        return false;
+    }
     const auto known = this->rows.find(claim.group);
     this->claims.add(claim.version, claim.previousEpoch);
     // The replacement that made this claim has already finished.
     if (known != this->rows.end() && known->second.version > claim.version && !known->second.replacing) {
         done();
-        return;
+        return true;
     }
     if (known == this->rows.end() || known->second.version < claim.version) {
         auto& row = this->rows[claim.group];
@@ -206,12 +229,19 @@
         this->replacingSince.try_emplace(claim.group, this->now());
     }
     this->suspend(claim.group, std::move(done));
+    return true;
 }
 
 void FleetController::onAnnouncement(const std::vector<PrimaryRow>& rows)
 {
-    for (const auto& row : rows)
-        this->applyRow(row);
+    for (const auto& row : rows) {
+        // The rows of a later era are read from the store, all of them together.
+        if (row.version.era == this->era)
+            this->applyRow(row);
+        else
+            logEvent(LogLevel::Info, "announcement_of_other_era",
+                { { "group", row.group.value }, { "version", toString(row.version) }, { "era", this->era } });
+    }
 }
 
 void FleetController::listLeases()
@@ -220,55 +250,65 @@
     this->store.readAll(leaseTable, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
-        if (result.status != StoreStatus::Done) {
+        if (result.status == StoreStatus::Done)
+            this->onLeasesListed(result);
+        else
             this->nextListing = this->now() + readRetryDelay;
-            return;
-        }
-        this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
-        const auto storeMs = this->clock.lowerBoundMs(this->now());
-        this->peers.clear();
-        // A daemon counts as alive until its lease has expired. Renewals are late while the store is slow, and with a
-        // shorter limit most daemons would then count as dead.
-        std::vector<LeaseRow> alive;
-        std::vector<StoreCondition> lapsed;
-        bool ownListed = false;
-        bool othersLapsed = false;
-        for (const auto& row : result.rows) {
-            const auto lease = decodeLeaseRow(row);
-            if (!lease)
-                continue;
-            if (lease->daemon == this->identity.daemon) {
-                ownListed = true;
-                if (!this->renewalPending)
-                    this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
-                continue;
-            }
-            if (lease->untilStoreMs <= storeMs) {
-                othersLapsed = true;
-                if (storeMs - lease->untilStoreMs > lapsedLeaseKeptMs && lapsed.size() < maxLapsedRemoved)
-                    lapsed.push_back({ leaseTable, row.key, row.version });
-                continue;
-            }
-            this->peers[lease->daemon] = *lease;
-            alive.push_back(*lease);
-        }
-        this->liveCount = alive.size() + 1;
-        // After a restart while others run, or after a short outage of the whole fleet, the first list already contains
-        // all daemons.
-        if (++this->leaseListings == 1)
-            this->firstListComplete = ownListed && !othersLapsed && !alive.empty();
-        if (this->peerListComplete()) {
-            const Duration usual = listingInterval + listingIntervalPerDaemon * static_cast<int>(this->liveCount);
-            this->nextListing = this->now() + usual;
-        }
-        this->hooks.onLiveDaemons(alive);
-        if (!lapsed.empty() && this->peerListComplete() && this->ownRank() == 0)
-            this->removeLapsedLeases(std::move(lapsed));
-        if (this->now() >= this->nextRenewal)
-            this->renew();
     });
 }
 
+void FleetController::onLeasesListed(const StoreResult& result)
+{
+    this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
+    const auto storeMs = this->clock.lowerBoundMs(this->now());
+    const auto listedEra = result.version.era;
+    std::vector<StoreCondition> lapsed;
+    for (const auto& row : result.rows) {
+        const auto lease = decodeLeaseRow(row);
+        const bool own = lease && lease->daemon == this->identity.daemon;
+        if (own && lease->epochVersion.era == listedEra && !this->renewalPending)
+            this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
+        // Rows of earlier eras lapse as well, but their versions are those of the era that holds them.
+        if (lease && storeMs - lease->untilStoreMs > lapsedLeaseKeptMs && lapsed.size() < maxLapsedRemoved)
+            lapsed.push_back({ leaseTable, row.key, row.version });
+    }
+    // A daemon counts as alive until its lease has expired. Renewals are late while the store is slow, and with a
+    // shorter limit most daemons would then count as dead. What a copy tells of a lease is older than the lease, so a
+    // daemon that was alive before the store was restored counts until all leases of before have ended.
+    std::vector<LeaseRow> alive;
+    bool ownListed = false;
+    bool othersLapsed = false;
+    for (const auto& lease : leasesOf(result.rows, listedEra, this->earlierLeasesEndMs())) {
+        if (lease.daemon == this->identity.daemon) {
+            ownListed = true;
+            continue;
+        }
+        const bool ofEarlierEra = lease.epochVersion.era < listedEra;
+        const bool valid = lease.untilStoreMs > storeMs && (!ofEarlierEra || this->peers.count(lease.daemon) != 0);
+        if (valid)
+            alive.push_back(lease);
+        else
+            othersLapsed = true;
+    }
+    this->peers.clear();
+    for (const auto& lease : alive)
+        this->peers[lease.daemon] = lease;
+    this->liveCount = alive.size() + 1;
+    // After a restart while others run, or after a short outage of the whole fleet, the first list already contains all
+    // daemons.
+    if (++this->leaseListings == 1)
+        this->firstListComplete = ownListed && !othersLapsed && !alive.empty();
+    if (this->peerListComplete()) {
+        const Duration usual = listingInterval + listingIntervalPerDaemon * static_cast<int>(this->liveCount);
+        this->nextListing = this->now() + usual;
+    }
+    this->hooks.onLiveDaemons(alive);
+    if (!lapsed.empty() && this->peerListComplete() && this->ownRank() == 0)
+        this->removeLapsedLeases(std::move(lapsed));
+    if (this->now() >= this->nextRenewal)
+        this->renew();
+}
+
 // Removes lease rows that expired long ago. They would accumulate otherwise, because hosts are replaced under new names
 // every day. A daemon that does return stores a new row.
 void FleetController::removeLapsedLeases(std::vector<StoreCondition> rows)
@@ -297,14 +337,14 @@
 
 // Removes the lease row if it has the given version; version 0 only tests that there is none. A call that is done late,
 // when this daemon has been started again, must not remove the row of the next incarnation.
-void FleetController::removeLease(std::uint64_t version, std::function<void()> done)
+void FleetController::removeLease(StoreVersion version, std::function<void()> done)
 {
-    const StoreCondition row { leaseTable, this->identity.daemon.value, version };
+    const StoreCondition row { leaseTable, toString(EraKey { version.era, this->identity.daemon.value }), version };
     StoreChange change;
-    (version == 0 ? change.conditions : change.removals).push_back(row);
+    (!version.isSet() ? change.conditions : change.removals).push_back(row);
     const auto callback = [this, version, done = std::move(done), weak = std::weak_ptr<int>(this->lifetime)](
                               const StoreResult& result) {
-        const auto newer = weak.expired() ? 0 : this->ownLeaseVersionIn(result);
+        const auto newer = weak.expired() ? StoreVersion {} : this->ownLeaseVersionIn(result);
         // A renewal that was on its way has taken effect first.
         if (result.status == StoreStatus::Conflict && newer > version) {
             this->removeLease(newer, done);
@@ -312,22 +352,24 @@
         }
         if (result.status != StoreStatus::Done)
             logEvent(LogLevel::Info, "lease_row_kept",
-                { { "row_version", version }, { "store_status", static_cast<int>(result.status) } });
+                { { "row_version", toString(version) }, { "store_status", static_cast<int>(result.status) } });
         done();
     };
     this->store.change(change, callback);
 }
 
-// Version of this incarnation's lease row in the answer to a change; 0 if it is absent or belongs to another one.
-std::uint64_t FleetController::ownLeaseVersionIn(const StoreResult& result) const
+std::string FleetController::ownLeaseKey() const { return toString(EraKey { this->era, this->identity.daemon.value }); }
+
+// Version of this incarnation's lease row in the answer to a change; not set if it is absent or belongs to another one.
+StoreVersion FleetController::ownLeaseVersionIn(const StoreResult& result) const
 {
     for (const auto& row : result.rows) {
-        const bool own = row.table == leaseTable && row.key == this->identity.daemon.value && !row.removed;
+        const bool own = row.table == leaseTable && row.key == this->ownLeaseKey() && !row.removed;
         const auto lease = own ? decodeLeaseRow(row) : std::nullopt;
         if (lease && lease->incarnation == this->identity.incarnation)
             return row.version;
     }
-    return 0;
+    return {};
 }
 
 } // namespace endivetrestle
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/fleet_era.h"
 #include "process/fleet_hooks.h"
 #include "process/known_claims.h"
 #include "process/primary_lease.h"
@@ -31,6 +32,10 @@
 // stop using a primary. A row is overwritten only by a row with a newer version. The lease is renewed, or extended by
 // witnesses, only while this daemon knows every claim up to the newest one and has stopped using the primaries of all
 // of them, so a lease proves that it no longer uses the primaries that are being replaced.
+//
+// All of this holds within one era of the store. When the store comes back from a copy, the daemon keeps its lease
+// until it ends or is renewed in the new era, and begins anew with the rows of that era (fleet_era.h). Rows, claims,
+// leases and the lock of earlier eras have no say any more.
 class FleetController {
 public:
     FleetController(
@@ -43,17 +48,20 @@
     void start();
     // Does the periodic work. Must be called several times a second.
     void tick();
+    // Begins anew because the store has come back from a copy. Call before any answer of the new era is handled.
+    void onEraChanged(std::uint64_t newEra);
     // Releases the lease. The callback runs when the store has answered or the call has timed out.
     void stop(std::function<void()> done);
 
     // Handles a request to stop using the primary of a group, from the daemon that claimed it. The callback runs when
-    // this daemon has no outstanding statements at the primary.
-    void onSuspendRequest(const Claim& claim, std::function<void()> done);
+    // this daemon has no outstanding statements at the primary. Returns false, and the callback does not run, if the
+    // claim is one of an earlier era, which means nothing any more.
+    bool onSuspendRequest(const Claim& claim, std::function<void()> done);
     // Handles a request of another daemon to renew its lease in a batch.
     void onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done);
     // Returns the version of the newest claim that this daemon knows, as the answer to a daemon that needs witnesses.
     // Returns no value while this daemon has no lease, because only daemons with a lease are told of claims.
-    [[nodiscard]] std::optional<std::uint64_t> newestKnownClaim() const;
+    [[nodiscard]] std::optional<StoreVersion> newestKnownClaim() const;
     // Handles an announcement of new primaries.
     void onAnnouncement(const std::vector<PrimaryRow>& rows);
 
@@ -66,6 +74,10 @@
     [[nodiscard]] bool peerListComplete() const { return this->leaseListings > 1 || this->firstListComplete; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
+    // Era of the store that this daemon goes by; 0 before the first answer.
+    [[nodiscard]] std::uint64_t storeEra() const { return this->era; }
+    // Whether this daemon has taken over the primaries of the present era.
+    [[nodiscard]] bool hasJoinedEra() const { return this->fleetTableLoaded; }
 
 private:
     struct Suspension {
@@ -74,6 +86,8 @@
     };
     // Primaries that are being adopted: the number of outstanding queries and the rows to store.
     struct Adoption {
+        // Era in which it began.
+        std::uint64_t era = 0;
         std::size_t outstanding = 0;
         std::vector<PrimaryRow> rows;
     };
@@ -98,18 +112,31 @@
     void onRenewed(Time preparedAt, int witnesses, const StoreResult& result);
     void onRenewalConflict(const StoreResult& result);
     void askWitnesses(Time now);
-    void onWitness(Time askedAt, std::optional<std::uint64_t> claim);
+    void onWitness(Time askedAt, std::optional<StoreVersion> claim);
     [[nodiscard]] bool obeysKnownClaims() const;
     void readFleet();
-    void onFleetRead(const StoreResult& result);
+    void onFleetRead(const StoreResult& result, bool wholeTable);
+    void takeFleetChanges(const StoreResult& result);
+    void fleetWasRead(StoreVersion epoch, StoreVersion upTo);
     [[nodiscard]] bool watchesSuspendedPrimary() const;
     void listLeases();
+    void onLeasesListed(const StoreResult& result);
     void removeLapsedLeases(std::vector<StoreCondition> rows);
-    void removeLease(std::uint64_t version, std::function<void()> done);
-    [[nodiscard]] std::uint64_t ownLeaseVersionIn(const StoreResult& result) const;
+    void removeLease(StoreVersion version, std::function<void()> done);
+    [[nodiscard]] StoreVersion ownLeaseVersionIn(const StoreResult& result) const;
+    [[nodiscard]] std::string ownLeaseKey() const;
     void applyRow(const PrimaryRow& row);
     void suspend(const DatabaseId& group, std::function<void()> done);
 
+    // fleet_controller_era.cc
+    void takeFleetTable(const StoreResult& result);
+    void considerOpeningEra(const FleetTable& table);
+    void openEra(const std::shared_ptr<const std::vector<StoreChange>>& changes, std::size_t next);
+    void joinEra(const FleetTable& table);
+    void forgetPrimary(const DatabaseId& group);
+    [[nodiscard]] bool earlierEraIsOver(const PrimaryRow& row) const;
+    [[nodiscard]] std::int64_t earlierLeasesEndMs() const;
+
     // fleet_controller_adoption.cc
     void adoptGroups(Time now);
     [[nodiscard]] std::vector<std::pair<DatabaseId, EndpointId>> adoptableGroups(Time now);
@@ -145,16 +172,24 @@
     // Whether the store refused or did not answer the last direct renewal.
     bool lastDirectRenewalFailed = false;
     KnownClaims claims;
-    // Store version up to which the fleet table has been read; 0 if the whole table must be read.
-    std::uint64_t fleetVersion = 0;
+    // Era of the store that this daemon goes by.
+    std::uint64_t era = 0;
+    // Time at which this daemon first read the fleet table of the present era, here and by the store's clock.
+    std::optional<Time> eraReadAt;
+    std::int64_t eraReadStoreMs = 0;
+    // Time of the store's clock by which the present era had begun; no value if it is the first one.
+    std::optional<std::int64_t> eraBegunStoreMs;
+    bool openingPending = false;
+    // Store version up to which the fleet table has been read; not set if the whole table must be read.
+    StoreVersion fleetVersion;
     // Time of the last request to witnesses, and the number of witnesses that have confirmed since.
     Time witnessesAskedAt;
     int witnessAnswers = 0;
     std::size_t nextWitness = 0;
     // Start of the controller, or end of the latest lease; for reporting the time without a lease.
     Time noLeaseSince;
-    // Version of this daemon's lease row.
-    std::uint64_t leaseRowVersion = 0;
+    // Version of this daemon's lease row in the present era.
+    StoreVersion leaseRowVersion;
     bool fleetTableLoaded = false;
     bool fleetReadPending = false;
     bool renewalPending = false;
@@ -172,7 +207,7 @@
     std::map<DatabaseId, Suspension> suspensions;
     // Time at which this daemon first saw that the primary of a group is being replaced.
     std::map<DatabaseId, Time> replacingSince;
-    // Valid leases of the other daemons as of the last listing.
+    // Valid leases of the other daemons as of the last listing, and those of earlier eras that may be valid.
     std::map<DaemonId, LeaseRow> peers;
     std::size_t liveCount = 1;
     std::map<DatabaseId, ReachabilityPoll> reachabilityPolls;
--- a/src/process/fleet_controller_adoption.cc
+++ b/src/process/fleet_controller_adoption.cc
@@ -66,7 +66,7 @@
     const auto candidates = this->adoptableGroups(at);
     if (candidates.empty())
         return;
-    this->adoption = Adoption { candidates.size(), {} };
+    this->adoption = Adoption { this->era, candidates.size(), {} };
     for (const auto& [group, endpoint] : candidates) {
         this->hooks.queryEndpoint(group, endpoint,
             [this, group = group, endpoint = endpoint, weak = std::weak_ptr<int>(this->lifetime)](
@@ -84,7 +84,9 @@
         this->adoption->rows.push_back({ group, false, endpoint, report->term, this->identity.daemon });
     if (--this->adoption->outstanding > 0)
         return;
-    if (this->adoption->rows.empty())
+    // What was found for an earlier era may have been carried over, or replaced, meanwhile.
+    const bool current = this->adoption->era == this->era && this->fleetTableLoaded;
+    if (this->adoption->rows.empty() || !current)
         this->adoption.reset();
     else
         this->storeAdoption();
@@ -94,8 +96,8 @@
 {
     StoreChange change;
     for (const auto& row : this->adoption->rows) {
-        const auto encoded = encodeRow(row);
-        change.conditions.push_back({ fleetTable, encoded.key, 0 });
+        const auto encoded = encodeRow(row, this->era);
+        change.conditions.push_back({ fleetTable, encoded.key, { this->era, 0 } });
         change.writes.push_back(encoded);
     }
     this->store.change(change, [this, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
@@ -110,7 +112,8 @@
             this->readFleet();
             return;
         }
-        logEvent(LogLevel::Info, "primaries_adopted", { { "groups", adopted.size() }, { "version", result.version } });
+        logEvent(LogLevel::Info, "primaries_adopted",
+            { { "groups", adopted.size() }, { "version", toString(result.version) } });
         for (auto& row : adopted) {
             row.version = result.version;
             this->plannedSince.erase(row.group);
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -80,27 +80,29 @@
         this->renewDirectly();
         return;
     }
-    const auto answered
-        = [this, preparedAt, witnesses, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-              if (weak.expired())
-                  return;
-              if (result.status == StoreStatus::Done) {
-                  // Keeps the renewals of the daemons in one batch aligned.
-                  this->nextRenewal = this->now() + PrimaryLease::renewalInterval;
-                  this->onRenewed(preparedAt, witnesses, result);
-                  return;
-              }
-              if (epochVersionIn(result) > this->claims.completeUpTo()) {
-                  // A direct renewal would also conflict until the changed rows have been read.
-                  this->renewalPending = false;
-                  this->nextRenewal = this->now();
-                  this->readFleet();
-                  return;
-              }
-              if (result.status == StoreStatus::Unknown)
-                  this->delegationPausedUntil = this->now() + delegateRetryDelay;
-              this->renewDirectly();
-          };
+    const auto answered = [this, preparedAt, witnesses, epoch = renewal.row.epochVersion,
+                              weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+        if (weak.expired())
+            return;
+        // What was done in another era than the present one is no renewal, whoever has done it.
+        const bool present = epoch.era == this->era && result.version.era == this->era;
+        if (result.status == StoreStatus::Done && present) {
+            // Keeps the renewals of the daemons in one batch aligned.
+            this->nextRenewal = this->now() + PrimaryLease::renewalInterval;
+            this->onRenewed(preparedAt, witnesses, result);
+            return;
+        }
+        if (epochVersionIn(result) > this->claims.completeUpTo()) {
+            // A direct renewal would also conflict until the changed rows have been read.
+            this->renewalPending = false;
+            this->nextRenewal = this->now();
+            this->readFleet();
+            return;
+        }
+        if (result.status == StoreStatus::Unknown)
+            this->delegationPausedUntil = this->now() + delegateRetryDelay;
+        this->renewDirectly();
+    };
     if (*delegate == this->identity.daemon)
         this->leaseBatch.add(renewal, preparedAt, answered);
     else
@@ -110,7 +112,7 @@
 void FleetController::renewDirectly()
 {
     // A claim may have become known while the delegate was asked.
-    if (!this->obeysKnownClaims()) {
+    if (!this->obeysKnownClaims() || !this->fleetTableLoaded) {
         this->renewalPending = false;
         this->nextRenewal = this->now();
         return;
@@ -135,7 +137,8 @@
 
 void FleetController::onRenewRequest(const LeaseRenewal& renewal, TableStore::Callback done)
 {
-    if (this->stopping)
+    // A daemon that has missed the present era, or is ahead of this one, renews by itself and learns of it.
+    if (this->stopping || renewal.row.epochVersion.era != this->era)
         done(StoreResult { StoreStatus::Refused });
     else
         this->leaseBatch.add(renewal, this->now(), std::move(done));
@@ -146,7 +149,8 @@
     this->renewalPending = false;
     if (this->stopping)
         return;
-    const bool reached = result.status == StoreStatus::Done || result.status == StoreStatus::Conflict;
+    const bool reached = result.status == StoreStatus::Done || result.status == StoreStatus::Conflict
+        || result.status == StoreStatus::EraChanged;
     if (reached != this->storeReachable) {
         logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_regained" : "store_lost",
             { { "lease_left_ms", toMilliseconds(this->lease.end() - this->now()) } });
@@ -157,7 +161,7 @@
     if (result.status == StoreStatus::Done) {
         if (!this->lease.isValid(this->now()))
             logEvent(LogLevel::Info, "lease_acquired",
-                { { "epoch", this->claims.completeUpTo() },
+                { { "epoch", toString(this->claims.completeUpTo()) },
                     { "waited_ms", toMilliseconds(this->now() - this->noLeaseSince) } });
         this->lease.onRenewed(preparedAt, witnesses);
         this->leaseRowVersion = result.version;
@@ -174,15 +178,15 @@
 void FleetController::onRenewalConflict(const StoreResult& result)
 {
     // The row is absent from the answer if it does not exist any more.
-    this->leaseRowVersion = 0;
+    this->leaseRowVersion = { this->era, 0 };
     for (const auto& row : result.rows) {
-        if (row.table == leaseTable && row.key == this->identity.daemon.value && !row.removed)
+        if (row.table == leaseTable && row.key == this->ownLeaseKey() && !row.removed)
             this->leaseRowVersion = row.version;
     }
     this->readFleet();
 }
 
-std::optional<std::uint64_t> FleetController::newestKnownClaim() const
+std::optional<StoreVersion> FleetController::newestKnownClaim() const
 {
     return this->lease.isValid(this->now()) ? std::optional(this->claims.newest()) : std::nullopt;
 }
@@ -202,7 +206,7 @@
     const auto asked = std::min(addresses.size(), static_cast<std::size_t>(this->lease.witnessesNeeded()) * 2);
     for (std::size_t i = 0; i < asked; ++i) {
         this->hooks.askWitness(addresses[this->nextWitness++ % addresses.size()],
-            [this, at, weak = std::weak_ptr<int>(this->lifetime)](std::optional<std::uint64_t> claim) {
+            [this, at, weak = std::weak_ptr<int>(this->lifetime)](std::optional<StoreVersion> claim) {
                 if (!weak.expired())
                     this->onWitness(at, claim);
             });
@@ -212,21 +216,21 @@
 // Witnesses prove the same as a renewal in the store: that this daemon knows every claim up to the newest one, and that
 // it obeys them. That it has heard of a claim as new as the witness's does not prove this, because it may lack an
 // earlier one.
-void FleetController::onWitness(Time askedAt, std::optional<std::uint64_t> claim)
+void FleetController::onWitness(Time askedAt, std::optional<StoreVersion> claim)
 {
     if (askedAt != this->witnessesAskedAt || !claim)
         return;
     if (*claim > this->claims.completeUpTo() || !this->obeysKnownClaims()) {
         logEvent(LogLevel::Debug, "witness_not_counted",
-            { { "witness_claim", *claim }, { "known_up_to", this->claims.completeUpTo() },
-                { "newest_known", this->claims.newest() } });
+            { { "witness_claim", toString(*claim) }, { "known_up_to", toString(this->claims.completeUpTo()) },
+                { "newest_known", toString(this->claims.newest()) } });
         return;
     }
     if (++this->witnessAnswers < this->lease.witnessesNeeded())
         return;
     if (!this->lease.isValid(this->now()))
         logEvent(LogLevel::Info, "lease_witnessed_again",
-            { { "epoch", this->claims.completeUpTo() },
+            { { "epoch", toString(this->claims.completeUpTo()) },
                 { "without_lease_ms", toMilliseconds(this->now() - this->lease.end()) } });
     this->lease.onWitnessed(askedAt);
 }
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -34,6 +34,8 @@
             || this->checkedGroups.count(group) != 0)
             continue;
         const auto& row = found->second;
+        if (!this->earlierEraIsOver(row))
+            continue;
         if (row.replacing) {
             const bool known = this->unreadClaims.count(group) == 0;
             if (known && at - this->replacingSince[group] > takeoverTimeout)
@@ -161,6 +163,8 @@
 
 void FleetController::startPromotion(const PrimaryRow& observedRow, const std::string& reason)
 {
+    if (!this->fleetTableLoaded || !this->earlierEraIsOver(observedRow))
+        return;
     this->nextAttemptAt[observedRow.group] = this->now() + attemptDelay;
     if (this->promotionLock.isHeld(this->now())) {
         this->checkReason(observedRow, reason);
@@ -172,8 +176,10 @@
                 return;
             this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
             PromotionLockRow present;
+            present.version.era = this->era;
             for (const auto& row : result.rows) {
-                if (const auto decoded = decodePromotionLockRow(row))
+                const auto decoded = decodePromotionLockRow(row);
+                if (decoded && decoded->version.era == this->era)
                     present = *decoded;
             }
             this->promotionLock.acquire(
@@ -223,8 +229,8 @@
     const bool reasonHolds = same && (!planned || !this->plannedReplacementReason(found->second).empty());
     if (this->stopping || !reasonHolds || this->promotions.count(group) != 0) {
         logEvent(LogLevel::Info, "promotion_not_needed",
-            { { "group", group.value }, { "reason", reason }, { "decided_on", observedRow.version },
-                { "present", found == this->rows.end() ? 0 : found->second.version } });
+            { { "group", group.value }, { "reason", reason }, { "decided_on", toString(observedRow.version) },
+                { "present", toString(found == this->rows.end() ? StoreVersion() : found->second.version) } });
         this->releaseIdleLock();
         return;
     }
@@ -257,6 +263,7 @@
         this->clock,
         this->now,
         [this] { return this->claims.completeUpTo(); },
+        [this] { return this->earlierLeasesEndMs(); },
         [this](const PrimaryRow& row) { this->applyRow(row); },
         [this](const DatabaseId& group) {
             const auto found = this->suspensions.find(group);
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -59,7 +59,7 @@
         const SocketAddress&, const DatabaseId&, const EndpointId&, std::function<void(std::optional<bool>)>)>
         askReachable;
     // Asks another daemon for the newest claim that it knows; no value if it does not answer or has no lease itself.
-    std::function<void(const SocketAddress&, std::function<void(std::optional<std::uint64_t>)>)> askWitness;
+    std::function<void(const SocketAddress&, std::function<void(std::optional<StoreVersion>)>)> askWitness;
     // Asks an endpoint for its report; no value if it does not answer in time.
     std::function<void(const DatabaseId&, const EndpointId&, std::function<void(std::optional<EndpointReport>)>)>
         queryEndpoint;
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace endivetrestle {
@@ -29,6 +30,12 @@
         return field == nullptr ? std::string() : field->get<std::string>();
     }
 
+    // Version of the given era, of which the row holds the number.
+    StoreVersion version(const char* name, std::uint64_t era)
+    {
+        return { era, static_cast<std::uint64_t>(this->integer(name)) };
+    }
+
     std::int64_t integer(const char* name)
     {
         const auto* field = this->find(name, &json::is_number_integer);
@@ -78,68 +85,85 @@
 
 } // namespace
 
-StoreRow encodeRow(const PrimaryRow& row)
+std::string toString(const EraKey& key) { return std::to_string(key.era) + "/" + key.name; }
+
+std::optional<EraKey> parseEraKey(const std::string& key)
+{
+    EraKey result;
+    const char* end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data(), end, result.era);
+    if (parsed.ec != std::errc() || parsed.ptr == end || *parsed.ptr != '/')
+        return std::nullopt;
+    result.name.assign(parsed.ptr + 1, end);
+    return result;
+}
+
+StoreRow encodeRow(const PrimaryRow& row, std::uint64_t era)
 {
     const json value { { "replacing", row.replacing }, { "endpoint", row.endpoint.value }, { "term", row.term },
-        { "writer", row.writer.value }, { "claim", row.finishedClaim }, { "previous_epoch", row.previousEpoch } };
-    return { fleetTable, std::string(primaryPrefix) + row.group.value, value.dump() };
+        { "writer", row.writer.value }, { "claim", row.finishedClaim.number },
+        { "previous_epoch", row.previousEpoch.number } };
+    return { fleetTable, toString(EraKey { era, std::string(primaryPrefix) + row.group.value }), value.dump() };
 }
 
 StoreRow encodeRow(const LeaseRow& row)
 {
     const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
         { "forward", toString(row.forwardAddress) }, { "data_centre", row.dataCentre.value },
-        { "until", row.untilStoreMs }, { "epoch", row.epochVersion }, { "witnesses", row.witnesses } };
-    return { leaseTable, row.daemon.value, value.dump() };
+        { "until", row.untilStoreMs }, { "epoch", row.epochVersion.number }, { "witnesses", row.witnesses } };
+    return { leaseTable, toString(EraKey { row.epochVersion.era, row.daemon.value }), value.dump() };
 }
 
 StoreRow encodeRow(const PromotionLockRow& row)
 {
     const json value { { "holder", row.holder.value }, { "incarnation", row.incarnation }, { "token", row.token },
         { "until", row.untilStoreMs } };
-    return { leaseTable, promotionLockKey, value.dump() };
+    return { leaseTable, toString(EraKey { row.version.era, promotionLockKey }), value.dump() };
 }
 
 std::optional<PrimaryRow> decodePrimaryRow(const StoreRow& row)
 {
-    if (row.key.rfind(primaryPrefix, 0) != 0)
+    const auto key = parseEraKey(row.key);
+    if (!key || key->name.rfind(primaryPrefix, 0) != 0)
         return std::nullopt;
     RowReader reader(row);
     PrimaryRow result;
-    result.group = DatabaseId(row.key.substr(primaryPrefix.size()));
+    result.group = DatabaseId(key->name.substr(primaryPrefix.size()));
     result.replacing = reader.flag("replacing");
     result.endpoint = EndpointId(reader.text("endpoint"));
     result.term = static_cast<std::uint64_t>(reader.integer("term"));
     result.writer = DaemonId(reader.text("writer"));
-    result.version = row.version;
+    result.version = { key->era, row.version.number };
     result.assumeEarlierRelease();
     if (reader.has("claim") && reader.has("previous_epoch")) {
-        result.finishedClaim = static_cast<std::uint64_t>(reader.integer("claim"));
-        result.previousEpoch = static_cast<std::uint64_t>(reader.integer("previous_epoch"));
+        result.finishedClaim = reader.version("claim", key->era);
+        result.previousEpoch = reader.version("previous_epoch", key->era);
     }
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const StoreRow& row)
 {
-    if (row.key == promotionLockKey)
+    const auto key = parseEraKey(row.key);
+    if (!key || key->name == promotionLockKey)
         return std::nullopt;
     RowReader reader(row);
     LeaseRow result;
-    result.daemon = DaemonId(row.key);
+    result.daemon = DaemonId(key->name);
     result.incarnation = reader.text("incarnation");
     result.address = reader.address("address");
     result.forwardAddress = reader.address("forward");
     result.dataCentre = DataCentre(reader.text("data_centre"));
     result.untilStoreMs = reader.integer("until");
-    result.epochVersion = static_cast<std::uint64_t>(reader.integer("epoch"));
+    result.epochVersion = reader.version("epoch", key->era);
     result.witnesses = static_cast<int>(reader.integer("witnesses"));
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
 std::optional<PromotionLockRow> decodePromotionLockRow(const StoreRow& row)
 {
-    if (row.key != promotionLockKey)
+    const auto key = parseEraKey(row.key);
+    if (!key || key->name != promotionLockKey)
         return std::nullopt;
     RowReader reader(row);
     PromotionLockRow result;
@@ -147,17 +171,19 @@
     result.incarnation = reader.text("incarnation");
     result.token = static_cast<std::uint64_t>(reader.integer("token"));
     result.untilStoreMs = reader.integer("until");
-    result.version = row.version;
+    result.version = { key->era, row.version.number };
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
-std::uint64_t epochVersionIn(const StoreResult& result)
+StoreVersion epochVersionIn(const StoreResult& result)
 {
+    const auto era = result.version.era;
+    const auto key = toString(EraKey { era, epochKey });
     for (const auto& row : result.rows) {
-        if (row.table == fleetTable && row.key == epochKey)
-            return row.version;
+        if (row.table == fleetTable && row.key == key)
+            return { era, row.version.number };
     }
-    return 0;
+    return { era, 0 };
 }
 
 } // namespace endivetrestle
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -2,6 +2,7 @@
 
 #include "process/fleet_controller.h"
 #include "process/simulated_tables_test.h"
+#include "process/store_contact.h"
 
 #include <algorithm>
 #include <functional>
@@ -16,9 +17,9 @@
 
 // Deterministic simulation for tests of the fleet controller: several daemons, the store, the promotion service and the
 // database groups, all on virtual time. Faults are injected through public members. The simulation checks three safety
-// rules after every event: no daemon uses an endpoint other than the leader, promotion tokens never decrease, and no two
-// daemons order with the same token. It collects violations instead of asserting, so that a test can print the seed and
-// the step.
+// rules after every event: no daemon uses an endpoint other than the leader, promotion tokens never decrease, and no
+// two daemons order with the same token. It collects violations instead of asserting, so that a test can print the seed
+// and the step.
 class FleetSimulation {
 public:
     // Each group has three endpoints of its own, of which the first one is the primary.
@@ -57,6 +58,7 @@
 
     struct Daemon {
         std::unique_ptr<TableStore> store;
+        std::unique_ptr<StoreContact> contact;
         std::unique_ptr<TimerService> timers;
         std::unique_ptr<FleetController> controller;
         bool running = false;
@@ -159,10 +161,12 @@
         daemon.deferredEvents.clear();
         daemon.timers = std::make_unique<TimerService>();
         daemon.store = std::make_unique<Store>(*this, index);
+        daemon.contact = std::make_unique<StoreContact>(*daemon.store,
+            StoreContactHooks { [] {}, [&daemon](std::uint64_t era) { daemon.controller->onEraChanged(era); } });
         daemon.controller = std::make_unique<FleetController>(
             FleetIdentity { DaemonId("d" + std::to_string(index)), std::to_string(daemon.incarnation), address(index),
                 address(index), DataCentre("a") },
-            *daemon.store, *daemon.timers, this->makeHooks(index), [this] { return this->clock; });
+            *daemon.contact, *daemon.timers, this->makeHooks(index), [this] { return this->clock; });
         daemon.controller->start();
         daemon.timers->subscribeEvery(this->clock, std::chrono::milliseconds(100), [this, index](Time) {
             if (this->daemons[index]->controller)
@@ -293,7 +297,7 @@
         }
         void abandonWatches(const std::string&) override { }
         // Answers immediately, even if nothing has changed.
-        void watch(const std::string& table, std::uint64_t after, Duration, Callback callback) override
+        void watch(const std::string& table, StoreVersion after, Duration, Callback callback) override
         {
             this->simulation.callStore(
                 this->index, "watch",
@@ -443,12 +447,14 @@
                     callback(PeerStatus::Unanswered);
             });
             this->after(peer, messageDelay, [this, index, peer, claim, callback, answered] {
-                this->daemons[peer]->controller->onSuspendRequest(claim, [this, index, callback, answered] {
-                    this->after(index, messageDelay, [callback, answered] {
+                const auto reply = [this, index, callback, answered](PeerStatus status) {
+                    this->after(index, messageDelay, [callback, answered, status] {
                         if (!std::exchange(*answered, true))
-                            callback(PeerStatus::Done);
+                            callback(status);
                     });
-                });
+                };
+                if (!this->daemons[peer]->controller->onSuspendRequest(claim, [reply] { reply(PeerStatus::Done); }))
+                    reply(PeerStatus::Unanswered);
             });
         };
         hooks.requestRenewal = [this, index](const SocketAddress& address, const LeaseRenewal& renewal,
@@ -492,7 +498,7 @@
                     peer, messageDelay, [this, peer, rows] { this->daemons[peer]->controller->onAnnouncement(rows); });
         };
         hooks.askWitness = [this, index](const SocketAddress& address,
-                               const std::function<void(std::optional<std::uint64_t>)>& callback) {
+                               const std::function<void(std::optional<StoreVersion>)>& callback) {
             this->recordCall(index, "witness");
             const auto peer = indexOf(address);
             if (!this->peerReachable(index, peer) || !this->daemons[peer]->running) {
@@ -571,13 +577,13 @@
             this->after(index, this->drainDelay, drained);
         };
         hooks.refreshEndpoints = [this, index](const std::function<void(bool)>& callback) {
-            this->callStore(
-                index, "refresh", [] { return StoreResult { StoreStatus::Done }; },
-                [this, index, callback](const StoreResult& result) {
-                    const bool current = result.status == StoreStatus::Done;
-                    this->daemons[index]->registryStale = this->daemons[index]->registryStale && !current;
-                    callback(current);
-                });
+            this->recordCall(index, "refresh");
+            // Any answer tells the era of the store, as one about the registry does.
+            this->daemons[index]->contact->readAll("servers", [this, index, callback](const StoreResult& result) {
+                const bool current = result.status == StoreStatus::Done;
+                this->daemons[index]->registryStale = this->daemons[index]->registryStale && !current;
+                callback(current);
+            });
         };
         hooks.missingEndpointsAreGone = [] { return true; };
         hooks.endpointsOf = [this, index](const DatabaseId& id) {
--- a/src/process/known_claims.h
+++ b/src/process/known_claims.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "process/store_version.h"
+
 #include <algorithm>
-#include <cstdint>
 #include <map>
 
 namespace endivetrestle {
@@ -12,20 +13,23 @@
 // still hear of later ones. What it has to prove, by a renewal or through witnesses, is that it knows every claim up to
 // a version; the newest claim that it has heard of does not prove this.
 //
+// The chain begins anew with each era of the store: what is known of a later era goes before all claims of earlier
+// ones.
+//
 // Example:
 //     claims.add(claim.version, claim.previousEpoch);
 //     if (witnessed <= claims.completeUpTo()) ...
 class KnownClaims {
 public:
     // Adds all claims up to the given epoch, which have been read from the store.
-    void addAllUpTo(std::uint64_t epoch)
+    void addAllUpTo(StoreVersion epoch)
     {
         this->newestVersion = std::max(this->newestVersion, epoch);
         this->completeVersion = std::max(this->completeVersion, epoch);
         this->closeGaps();
     }
     // Adds one claim that was made on condition of the given epoch.
-    void add(std::uint64_t version, std::uint64_t previousEpoch)
+    void add(StoreVersion version, StoreVersion previousEpoch)
     {
         this->newestVersion = std::max(this->newestVersion, version);
         if (version <= this->completeVersion)
@@ -36,9 +40,9 @@
     }
 
     // Version of the newest claim that this daemon has heard of.
-    [[nodiscard]] std::uint64_t newest() const { return this->newestVersion; }
+    [[nodiscard]] StoreVersion newest() const { return this->newestVersion; }
     // Version up to which this daemon knows every claim.
-    [[nodiscard]] std::uint64_t completeUpTo() const { return this->completeVersion; }
+    [[nodiscard]] StoreVersion completeUpTo() const { return this->completeVersion; }
 
 private:
     void closeGaps()
@@ -49,10 +53,10 @@
         }
     }
 
-    std::uint64_t newestVersion = 0;
-    std::uint64_t completeVersion = 0;
+    StoreVersion newestVersion;
+    StoreVersion completeVersion;
     // Claims of which an earlier one is missing: the epoch before the claim, and its version.
-    std::map<std::uint64_t, std::uint64_t> beyondGap;
+    std::map<StoreVersion, StoreVersion> beyondGap;
 };
 
 } // namespace endivetrestle
--- a/src/process/lease_batch.cc
+++ b/src/process/lease_batch.cc
@@ -8,10 +8,12 @@
 StoreChange renewalChange(const std::vector<LeaseRenewal>& renewals)
 {
     StoreChange change;
-    change.conditions.push_back({ fleetTable, epochKey, renewals.front().row.epochVersion });
+    const auto& epoch = renewals.front().row.epochVersion;
+    change.conditions.push_back({ fleetTable, toString(EraKey { epoch.era, epochKey }), epoch });
     for (const auto& renewal : renewals) {
-        change.conditions.push_back({ leaseTable, renewal.row.daemon.value, renewal.rowVersion });
-        change.writes.push_back(encodeRow(renewal.row));
+        auto row = encodeRow(renewal.row);
+        change.conditions.push_back({ leaseTable, row.key, renewal.rowVersion });
+        change.writes.push_back(std::move(row));
     }
     return change;
 }
--- a/src/process/lease_batch.h
+++ b/src/process/lease_batch.h
@@ -14,8 +14,8 @@
 // Request to renew the lease of a daemon.
 struct LeaseRenewal {
     LeaseRow row;
-    // Version of the daemon's current row; 0 if it has none.
-    std::uint64_t rowVersion = 0;
+    // Version of the daemon's current row; not set if it has none.
+    StoreVersion rowVersion;
     // Whether the daemon has no valid lease, so that it cannot serve until the renewal is done.
     bool urgent = false;
 
--- a/src/process/lease_batch_test.cc
+++ b/src/process/lease_batch_test.cc
@@ -16,7 +16,7 @@
         this->changes.push_back(change);
         this->callbacks.push_back(std::move(callback));
     }
-    void watch(const std::string&, std::uint64_t, Duration, Callback) override { }
+    void watch(const std::string&, StoreVersion, Duration, Callback) override { }
     void abandonWatches(const std::string&) override { }
 
     std::vector<StoreChange> changes;
@@ -28,8 +28,8 @@
     {
         LeaseRenewal renewal;
         renewal.row.daemon = DaemonId(daemon);
-        renewal.row.epochVersion = epoch;
-        renewal.rowVersion = 7;
+        renewal.row.epochVersion = { 2, epoch };
+        renewal.rowVersion = { 2, 7 };
         renewal.urgent = urgent;
         return renewal;
     }
@@ -69,7 +69,8 @@
     CHECK(change.writes.size() == 2);
     // The epoch, and the current row of each daemon.
     CHECK(change.conditions
-        == std::vector<StoreCondition> { { fleetTable, epochKey, 5 }, { leaseTable, "a", 7 }, { leaseTable, "b", 7 } });
+        == std::vector<StoreCondition> {
+            { fleetTable, "2/epoch", { 2, 5 } }, { leaseTable, "2/a", { 2, 7 } }, { leaseTable, "2/b", { 2, 7 } } });
     fixture.store.callbacks.front()({ StoreStatus::Done });
     CHECK(fixture.results == std::vector<StoreStatus> { StoreStatus::Done, StoreStatus::Done });
 }
--- a/src/process/lease_holders.cc
+++ b/src/process/lease_holders.cc
@@ -6,7 +6,7 @@
 
 namespace endivetrestle {
 
-void LeaseHolders::start(std::uint64_t claim, const std::vector<LeaseRow>& present, std::int64_t storeMs, Time now)
+void LeaseHolders::start(StoreVersion claim, const std::vector<LeaseRow>& present, std::int64_t storeMs, Time now)
 {
     this->claimVersion = claim;
     this->leases.clear();
@@ -25,10 +25,18 @@
 void LeaseHolders::update(const std::vector<StoreRow>& rows, Time now)
 {
     std::map<DaemonId, const StoreRow*> present;
-    for (const auto& row : rows)
-        present.emplace(DaemonId(row.key), &row);
+    for (const auto& row : rows) {
+        const auto key = parseEraKey(row.key);
+        if (key && key->era == this->claimVersion.era)
+            present.emplace(DaemonId(key->name), &row);
+    }
     for (auto entry = this->leases.begin(); entry != this->leases.end();) {
         const auto row = present.find(entry->first);
+        const bool ofEarlierEra = entry->second.epochVersion.era < this->claimVersion.era;
+        if (row == present.end() && ofEarlierEra) {
+            ++entry;
+            continue;
+        }
         if (row == present.end()) {
             entry = this->leases.erase(entry);
             this->lastRemovalAt = now;
@@ -66,4 +74,24 @@
     });
 }
 
+std::vector<LeaseRow> leasesOf(const std::vector<StoreRow>& rows, std::uint64_t era, std::int64_t earlierLeasesEndMs)
+{
+    std::map<DaemonId, LeaseRow> newest;
+    for (const auto& row : rows) {
+        const auto lease = decodeLeaseRow(row);
+        if (!lease)
+            continue;
+        auto& known = newest.try_emplace(lease->daemon, *lease).first->second;
+        if (known.epochVersion.era < lease->epochVersion.era)
+            known = *lease;
+    }
+    std::vector<LeaseRow> result;
+    for (auto& [daemon, lease] : newest) {
+        if (lease.epochVersion.era < era)
+            lease.untilStoreMs = earlierLeasesEndMs;
+        result.push_back(std::move(lease));
+    }
+    return result;
+}
+
 } // namespace endivetrestle
--- a/src/process/lease_holders_test.cc
+++ b/src/process/lease_holders_test.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::uint64_t era = 3;
 constexpr std::uint64_t claim = 20;
 constexpr std::int64_t storeMs = 100'000;
 constexpr std::int64_t validityMs = std::chrono::milliseconds(13'000).count();
@@ -22,7 +23,7 @@
     lease.incarnation = "1";
     lease.address = lease.forwardAddress = { "10.0.0.1", 7000 };
     lease.untilStoreMs = renewedAtMs + validityMs;
-    lease.epochVersion = epoch;
+    lease.epochVersion = { era, epoch };
     lease.witnesses = 2;
     return lease;
 }
@@ -30,7 +31,7 @@
 LeaseHolders holdersOf(const std::vector<LeaseRow>& leases)
 {
     LeaseHolders holders;
-    holders.start(claim, leases, storeMs, start);
+    holders.start({ era, claim }, leases, storeMs, start);
     return holders;
 }
 
@@ -59,7 +60,7 @@
 TEST_CASE("LeaseHolders, keeps the last known lease of a daemon whose row cannot be read")
 {
     auto holders = holdersOf({ leaseOf("a", storeMs) });
-    holders.update({ StoreRow { leaseTable, "a", "[[[", 9 } }, start);
+    holders.update({ StoreRow { leaseTable, "3/a", "[[[", { era, 9 } } }, start);
     holders.removeEnded(storeMs + validityMs - 1, start);
     CHECK(holders.size() == 1);
     holders.removeEnded(storeMs + validityMs, start);
@@ -80,3 +81,42 @@
     CHECK(holders.mayPassOver(later, start + 5s + PrimaryLease::witnessValidity));
     CHECK_FALSE(holders.mayPassOver(later - 1, start + 10s));
 }
+
+namespace {
+
+// Row of a lease that was stored in an earlier era.
+LeaseRow earlierLeaseOf(const char* daemon, std::int64_t renewedAtMs)
+{
+    auto lease = leaseOf(daemon, renewedAtMs);
+    lease.epochVersion.era = era - 1;
+    return lease;
+}
+
+} // namespace
+
+// Guards against a replacement that does not wait for a daemon of whose later renewals the copy does not tell.
+TEST_CASE("leasesOf, takes leases of earlier eras for valid until all of them have ended")
+{
+    constexpr std::int64_t earlierEndMs = storeMs + 9'000;
+    const std::vector<StoreRow> rows { encodeRow(earlierLeaseOf("a", storeMs - 60'000)),
+        encodeRow(earlierLeaseOf("b", storeMs)), encodeRow(leaseOf("b", storeMs)) };
+    const auto leases = leasesOf(rows, era, earlierEndMs);
+    REQUIRE(leases.size() == 2);
+    CHECK(leases[0].daemon == DaemonId("a"));
+    CHECK(leases[0].untilStoreMs == earlierEndMs);
+    // A daemon with a lease of the present era uses none of an earlier one.
+    CHECK(leases[1] == leaseOf("b", storeMs));
+    auto holders = holdersOf(leases);
+    holders.update(rows, start);
+    CHECK(holders.size() == 2);
+    holders.removeEnded(earlierEndMs, start);
+    CHECK(holders.size() == 1);
+}
+
+TEST_CASE("LeaseHolders, leaves out a daemon of an earlier era that stores a lease with the claim")
+{
+    auto holders = holdersOf({ earlierLeaseOf("a", storeMs) });
+    holders.update({ encodeRow(earlierLeaseOf("a", storeMs)), encodeRow(leaseOf("a", storeMs, claim)) }, start);
+    holders.removeEnded(storeMs, start);
+    CHECK(holders.empty());
+}
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -72,12 +72,15 @@
     row.writer = this->context.self;
     row.previousEpoch = this->context.epochVersion();
     StoreChange change;
-    const auto encoded = encodeRow(row);
+    const auto era = this->initialRow.version.era;
+    const auto encoded = encodeRow(row, era);
+    const auto epoch = toString(EraKey { era, epochKey });
+    const auto lock = toString(EraKey { era, promotionLockKey });
     change.conditions.push_back({ fleetTable, encoded.key, this->initialRow.version });
-    change.conditions.push_back({ fleetTable, epochKey, row.previousEpoch });
-    change.conditions.push_back({ leaseTable, promotionLockKey, this->context.promotionLock.rowVersion() });
+    change.conditions.push_back({ fleetTable, epoch, row.previousEpoch });
+    change.conditions.push_back({ leaseTable, lock, this->context.promotionLock.rowVersion() });
     change.writes.push_back(encoded);
-    change.writes.push_back({ fleetTable, epochKey, "{}" });
+    change.writes.push_back({ fleetTable, epoch, "{}" });
     this->context.store.change(change, this->guarded([this, row](const StoreResult& result) mutable {
         if (result.status != StoreStatus::Done) {
             this->context.rereadFleetTable();
@@ -103,10 +106,9 @@
         this->context.clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
         const auto storeMs = this->context.clock.lowerBoundMs(now);
         std::vector<LeaseRow> others;
-        for (const auto& row : result.rows) {
-            const auto lease = decodeLeaseRow(row);
-            if (lease && lease->daemon != this->context.self && lease->untilStoreMs > storeMs)
-                others.push_back(*lease);
+        for (auto& lease : leasesOf(result.rows, this->ownClaim.version.era, this->context.earlierLeasesEndMs())) {
+            if (lease.daemon != this->context.self && lease.untilStoreMs > storeMs)
+                others.push_back(std::move(lease));
         }
         for (const auto& lease : others)
             this->peers.push_back(lease.address);
@@ -250,7 +252,7 @@
     if (this->stepName != "record")
         this->enterStep("record");
     StoreChange change;
-    const auto encoded = encodeRow(row);
+    const auto encoded = encodeRow(row, this->ownClaim.version.era);
     // The epoch stays as it is: it is moved by claims only, each on condition of the one before.
     change.conditions.push_back({ fleetTable, encoded.key, this->ownClaim.version });
     change.writes.push_back(encoded);
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -26,7 +26,9 @@
     StoreClock& clock;
     std::function<Time()> now;
     // Epoch up to which this daemon knows every claim.
-    std::function<std::uint64_t()> epochVersion;
+    std::function<StoreVersion()> epochVersion;
+    // Time of the store's clock by which all leases of earlier eras have ended.
+    std::function<std::int64_t()> earlierLeasesEndMs;
     // Applies a row that this promotion wrote.
     std::function<void(const PrimaryRow&)> applyOwnRow;
     // Whether this daemon has no outstanding statements at the primary of the group.
--- a/src/process/promotion_candidate.cc
+++ b/src/process/promotion_candidate.cc
@@ -85,7 +85,8 @@
     }
     this->highestTerm = this->initialRow.term;
     const bool allAnswered = this->reports.size() == this->context.hooks.endpointsOf(this->initialRow.group).size();
-    this->leadershipCertain = allAnswered && !this->initialRow.replacing && this->orderedEndpoints.empty();
+    const bool orderedBefore = this->initialRow.replacing && !this->initialRow.isOpened();
+    this->leadershipCertain = allAnswered && !orderedBefore && this->orderedEndpoints.empty();
     const EndpointReport* best = nullptr;
     for (const auto& [id, report] : this->reports) {
         this->highestTerm = std::max(this->highestTerm, report.term);
--- a/src/process/promotion_lock.cc
+++ b/src/process/promotion_lock.cc
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace endivetrestle {
 
 namespace {
@@ -33,7 +35,8 @@
     PromotionLockRow next;
     next.holder = this->daemon;
     next.incarnation = this->incarnation;
-    next.token = currentRow.token + 1;
+    next.token = std::max(currentRow.token + 1, firstToken(currentRow.version.era));
+    next.version.era = currentRow.version.era;
     next.untilStoreMs = clock.upperBoundMs(now) + milliseconds(validity);
     this->write(next, currentRow.version, now, std::move(callback));
 }
@@ -50,12 +53,13 @@
 }
 
 void PromotionLock::write(
-    const PromotionLockRow& next, std::uint64_t expected, Time preparedAt, std::function<void(bool)> callback)
+    const PromotionLockRow& next, StoreVersion expected, Time preparedAt, std::function<void(bool)> callback)
 {
     this->writing = true;
     StoreChange change;
-    change.conditions.push_back({ leaseTable, promotionLockKey, expected });
-    change.writes.push_back(encodeRow(next));
+    auto encoded = encodeRow(next);
+    change.conditions.push_back({ leaseTable, encoded.key, expected });
+    change.writes.push_back(std::move(encoded));
     this->store.change(change, [this, next, preparedAt, callback = std::move(callback)](const StoreResult& result) {
         this->writing = false;
         if (result.status == StoreStatus::Done) {
@@ -63,7 +67,7 @@
             this->row.version = result.version;
             this->held = true;
             this->validUntil = preparedAt + validity;
-        } else if (result.status == StoreStatus::Conflict)
+        } else if (result.status == StoreStatus::Conflict || result.status == StoreStatus::EraChanged)
             this->held = false;
         logEvent(LogLevel::Info, "promotion_duty",
             { { "token", next.token }, { "held", this->held ? 1 : 0 },
@@ -80,8 +84,9 @@
     auto next = this->row;
     next.untilStoreMs = 0;
     StoreChange change;
-    change.conditions.push_back({ leaseTable, promotionLockKey, this->row.version });
-    change.writes.push_back(encodeRow(next));
+    auto encoded = encodeRow(next);
+    change.conditions.push_back({ leaseTable, encoded.key, this->row.version });
+    change.writes.push_back(std::move(encoded));
     // The call is not retried if its answer is lost, because the lock expires by itself.
     this->store.change(change, [](const StoreResult&) {});
 }
--- a/src/process/promotion_lock.h
+++ b/src/process/promotion_lock.h
@@ -25,8 +25,9 @@
 
     PromotionLock(DaemonId daemon, std::string incarnation, TableStore& store);
 
-    // Acquires the lock with a new token, given its current row (version 0 if there is none). The callback tells
-    // whether this succeeded. It fails while another daemon holds the lock, and while it is the turn of others.
+    // Acquires the lock with a new token, given its current row in the present era of the store (its version is not
+    // set, but names the era, if there is none). The callback tells whether this succeeded. It fails while another
+    // daemon holds the lock, and while it is the turn of others.
     void acquire(
         const PromotionLockRow& currentRow, const StoreClock& clock, Time now, std::function<void(bool)> callback);
     // Extends the validity of the lock, which this daemon holds.
@@ -34,6 +35,12 @@
     // Releases the lock. The token stays in the row.
     void release();
 
+    // Lowest token of an era. Tokens of a later era exceed all of the earlier ones, which the store may have lost.
+    [[nodiscard]] static std::uint64_t firstToken(std::uint64_t era) { return (era << tokenBitsPerEra) + 1; }
+
+    // Gives the lock up because the store has come back from a copy: its row is one of an earlier era.
+    void onEraChanged() { this->held = false; }
+
     // Notes that an order is sent now.
     void onOrder(Time now) { this->lastOrderAt = now; }
 
@@ -46,11 +53,14 @@
     [[nodiscard]] bool needsExtension(Time now) const { return this->held && now + validity / 2 > this->validUntil; }
     [[nodiscard]] std::uint64_t token() const { return this->row.token; }
     // Version of the row that this daemon wrote; a condition of every claim.
-    [[nodiscard]] std::uint64_t rowVersion() const { return this->row.version; }
+    [[nodiscard]] StoreVersion rowVersion() const { return this->row.version; }
 
 private:
+    // Low bits of a token that count the turns within an era.
+    static constexpr unsigned tokenBitsPerEra = 32;
+
     void write(
-        const PromotionLockRow& next, std::uint64_t expected, Time preparedAt, std::function<void(bool)> callback);
+        const PromotionLockRow& next, StoreVersion expected, Time preparedAt, std::function<void(bool)> callback);
 
     DaemonId daemon;
     std::string incarnation;
--- a/src/process/promotion_lock_test.cc
+++ b/src/process/promotion_lock_test.cc
@@ -21,7 +21,7 @@
 
     void readAll(const std::string& table, Callback callback) override { callback(this->tables.read(table)); }
     void change(const StoreChange& change, Callback callback) override { callback(this->tables.apply(change)); }
-    void watch(const std::string&, std::uint64_t, Duration, Callback) override { }
+    void watch(const std::string&, StoreVersion, Duration, Callback) override { }
     void abandonWatches(const std::string&) override { }
 
     void advance(Duration duration)
@@ -34,6 +34,7 @@
     bool acquire(PromotionLock& lock)
     {
         PromotionLockRow present;
+        present.version.era = this->tables.era;
         for (const auto& row : this->tables.read(leaseTable).rows) {
             if (const auto decoded = decodePromotionLockRow(row))
                 present = *decoded;
@@ -93,3 +94,18 @@
     fixture.orderAndRelease(fixture.first);
     CHECK(fixture.acquire(fixture.first));
 }
+
+TEST_CASE("PromotionLock, gives out no token again after the store has lost its row")
+{
+    // Guards against orders of two holders with the same token, and against tokens that go down.
+    LockFixture fixture;
+    const auto copy = fixture.tables.copy();
+    REQUIRE(fixture.acquire(fixture.first));
+    const auto token = fixture.first.token();
+    fixture.tables.restore(copy);
+    fixture.first.onEraChanged();
+    CHECK_FALSE(fixture.first.isHeld(fixture.now));
+    REQUIRE(fixture.acquire(fixture.second));
+    CHECK(fixture.second.token() > token);
+    CHECK(fixture.second.token() == PromotionLock::firstToken(2));
+}
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -117,6 +117,9 @@
     set("lease_left_seconds", "Time until the lease ends.", state.leaseLeftSeconds);
     set("configuration_feed_up", "1 if the configuration feed is connected.", state.configurationFeedReachable ? 1 : 0);
     set("registry_feed_up", "1 if the registry feed is connected.", state.registryFeedReachable ? 1 : 0);
+    set("store_era", "Era of the store; rises each time that it comes back from a copy.",
+        static_cast<double>(state.storeEra));
+    set("store_era_joined", "1 if the daemon has taken over the primaries of the era.", state.joinedEra ? 1 : 0);
     set("dropped_log_lines", "Log lines dropped because nobody read them.", static_cast<double>(state.droppedLogLines));
 }
 
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -28,6 +28,9 @@
     double leaseLeftSeconds = 0;
     bool configurationFeedReachable = false;
     bool registryFeedReachable = false;
+    // Era of the store that the daemon goes by, and whether it has taken over the primaries of that era.
+    std::uint64_t storeEra = 0;
+    bool joinedEra = false;
     std::uint64_t droppedLogLines = 0;
 };
 
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -33,6 +33,7 @@
     metrics.forwarding(DatabaseId("shop"), forwarder, false);
     ProxyState state;
     state.sessions = 12;
+    state.storeEra = 3;
     metrics.state(state);
     const auto text = metrics.serialize();
     CHECK(text.find("endivetrestle_waiting_statements{group=\"shop\"} 3") != std::string::npos);
@@ -40,4 +41,6 @@
     CHECK(text.find("endivetrestle_forwarded_statements{group=\"shop\"} 5") != std::string::npos);
     CHECK(text.find("endivetrestle_group_owned{group=\"shop\"} 0") != std::string::npos);
     CHECK(text.find("endivetrestle_sessions 12") != std::string::npos);
+    CHECK(text.find("endivetrestle_store_era 3") != std::string::npos);
+    CHECK(text.find("endivetrestle_store_era_joined 0") != std::string::npos);
 }
--- a/src/process/seed_bootstrap.cc
+++ b/src/process/seed_bootstrap.cc
@@ -11,7 +11,7 @@
 {
 }
 
-void SeedBootstrap::tick(std::uint64_t rowVersion, Time now)
+void SeedBootstrap::tick(StoreVersion rowVersion, Time now)
 {
     if (now < this->nextQuestion)
         return;
--- a/src/process/seed_bootstrap.h
+++ b/src/process/seed_bootstrap.h
@@ -25,7 +25,7 @@
 struct SeedBootstrapHooks {
     // Asks the daemon at the address for a configuration above the given row version. The callback runs once, without a
     // value if the daemon does not answer or does not serve itself, and never from inside the call.
-    std::function<void(const SocketAddress&, std::uint64_t, std::function<void(const std::optional<BootstrapAnswer>&)>)>
+    std::function<void(const SocketAddress&, StoreVersion, std::function<void(const std::optional<BootstrapAnswer>&)>)>
         ask;
     // Called for each answer.
     std::function<void(const BootstrapAnswer&)> apply;
@@ -54,8 +54,8 @@
 
     SeedBootstrap(std::vector<SocketAddress> seeds, Time startedAt, SeedBootstrapHooks hooks);
 
-    // Asks the seeds if it is time to. `rowVersion` is that of the configuration in force, 0 if there is none.
-    void tick(std::uint64_t rowVersion, Time now);
+    // Asks the seeds if it is time to. `rowVersion` is that of the configuration in force; not set if there is none.
+    void tick(StoreVersion rowVersion, Time now);
 
 private:
     void onAnswer(const SocketAddress& seed, const std::optional<BootstrapAnswer>& answer);
--- a/src/process/seed_bootstrap_test.cc
+++ b/src/process/seed_bootstrap_test.cc
@@ -23,7 +23,7 @@
     SeedBootstrapHooks hooks()
     {
         SeedBootstrapHooks result;
-        result.ask = [this](const SocketAddress& seed, std::uint64_t rowVersion, Callback callback) {
+        result.ask = [this](const SocketAddress& seed, StoreVersion rowVersion, Callback callback) {
             ++this->questions;
             this->askedVersion = rowVersion;
             this->pending[seed] = std::move(callback);
@@ -38,7 +38,7 @@
     }
 
     int questions = 0;
-    std::uint64_t askedVersion = 0;
+    StoreVersion askedVersion;
     std::map<SocketAddress, Callback> pending;
     std::vector<BootstrapAnswer> applied;
     SeedBootstrap bootstrap;
@@ -47,7 +47,7 @@
 BootstrapAnswer answerWith(std::uint64_t rowVersion)
 {
     BootstrapAnswer answer;
-    answer.configuration = StoreRow { "op", "config", "{}", rowVersion, false };
+    answer.configuration = StoreRow { "op", "config", "{}", { 1, rowVersion }, false };
     return answer;
 }
 
@@ -57,9 +57,9 @@
 TEST_CASE("SeedBootstrap, does not ask while the store may still answer")
 {
     BootstrapFixture fixture;
-    fixture.bootstrap.tick(0, Time(10s));
+    fixture.bootstrap.tick({}, Time(10s));
     CHECK(fixture.questions == 0);
-    fixture.bootstrap.tick(0, Time(10s) + SeedBootstrap::startDelay);
+    fixture.bootstrap.tick({}, Time(10s) + SeedBootstrap::startDelay);
     CHECK(fixture.questions == 2);
 }
 
@@ -67,7 +67,7 @@
 TEST_CASE("SeedBootstrap, applies the answer of the seed that serves")
 {
     BootstrapFixture fixture;
-    fixture.bootstrap.tick(0, Time(11s));
+    fixture.bootstrap.tick({}, Time(11s));
     fixture.answer(firstSeed, std::nullopt);
     CHECK(fixture.applied.empty());
     fixture.answer(secondSeed, answerWith(7));
@@ -78,17 +78,17 @@
 TEST_CASE("SeedBootstrap, asks again for a newer configuration, and no seed twice at a time")
 {
     BootstrapFixture fixture;
-    fixture.bootstrap.tick(0, Time(11s));
-    fixture.bootstrap.tick(0, Time(12s));
+    fixture.bootstrap.tick({}, Time(11s));
+    fixture.bootstrap.tick({}, Time(12s));
     CHECK(fixture.questions == 2);
     fixture.answer(secondSeed, answerWith(7));
-    fixture.bootstrap.tick(7, Time(12s) + SeedBootstrap::searchInterval);
+    fixture.bootstrap.tick({ 1, 7 }, Time(12s) + SeedBootstrap::searchInterval);
     CHECK(fixture.questions == 3);
-    CHECK(fixture.askedVersion == 7);
+    CHECK(fixture.askedVersion == StoreVersion { 1, 7 });
     fixture.answer(secondSeed, answerWith(8));
-    fixture.bootstrap.tick(8, Time(12s) + SeedBootstrap::refreshInterval);
+    fixture.bootstrap.tick({ 1, 8 }, Time(12s) + SeedBootstrap::refreshInterval);
     CHECK(fixture.questions == 3);
-    fixture.bootstrap.tick(8, Time(13s) + SeedBootstrap::refreshInterval);
+    fixture.bootstrap.tick({ 1, 8 }, Time(13s) + SeedBootstrap::refreshInterval);
     CHECK(fixture.questions == 4);
     CHECK(fixture.applied.size() == 2);
 }
--- a/src/process/simulated_tables_test.h
+++ b/src/process/simulated_tables_test.h
@@ -23,15 +23,15 @@
     // Rows and newest version at one moment, from which the store may be restored.
     struct Copy {
         std::map<std::pair<std::string, std::string>, StoreRow> rows;
-        std::uint64_t version = 0;
+        std::uint64_t number = 0;
     };
 
-    [[nodiscard]] Copy copy() const { return { this->rows, this->version }; }
+    [[nodiscard]] Copy copy() const { return { this->rows, this->number }; }
     // Loses what was acknowledged since the copy was taken. Versions go back with it and are given out again.
     void restore(const Copy& copy)
     {
         this->rows = copy.rows;
-        this->version = copy.version;
+        this->number = copy.number;
         ++this->era;
     }
 
@@ -42,17 +42,17 @@
     // Number of rows of the fleet table that were returned.
     std::size_t fleetRowsRead = 0;
 
-    [[nodiscard]] bool hasRow(const std::string& table, const std::string& key) const
+    // Whether there is a row of the given name in the present era.
+    [[nodiscard]] bool hasRow(const std::string& table, const std::string& name) const
     {
-        return this->rows.count({ table, key }) != 0;
+        return this->rows.count({ table, toString(EraKey { this->era, name }) }) != 0;
     }
 
     // Whether the promotion lock has ever been taken.
     [[nodiscard]] bool hasLock() const
     {
-        return std::any_of(this->rows.begin(), this->rows.end(), [](const auto& entry) {
-            return entry.first.second.find(promotionLockKey) != std::string::npos;
-        });
+        return std::any_of(this->rows.begin(), this->rows.end(),
+            [](const auto& entry) { return entry.first.second.find(promotionLockKey) != std::string::npos; });
     }
 
     StoreResult read(const std::string& table)
@@ -63,15 +63,15 @@
     }
 
     // Rows that have changed after a version, in the order of their changes.
-    StoreResult changes(const std::string& table, std::uint64_t after)
+    StoreResult changes(const std::string& table, StoreVersion after)
     {
-        auto result = this->collect(table, after);
-        if (this->historyLost || after > this->version) {
+        auto result = this->collect(table, after.number);
+        if (this->historyLost || after.number > this->number) {
             result.status = StoreStatus::HistoryLost;
             result.rows.clear();
         }
         std::stable_sort(result.rows.begin(), result.rows.end(),
-            [](const StoreRow& left, const StoreRow& right) { return left.version < right.version; });
+            [](const StoreRow& left, const StoreRow& right) { return left.version.number < right.version.number; });
         this->countRows(table, result);
         return result;
     }
@@ -85,40 +85,47 @@
         conditions.insert(conditions.end(), change.removals.begin(), change.removals.end());
         for (const auto& condition : conditions) {
             const auto found = this->rows.find({ condition.table, condition.key });
-            const auto present = found == this->rows.end() ? 0 : found->second.version;
-            holds = holds && present == condition.version;
+            // The store knows numbers only: the eras are the business of its clients.
+            const auto present = found == this->rows.end() ? 0 : found->second.version.number;
+            holds = holds && present == condition.version.number;
             if (found != this->rows.end())
                 result.rows.push_back(found->second);
         }
-        result.version = this->version;
+        result.version = this->newest();
+        result.answered = true;
         if (!holds) {
             result.status = StoreStatus::Conflict;
             return result;
         }
         result.rows.clear();
-        ++this->version;
+        ++this->number;
         for (auto row : change.writes) {
-            row.version = this->version;
+            row.version = this->newest();
             this->rows[{ row.table, row.key }] = row;
         }
         for (const auto& removal : change.removals)
             this->rows.erase({ removal.table, removal.key });
         result.status = StoreStatus::Done;
-        result.version = this->version;
+        result.version = this->newest();
         return result;
     }
 
 private:
+    [[nodiscard]] StoreVersion newest() const { return { this->era, this->number }; }
+
     // Rows of a table with a version above the given one.
     [[nodiscard]] StoreResult collect(const std::string& table, std::uint64_t after) const
     {
         StoreResult result;
         result.status = StoreStatus::Done;
-        result.version = this->version;
+        result.answered = true;
+        result.version = this->newest();
         result.storeMs = this->storeMs();
         for (const auto& [key, row] : this->rows) {
-            if (key.first == table && row.version > after)
-                result.rows.push_back(row);
+            if (key.first != table || row.version.number <= after)
+                continue;
+            result.rows.push_back(row);
+            result.rows.back().version.era = this->era;
         }
         return result;
     }
@@ -135,7 +142,7 @@
 
     std::function<Time()> now;
     std::map<std::pair<std::string, std::string>, StoreRow> rows;
-    std::uint64_t version = 0;
+    std::uint64_t number = 0;
 };
 
 } // namespace endivetrestle
--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -23,7 +23,7 @@
         return;
     this->reachable = value;
     logEvent(value ? LogLevel::Info : LogLevel::Warning, value ? "feed_regained" : "feed_lost",
-        { { "table", this->table }, { "version", this->lastVersion } });
+        { { "table", this->table }, { "version", toString(this->lastVersion) } });
     this->hooks.reachable(value);
 }
 
@@ -40,6 +40,10 @@
                 callback(false);
             return;
         }
+        if (this->lastVersion.isSet() && result.version.era != this->lastVersion.era)
+            logEvent(LogLevel::Info, "feed_read_in_new_era",
+                { { "table", this->table }, { "known_version", toString(this->lastVersion) },
+                    { "version", toString(result.version) }, { "rows", result.rows.size() } });
         // The snapshot is reported before the store is reported as reachable, so that the grace period of entries that
         // expired during an outage starts first.
         this->lastVersion = std::max(this->lastVersion, result.version);
@@ -60,11 +64,11 @@
                   return;
               if (result.status == StoreStatus::HistoryLost) {
                   logEvent(LogLevel::Info, "feed_history_lost",
-                      { { "table", this->table }, { "version", this->lastVersion } });
+                      { { "table", this->table }, { "version", toString(this->lastVersion) } });
                   this->readAll(callback);
                   return;
               }
-              const bool current = result.status == StoreStatus::Done && this->lastVersion != 0;
+              const bool current = result.status == StoreStatus::Done && this->lastVersion.isSet();
               if (current && !result.rows.empty())
                   this->checkWatchLater();
               if (current)
@@ -99,7 +103,7 @@
 {
     std::vector<StoreRow> rows;
     for (const auto& row : result.rows) {
-        if (row.version == 0 || row.version > this->lastVersion)
+        if (!row.version.isSet() || row.version > this->lastVersion)
             rows.push_back(row);
     }
     if (!rows.empty())
@@ -139,7 +143,7 @@
                 return;
             case StoreStatus::HistoryLost:
                 logEvent(LogLevel::Info, "feed_history_lost",
-                    { { "table", this->table }, { "version", this->lastVersion } });
+                    { { "table", this->table }, { "version", toString(this->lastVersion) } });
                 this->readAll();
                 return;
             default:
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -24,7 +24,8 @@
 
 // Follows the changes of one table in the store: reads the whole table once and then watches for changes after the
 // version that was read. A watch that fails is repeated from the same version, so that no change is missed. Rows are
-// reported in the order of their versions, whichever call brings them.
+// reported in the order of their versions, whichever call brings them. What is read after the store has come back from
+// a copy is newer than all that was read before, whatever its number.
 class TableFeed {
 public:
     // Time that a watch waits for a change. Keep-alive probes detect a broken connection earlier.
@@ -49,7 +50,7 @@
     void watchAgain();
 
     // Version of the table up to which changes have been reported.
-    [[nodiscard]] std::uint64_t version() const { return this->lastVersion; }
+    [[nodiscard]] StoreVersion version() const { return this->lastVersion; }
     [[nodiscard]] bool isReachable() const { return this->reachable; }
 
 private:
@@ -65,7 +66,7 @@
     TableStore& store;
     TimerService& timers;
     TableFeedHooks hooks;
-    std::uint64_t lastVersion = 0;
+    StoreVersion lastVersion;
     // Number of the present watch. Answers to earlier ones are ignored.
     std::uint64_t watchNumber = 0;
     // Whether a watch is outstanding.
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -13,7 +13,7 @@
 public:
     void readAll(const std::string&, Callback callback) override { this->reads.push_back(std::move(callback)); }
     void change(const StoreChange&, Callback) override { }
-    void watch(const std::string&, std::uint64_t after, Duration wait, Callback callback) override
+    void watch(const std::string&, StoreVersion after, Duration wait, Callback callback) override
     {
         this->watchedAfter = after;
         (wait == Duration::zero() ? this->catchUps : this->watches).push_back(std::move(callback));
@@ -32,7 +32,7 @@
     std::vector<Callback> watches;
     std::vector<Callback> catchUps;
     std::vector<Callback> abandoned;
-    std::uint64_t watchedAfter = 0;
+    StoreVersion watchedAfter;
 
 private:
     void answer(std::vector<Callback>& calls, const StoreResult& result)
@@ -61,7 +61,7 @@
     {
         StoreResult value;
         value.status = status;
-        value.version = version;
+        value.version = { 1, version };
         value.rows.resize(rows);
         return value;
     }
@@ -88,13 +88,13 @@
     FeedFixture fixture;
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
     CHECK(fixture.snapshots == std::vector<std::size_t> { 2 });
-    CHECK(fixture.store.watchedAfter == 7);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 7 });
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9, 1));
     CHECK(fixture.changes == 1);
     // Changes in quick succession are read together.
     CHECK(fixture.store.watches.empty());
     fixture.elapseRetryDelay();
-    CHECK(fixture.store.watchedAfter == 9);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 9 });
 }
 
 TEST_CASE("TableFeed, repeats a watch from the same version when it is not answered")
@@ -105,7 +105,7 @@
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::Unknown, 0));
     CHECK_FALSE(fixture.reachable);
     fixture.elapseRetryDelay();
-    CHECK(fixture.store.watchedAfter == 7);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 7 });
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 8, 1));
     CHECK(fixture.reachable);
     CHECK(fixture.changes == 1);
@@ -118,7 +118,7 @@
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::HistoryLost, 0));
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 30, 3));
     CHECK(fixture.snapshots == std::vector<std::size_t> { 1, 3 });
-    CHECK(fixture.store.watchedAfter == 30);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 30 });
 }
 
 TEST_CASE("TableFeed, retries the first read when the store refuses it")
@@ -138,18 +138,18 @@
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
     std::optional<bool> current;
     fixture.feed->catchUp([&](bool value) { current = value; });
-    CHECK(fixture.store.watchedAfter == 7);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 7 });
     CHECK(!current);
     auto changes = FeedFixture::result(StoreStatus::Done, 9, 2);
-    changes.rows[0].version = 8;
-    changes.rows[1].version = 9;
+    changes.rows[0].version = { 1, 8 };
+    changes.rows[1].version = { 1, 9 };
     fixture.store.answerCatchUp(changes);
     CHECK(current == true);
     CHECK(fixture.changes == 2);
     // The watch tells the same rows later, or only the earlier one.
     fixture.store.answerWatch(changes);
     CHECK(fixture.changes == 2);
-    CHECK(fixture.feed->version() == 9);
+    CHECK(fixture.feed->version() == StoreVersion { 1, 9 });
 }
 
 TEST_CASE("TableFeed, does not count as caught up without an answer or without a first reading")
@@ -194,7 +194,7 @@
     fixture.timers.advance(fixture.now);
     CHECK(fixture.store.abandoned.size() == 1);
     CHECK(fixture.store.watches.size() == 1);
-    CHECK(fixture.store.watchedAfter == 9);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 1, 9 });
     CHECK(!fixture.reachable);
     fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 9));
     CHECK(fixture.reachable);
@@ -226,3 +226,31 @@
     fixture.feed->watchAgain();
     CHECK(fixture.store.watches.empty());
 }
+
+TEST_CASE("TableFeed, takes the table of a later era although its version is lower")
+{
+    // Guards against a feed that refuses every snapshot of a store that came back from a copy.
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 40, 1));
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::HistoryLost, 0));
+    auto restored = FeedFixture::result(StoreStatus::Done, 12, 3);
+    restored.version.era = 2;
+    fixture.store.answerRead(restored);
+    CHECK(fixture.snapshots == std::vector<std::size_t> { 1, 3 });
+    CHECK(fixture.store.watchedAfter == StoreVersion { 2, 12 });
+    auto change = FeedFixture::result(StoreStatus::Done, 13, 1);
+    change.version.era = 2;
+    change.rows[0].version = { 2, 13 };
+    fixture.store.answerWatch(change);
+    CHECK(fixture.changes == 1);
+    CHECK(fixture.reachable);
+}
+
+TEST_CASE("TableFeed, does not take an older table of the same era")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 40, 1));
+    fixture.store.answerWatch(FeedFixture::result(StoreStatus::HistoryLost, 0));
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 39, 3));
+    CHECK(fixture.snapshots == std::vector<std::size_t> { 1 });
+}
--- a/src/process/table_store.h
+++ b/src/process/table_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "process/store_version.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,19 +15,19 @@
     std::string table;
     std::string key;
     std::string value;
-    // Version of the row's last change; 0 means that the row does not exist.
-    std::uint64_t version = 0;
+    // Version of the row's last change; not set if the row does not exist.
+    StoreVersion version;
     // Whether a feed reports that the row was removed.
     bool removed = false;
 
     bool operator==(const StoreRow&) const = default;
 };
 
-// Row and version that a condition or a removal requires.
+// Row and version that a condition or a removal requires. A version that is not set requires that there is no row.
 struct StoreCondition {
     std::string table;
     std::string key;
-    std::uint64_t version = 0;
+    StoreVersion version;
 
     bool operator==(const StoreCondition&) const = default;
 };
@@ -49,8 +50,11 @@
     Done,
     // A condition of a change did not hold.
     Conflict,
-    // The history needed by a feed is no longer available.
+    // The history needed by a feed is no longer available, or it belongs to another era of the store.
     HistoryLost,
+    // The store has come back from a copy since the change was prepared. Whether the change has taken effect or not, it
+    // means nothing in the present era.
+    EraChanged,
     // The store refused the call; nothing was done.
     Refused,
     // No answer: a change may have taken effect, or may still do so.
@@ -62,8 +66,8 @@
     StoreStatus status = StoreStatus::Unknown;
     // Rows that were read or changed, or the current rows of the conditions after a conflict.
     std::vector<StoreRow> rows;
-    // Newest version of the store.
-    std::uint64_t version = 0;
+    // Newest version of the store. Its era is known whenever the store has answered at all, whatever the status.
+    StoreVersion version;
     // Steady clock of the store.
     std::int64_t storeMs = 0;
     // Whether the store answered at all.
@@ -86,7 +90,7 @@
     virtual void change(const StoreChange& change, Callback callback) = 0;
     // Waits until a row of the table has changed after the version, at most for the given time. A watch that does not
     // wait is not held up by one that does.
-    virtual void watch(const std::string& table, std::uint64_t after, Duration wait, Callback callback) = 0;
+    virtual void watch(const std::string& table, StoreVersion after, Duration wait, Callback callback) = 0;
     // Gives up the watches of a table that wait; their callbacks do not run. Used when their connection may be lost.
     virtual void abandonWatches(const std::string& table) = 0;
 };
