--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -136,6 +136,7 @@
     void forgetPrimary(const DatabaseId& group);
     [[nodiscard]] bool earlierEraIsOver(const PrimaryRow& row) const;
     [[nodiscard]] std::int64_t earlierLeasesEndMs() const;
+    [[nodiscard]] Duration leaseLeft() const;
 
     // fleet_controller_adoption.cc
     void adoptGroups(Time now);
--- a/src/process/fleet_controller_era.cc
+++ b/src/process/fleet_controller_era.cc
@@ -30,7 +30,7 @@
         = std::count_if(this->rows.begin(), this->rows.end(), [](const auto& entry) { return entry.second.replacing; });
     logEvent(LogLevel::Warning, "fleet_era_changed",
         { { "previous_era", this->era }, { "era", newEra }, { "groups", this->rows.size() }, { "replacing", replacing },
-            { "lease_left_ms", toMilliseconds(this->lease.end() - this->now()) },
+            { "lease_left_ms", toMilliseconds(this->leaseLeft()) },
             { "known_up_to", toString(this->claims.completeUpTo()) }, { "promotions_dropped", this->promotions.size() },
             { "lock_dropped", this->promotionLock.isHeld(this->now()) ? 1 : 0 } });
     this->era = newEra;
@@ -125,7 +125,7 @@
             { { "era", table.era }, { "opened_by", table.opening->openedBy.value },
                 { "basis", basisName(table.opening->basis) }, { "kept", kept }, { "dropped", unknown.size() },
                 { "groups", table.primaries.size() },
-                { "lease_left_ms", toMilliseconds(this->lease.end() - this->now()) } });
+                { "lease_left_ms", toMilliseconds(this->leaseLeft()) } });
     for (const auto& group : unknown)
         this->forgetPrimary(group);
     for (const auto& [group, row] : table.primaries) {
@@ -150,6 +150,11 @@
         this->suspend(group, nullptr);
 }
 
+Duration FleetController::leaseLeft() const
+{
+    return std::max(Duration::zero(), this->lease.end() - this->now());
+}
+
 // Whether nothing of an earlier era acts on a primary any more that is to be replaced.
 //
 // A daemon that nobody here knows of may use it until its lease ends, which others do not witness. Beyond that, a
