--- a/src/process/fleet_controller_restore_test.cc
+++ b/src/process/fleet_controller_restore_test.cc
@@ -1,4 +1,5 @@
-// The store comes back from an older copy: what it had acknowledged since is gone, and its versions are given out again.
+// The store comes back from an older copy: what it had acknowledged since is gone, and its versions are given out
+// again.
 #include "process/fleet_simulation_test.h"
 
 #include <catch2/catch.hpp>
@@ -96,7 +97,8 @@
 TEST_CASE("FleetController, keeps the rules when the store is lost at any step of a replacement")
 {
     // Guards against a replacement that goes on with a claim, a lock or an order of a store that has gone.
-    const auto lostAtCall = GENERATE(as<std::string> {}, "change", "suspend", "refresh", "demote", "promote", "announce");
+    const auto lostAtCall
+        = GENERATE(as<std::string> {}, "change", "suspend", "refresh", "demote", "promote", "announce");
     const auto daemonCount = GENERATE(as<std::size_t> {}, 2, 4);
     const auto awayFor = GENERATE(as<Duration> {}, 1ms, 300ms, 2s);
     const bool copiedBefore = GENERATE(true, false);
@@ -144,6 +146,78 @@
     checkAllServe(simulation);
 }
 
+TEST_CASE("FleetController, replaces no primary that a daemon of which the copy does not tell may use")
+{
+    // Guards against a replacement that waits only for the leases of the copy.
+    FleetSimulation simulation(5);
+    simulation.kill(4);
+    simulation.runFor(warmUp);
+    const auto copy = simulation.tables.copy();
+    simulation.startDaemon(4);
+    simulation.runFor(1s);
+    auto& unknown = *simulation.daemons[4];
+    REQUIRE(unknown.controller->leaseValid(simulation.now()));
+    unknown.storeUnreachable = unknown.peersUnreachable = true;
+    simulation.restoreStore(copy, 300ms);
+    simulation.endpoints[e1].draining = true;
+    simulation.runFor(recoveryTime);
+    unknown.storeUnreachable = unknown.peersUnreachable = false;
+    simulation.runFor(recoveryTime);
+    CHECK(simulation.leader() != e1);
+    checkAllServe(simulation);
+}
+
+TEST_CASE("FleetController, waits for orders of a daemon of which the copy does not tell")
+{
+    // Guards against a primary that is confirmed and then replaced by an order of before the restore.
+    FleetSimulation simulation(5);
+    simulation.kill(4);
+    simulation.runFor(warmUp);
+    const auto copy = simulation.tables.copy();
+    simulation.startDaemon(4);
+    simulation.runFor(1s);
+    for (std::size_t i = 0; i < 4; ++i)
+        simulation.kill(i);
+    simulation.runFor(PrimaryLease::validity + 2s);
+    auto& unknown = *simulation.daemons[4];
+    bool demoted = false;
+    simulation.onCall = [&](std::size_t, const std::string& call) { demoted = demoted || call == "demote"; };
+    simulation.endpoints[e1].draining = true;
+    REQUIRE(simulation.runUntil([&] { return demoted; }));
+    simulation.onCall = nullptr;
+    unknown.frozen = unknown.storeUnreachable = unknown.peersUnreachable = true;
+    simulation.endpoints[e1].draining = false;
+    simulation.endpoints[e1].primary = true;
+    simulation.restoreStore(copy, 100ms);
+    for (std::size_t i = 0; i < 4; ++i)
+        simulation.startDaemon(i);
+    simulation.runFor(4s);
+    simulation.unfreeze(4);
+    simulation.runFor(recoveryTime);
+    CHECK(simulation.promotions == 1);
+    unknown.storeUnreachable = unknown.peersUnreachable = false;
+    simulation.runFor(recoveryTime);
+    checkAllServe(simulation);
+}
+
+TEST_CASE("FleetController, confirms no claim of an earlier era")
+{
+    // Guards against a confirmation that lets a daemon which has missed the restore order a promotion.
+    FleetSimulation simulation(2);
+    simulation.runFor(warmUp);
+    const auto copy = simulation.tables.copy();
+    replacePrimary(simulation);
+    const auto row = simulation.daemons[0]->controller->primaries().at(FleetSimulation::group());
+    simulation.restoreStore(copy, 100ms);
+    simulation.runFor(3s);
+    auto& controller = *simulation.daemons[0]->controller;
+    REQUIRE(controller.hasJoinedEra());
+    const auto later = StoreVersion { row.version.era, row.version.number + 100 };
+    CHECK_FALSE(controller.onSuspendRequest({ row.group, later, row.version }, [] { FAIL("confirmed"); }));
+    simulation.runFor(1s);
+    CHECK(simulation.daemonsUsingLeader() == 2);
+}
+
 TEST_CASE("FleetController, keeps the rules when calls of before the restore take effect after it")
 {
     // Guards against a late call whose condition holds again because its version was given out anew.
