--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -57,8 +57,8 @@
     void restartGrace(Time now);
 
     // Call when the store has come back from a copy. Entries may be missing as after an outage, and others may tell
-    // what was so when the copy was taken: until the grace period has ended, an entry of a process that is draining does
-    // not make it ready again.
+    // what was so when the copy was taken: until the grace period has ended, an entry of a process that is draining
+    // does not make it ready again.
     void onRestored(Time now);
 
     // Whether an endpoint that is not listed is gone. It may be missing for another reason for a grace period after the
--- a/src/process/fleet_controller_era.cc
+++ b/src/process/fleet_controller_era.cc
@@ -124,8 +124,7 @@
         logEvent(LogLevel::Info, "era_joined",
             { { "era", table.era }, { "opened_by", table.opening->openedBy.value },
                 { "basis", basisName(table.opening->basis) }, { "kept", kept }, { "dropped", unknown.size() },
-                { "groups", table.primaries.size() },
-                { "lease_left_ms", toMilliseconds(this->leaseLeft()) } });
+                { "groups", table.primaries.size() }, { "lease_left_ms", toMilliseconds(this->leaseLeft()) } });
     for (const auto& group : unknown)
         this->forgetPrimary(group);
     for (const auto& [group, row] : table.primaries) {
@@ -150,10 +149,7 @@
         this->suspend(group, nullptr);
 }
 
-Duration FleetController::leaseLeft() const
-{
-    return std::max(Duration::zero(), this->lease.end() - this->now());
-}
+Duration FleetController::leaseLeft() const { return std::max(Duration::zero(), this->lease.end() - this->now()); }
 
 // Whether nothing of an earlier era acts on a primary any more that is to be replaced.
 //
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -49,10 +49,10 @@
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
 // and continue), harmed connections to the store, to endpoints and between daemons, endpoints that crash, lag, drain,
-// leave or lose answers, and a store that is down, loses answers, forgets its history or comes back from an older copy. Every daemon has connections
-// of its own to the store, to each endpoint and to each other daemon, so that a fault may concern some daemons only. At
-// the end everything is healed, and most statements must succeed again, in each group and for writes and reads apart, and
-// every daemon must stop within its grace period.
+// leave or lose answers, and a store that is down, loses answers, forgets its history or comes back from an older copy.
+// Every daemon has connections of its own to the store, to each endpoint and to each other daemon, so that a fault may
+// concern some daemons only. At the end everything is healed, and most statements must succeed again, in each group and
+// for writes and reads apart, and every daemon must stop within its grace period.
 SoakReport runSoak(const SoakSettings& settings);
 
 std::string formatReport(const SoakReport& report);
--- a/src/soak/standin_store.h
+++ b/src/soak/standin_store.h
@@ -39,8 +39,8 @@
     void remove(const std::string& table, const std::string& key);
     // Drops the history, so that watches must read everything again.
     void compact();
-    // Comes back as it was at the given age, or as early as there is a copy: what it has acknowledged since is gone, and
-    // its versions are given out again.
+    // Comes back as it was at the given age, or as early as there is a copy: what it has acknowledged since is gone,
+    // and its versions are given out again.
     void restore(std::chrono::milliseconds age);
     // Answers watches whose time is over and keeps copies; called every few milliseconds.
     void tick();
