Let a daemon that the store hardly knows need witnesses sooner

Cause: in a new era no primary was replaced before 6 s, the time for which a daemon that the copy lacks may use one without witnesses. Change: such a daemon is a newcomer by definition: its row is younger than the copy. A newcomer (20 s from its first row, which the row tells) holds a lease without witnesses for 3 s only, renews it every 1.5 s, and asks its witnesses earlier. So 3 s are enough to wait for in a new era. A daemon renews only when it has read the list, which tells since when it has a row.

--- a/src/process/fleet_controller.cc
+++ b/src/process/fleet_controller.cc
@@ -266,6 +266,9 @@
     for (const auto& row : result.rows) {
         const auto lease = decodeLeaseRow(row);
         const bool own = lease && lease->daemon == this->identity.daemon;
+        if (own)
+            this->rowSinceStoreMs
+                = std::min(this->rowSinceStoreMs.value_or(lease->rowSinceStoreMs), lease->rowSinceStoreMs);
         if (own && lease->epochVersion.era == listedEra && !this->renewalPending)
             this->leaseRowVersion = std::max(this->leaseRowVersion, row.version);
         // Rows of earlier eras lapse as well, but their versions are those of the era that holds them.
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -107,6 +107,7 @@
     // fleet_controller_lease.cc
     void renew();
     void renewDirectly();
+    [[nodiscard]] bool isNewcomer(Time at) const;
     [[nodiscard]] LeaseRenewal makeRenewal(Time preparedAt) const;
     [[nodiscard]] std::optional<DaemonId> leaseDelegate() const;
     void onRenewed(Time preparedAt, int witnesses, const StoreResult& result);
@@ -189,6 +190,8 @@
     std::size_t nextWitness = 0;
     // Start of the controller, or end of the latest lease; for reporting the time without a lease.
     Time noLeaseSince;
+    // Time of the store's clock since which this daemon has had a lease row; no value before it is known.
+    std::optional<std::int64_t> rowSinceStoreMs;
     // Version of this daemon's lease row in the present era.
     StoreVersion leaseRowVersion;
     bool fleetTableLoaded = false;
--- a/src/process/fleet_controller_era.cc
+++ b/src/process/fleet_controller_era.cc
@@ -153,15 +153,15 @@
 
 // Whether nothing of an earlier era acts on a primary any more that is to be replaced.
 //
-// A daemon that nobody here knows of may use it until its lease ends, which others do not witness. Beyond that, a
-// replacement may have been ordered on the strength of the promotion lock of an earlier era, but only if it had been
-// claimed then: whoever opened the era had confirmed the claim, or else the primary has been taken from a copy after
-// that time.
+// A daemon that the copy lacks is a newcomer, and may use it until its lease ends, which others do not witness. Beyond
+// that, a replacement may have been ordered on the strength of the promotion lock of an earlier era, but only if it had
+// been claimed then: whoever opened the era had confirmed the claim, or else the primary has been taken from a copy
+// after that time.
 bool FleetController::earlierEraIsOver(const PrimaryRow& row) const
 {
     if (!this->eraBegunStoreMs)
         return true;
-    const auto limit = row.replacing ? PromotionLock::validity : PrimaryLease::unwitnessedValidity;
+    const auto limit = row.replacing ? PromotionLock::validity : PrimaryLease::newcomerValidity;
     return this->clock.lowerBoundMs(this->now()) >= *this->eraBegunStoreMs + milliseconds(limit);
 }
 
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -26,13 +26,18 @@
 
 } // namespace
 
+bool FleetController::isNewcomer(Time at) const
+{
+    return this->clock.lowerBoundMs(at) < *this->rowSinceStoreMs + milliseconds(PrimaryLease::newcomerTime);
+}
+
 LeaseRenewal FleetController::makeRenewal(Time preparedAt) const
 {
     LeaseRenewal renewal;
     renewal.row = { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
         this->identity.forwardAddress, this->identity.dataCentre,
         this->clock.upperBoundMs(preparedAt) + milliseconds(PrimaryLease::validity), this->claims.completeUpTo(),
-        PrimaryLease::witnessesFor(this->liveCount) };
+        PrimaryLease::witnessesFor(this->liveCount), this->rowSinceStoreMs.value_or(0) };
     renewal.rowVersion = this->leaseRowVersion;
     renewal.urgent = !this->lease.isValid(preparedAt);
     return renewal;
@@ -65,9 +70,15 @@
 {
     if (this->renewalPending || this->stopping || !this->fleetTableLoaded || !this->obeysKnownClaims())
         return;
+    // Only the list tells since when this daemon has had a row.
+    if (!this->peersKnown())
+        return;
     this->renewalPending = true;
     const auto preparedAt = this->now();
-    this->nextRenewal = preparedAt + PrimaryLease::renewalInterval;
+    if (!this->rowSinceStoreMs)
+        this->rowSinceStoreMs = this->clock.upperBoundMs(preparedAt);
+    this->lease.setNewcomer(this->isNewcomer(preparedAt));
+    this->nextRenewal = preparedAt + this->lease.timeBetweenRenewals();
     const auto delegate = this->leaseDelegate();
     const auto renewal = this->makeRenewal(preparedAt);
     const int witnesses = renewal.row.witnesses;
@@ -88,7 +99,7 @@
         const bool present = epoch.era == this->era && result.version.era == this->era;
         if (result.status == StoreStatus::Done && present) {
             // Keeps the renewals of the daemons in one batch aligned.
-            this->nextRenewal = this->now() + PrimaryLease::renewalInterval;
+            this->nextRenewal = this->now() + this->lease.timeBetweenRenewals();
             this->onRenewed(preparedAt, witnesses, result);
             return;
         }
@@ -178,11 +189,14 @@
 void FleetController::onRenewalConflict(const StoreResult& result)
 {
     // The row is absent from the answer if it does not exist any more.
+    const bool hadRow = this->leaseRowVersion.isSet();
     this->leaseRowVersion = { this->era, 0 };
     for (const auto& row : result.rows) {
         if (row.table == leaseTable && row.key == this->ownLeaseKey() && !row.removed)
             this->leaseRowVersion = row.version;
     }
+    if (hadRow && !this->leaseRowVersion.isSet())
+        this->rowSinceStoreMs = this->clock.upperBoundMs(this->now());
     this->readFleet();
 }
 
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -110,7 +110,8 @@
 {
     const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
         { "forward", toString(row.forwardAddress) }, { "data_centre", row.dataCentre.value },
-        { "until", row.untilStoreMs }, { "epoch", row.epochVersion.number }, { "witnesses", row.witnesses } };
+        { "until", row.untilStoreMs }, { "epoch", row.epochVersion.number }, { "witnesses", row.witnesses },
+        { "since", row.rowSinceStoreMs } };
     return { leaseTable, toString(EraKey { row.epochVersion.era, row.daemon.value }), value.dump() };
 }
 
@@ -157,6 +158,7 @@
     result.untilStoreMs = reader.integer("until");
     result.epochVersion = reader.version("epoch", key->era);
     result.witnesses = static_cast<int>(reader.integer("witnesses"));
+    result.rowSinceStoreMs = reader.integer("since");
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -92,6 +92,8 @@
     StoreVersion epochVersion;
     // Number of witnesses without which the lease ends early; 0 if it needs none.
     int witnesses = 0;
+    // Time of the store's clock since which the daemon has had a row, in whichever era.
+    std::int64_t rowSinceStoreMs = 0;
 
     bool operator==(const LeaseRow&) const = default;
 };
--- a/src/process/primary_lease_test.cc
+++ b/src/process/primary_lease_test.cc
@@ -53,3 +53,21 @@
     CHECK(PrimaryLease::witnessesFor(4) == 2);
     CHECK(PrimaryLease::witnessesFor(1600) == PrimaryLease::maxWitnesses);
 }
+
+TEST_CASE("PrimaryLease, of a newcomer expires earlier without witnesses, even in a fleet of one")
+{
+    // Guards against a lease that outlives the wait of a replacement because the store has lost its row.
+    const auto witnesses = GENERATE(0, 2);
+    PrimaryLease lease;
+    lease.setNewcomer(true);
+    lease.onRenewed(start, witnesses);
+    CHECK(lease.isValid(start + PrimaryLease::newcomerValidity - 200ms));
+    CHECK_FALSE(lease.isValid(start + PrimaryLease::newcomerValidity));
+    CHECK(lease.needsWitnesses(start + PrimaryLease::newcomerWitnessRequestAge));
+    lease.onWitnessed(start + 2500ms);
+    CHECK(lease.isValid(start + 4s));
+    CHECK_FALSE(lease.isValid(start + 5s));
+    lease.setNewcomer(false);
+    lease.onRenewed(start + 10s, witnesses);
+    CHECK(lease.isValid(start + 15s));
+}
