Begin no replacement in an era that has not been joined

Cause: the decision was checked against the era before the leases were read, and the answer came from the next era. Change: it is checked again when the leases have been read, and when the registry has been.

--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -136,6 +136,7 @@
     void joinEra(const FleetTable& table);
     void forgetPrimary(const DatabaseId& group);
     [[nodiscard]] bool earlierEraIsOver(const PrimaryRow& row) const;
+    [[nodiscard]] bool mayReplace(const PrimaryRow& observedRow) const;
     [[nodiscard]] std::int64_t earlierLeasesEndMs() const;
     [[nodiscard]] Duration leaseLeft() const;
 
--- a/src/process/fleet_controller_era.cc
+++ b/src/process/fleet_controller_era.cc
@@ -165,6 +165,12 @@
     return this->clock.lowerBoundMs(this->now()) >= *this->eraBegunStoreMs + milliseconds(limit);
 }
 
+// Whether a primary that was observed in the given row may be replaced in the present era.
+bool FleetController::mayReplace(const PrimaryRow& observedRow) const
+{
+    return this->fleetTableLoaded && observedRow.version.era == this->era && this->earlierEraIsOver(observedRow);
+}
+
 std::int64_t FleetController::earlierLeasesEndMs() const
 {
     if (!this->eraBegunStoreMs && !this->eraReadAt)
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -163,7 +163,7 @@
 
 void FleetController::startPromotion(const PrimaryRow& observedRow, const std::string& reason)
 {
-    if (!this->fleetTableLoaded || !this->earlierEraIsOver(observedRow))
+    if (!this->mayReplace(observedRow))
         return;
     this->nextAttemptAt[observedRow.group] = this->now() + attemptDelay;
     if (this->promotionLock.isHeld(this->now())) {
@@ -172,7 +172,8 @@
     }
     this->store.readAll(
         leaseTable, [this, observedRow, reason, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
-            if (weak.expired() || result.status != StoreStatus::Done)
+            // The store may have come back from a copy meanwhile.
+            if (weak.expired() || result.status != StoreStatus::Done || !this->mayReplace(observedRow))
                 return;
             this->clock.onAnswer(result.sentAt, result.answeredAt, result.storeMs);
             PromotionLockRow present;
@@ -224,7 +225,8 @@
 {
     const auto& group = observedRow.group;
     const auto found = this->rows.find(group);
-    const bool same = found != this->rows.end() && found->second.version == observedRow.version;
+    const bool same
+        = found != this->rows.end() && found->second.version == observedRow.version && this->mayReplace(observedRow);
     const bool planned = reason == drainingReason || reason == goneReason;
     const bool reasonHolds = same && (!planned || !this->plannedReplacementReason(found->second).empty());
     if (this->stopping || !reasonHolds || this->promotions.count(group) != 0) {
--- a/src/process/fleet_controller_restore_test.cc
+++ b/src/process/fleet_controller_restore_test.cc
@@ -200,6 +200,32 @@
     checkAllServe(simulation);
 }
 
+TEST_CASE("FleetController, takes the promotion lock of no era that is not open")
+{
+    // Guards against a replacement that was begun before the restore and goes on in an era without primaries.
+    const auto untilLock = [](FleetSimulation& simulation) {
+        simulation.runFor(warmUp);
+        simulation.endpoints[e1].draining = true;
+    };
+    FleetSimulation undisturbed(4);
+    untilLock(undisturbed);
+    REQUIRE(undisturbed.runUntil([&] { return undisturbed.hasRow(leaseTable, promotionLockKey); }));
+    const auto lockedAt = undisturbed.now();
+    for (int lostBefore = 1; lostBefore <= 12; ++lostBefore) {
+        CAPTURE(lostBefore);
+        FleetSimulation simulation(4);
+        untilLock(simulation);
+        simulation.runFor(lockedAt - std::chrono::milliseconds(lostBefore) - simulation.now());
+        simulation.tables.restore(simulation.tables.copy());
+        for (int i = 0; i < 3000 && !simulation.hasRow(fleetTable, eraKeyName); ++i) {
+            simulation.runFor(1ms);
+            CHECK_FALSE(simulation.hasRow(leaseTable, promotionLockKey));
+        }
+        simulation.runFor(2 * recoveryTime);
+        checkAllServe(simulation);
+    }
+}
+
 TEST_CASE("FleetController, confirms no claim of an earlier era")
 {
     // Guards against a confirmation that lets a daemon which has missed the restore order a promotion.
