--- a/review/standin-2/case.cc
+++ b/review/standin-2/case.cc
@@ -2,6 +2,7 @@
 // disruption.
 #include "scene.h"
 
+#include <atomic>
 #include <cstdlib>
 #include <iostream>
 
@@ -105,46 +106,121 @@
     return verdict(record, false, "all statements ran with the values of their sessions");
 }
 
-// Clients begin a transaction, send statements in a row and do not read the answers.
-int runUnreadAnswers(Record& record)
+// The service asks for one replica to hold what is acknowledged. One replica receives nothing for a while, and the primary
+// crashes meanwhile, under ordinary load.
+int runSyncReplica(Record& record)
 {
-    Scene scene(record, 2);
-    scene.transactionIdleMs = 1500;
+    Scene scene(record, 4);
+    const bool trouble = troubled();
+    scene.service.syncReplicas = 1;
+    scene.service.slots = 2;
+    scene.service.work = std::chrono::milliseconds(12);
+    std::mutex mutex;
+    std::set<std::string> acknowledged;
+    std::string lost;
+    std::string promoted;
+    scene.service.onPromoted = [&](const Member& member) {
+        std::set<std::string> held;
+        for (const auto& entry : member.log)
+            held.insert(entry.writes.begin(), entry.writes.end());
+        const std::lock_guard lock(mutex);
+        promoted = member.id;
+        for (const auto& write : acknowledged) {
+            if (held.count(write) == 0)
+                lost += " " + write;
+        }
+    };
     if (!scene.start())
         return couldNotRun;
-    constexpr int clients = 8;
-    const bool trouble = troubled();
+    std::atomic<bool> stopped = false;
+    std::atomic<int> served = 0;
     std::vector<std::thread> threads;
-    for (int i = 0; i < clients; ++i) {
+    constexpr int readers = 16;
+    constexpr int writers = 2;
+    for (int i = 0; i < readers + writers; ++i) {
         threads.emplace_back([&, i] {
-            Client client("c" + std::to_string(i), record);
-            if (!client.start(scene.frontend(0), "shop-primary"))
-                return;
-            client.query("t" + std::to_string(i), "BEGIN");
-            std::string block;
-            for (int n = 0; n < 1000; ++n)
-                block += "QUERY q SET a " + std::to_string(n) + "\r\n";
-            const int blocks = trouble ? 4000 : 1;
-            std::size_t sent = 0;
-            for (int n = 0; n < blocks && client.send(block, false); ++n)
-                sent += block.size();
-            record.line("c" + std::to_string(i) + " has sent " + std::to_string(sent) + " bytes of SET and read nothing");
-            client.close();
+            const bool writes = i >= readers;
+            const auto name = (writes ? "w" : "r") + std::to_string(i);
+            const auto daemon = static_cast<std::size_t>(i) % scene.daemons.size();
+            for (int n = 0; !stopped;) {
+                Client client(name, record);
+                client.start(scene.frontend(daemon), writes ? "shop-primary" : "shop-bounded_staleness");
+                while (!stopped && client.isOpen()) {
+                    const auto id = name + "x" + std::to_string(++n);
+                    const auto lines = client.query(id, writes ? "WRITE 1a4 order" : "READ 1a4");
+                    const bool done = lines.size() > 1 && lines[lines.size() - 2].rfind("COMPLETE ", 0) == 0;
+                    served += done ? 1 : 0;
+                    if (done && writes) {
+                        const std::lock_guard lock(mutex);
+                        acknowledged.insert(id);
+                    }
+                    std::this_thread::sleep_for(std::chrono::milliseconds(writes ? 80 : 100));
+                }
+            }
         });
     }
-    // Ordinary clients come and go meanwhile.
-    bool lost = false;
-    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(25);
-    for (int n = 0; std::chrono::steady_clock::now() < until && scene.countEnded() == 0; ++n) {
-        Client client("o" + std::to_string(n), record);
-        lost = !client.start(scene.frontend(0), "shop-primary") || client.query("o" + std::to_string(n), "BEGIN").empty();
-        client.query("p" + std::to_string(n), "READ 1a4");
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const auto isLost = [&] {
+        const std::lock_guard lock(mutex);
+        return !lost.empty();
+    };
+    constexpr int rounds = 5;
+    for (int round = 0; round < rounds && !isLost(); ++round) {
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        Member* leader = nullptr;
+        Member* replica = nullptr;
+        asio::post(scene.context, [&] {
+            leader = scene.service.leader();
+            for (const auto& member : scene.service.members) {
+                if (member.get() != leader)
+                    replica = member.get();
+            }
+            if (!trouble)
+                return;
+            replica->deaf = true;
+            record.line(replica->id + " receives nothing from now on");
+        });
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        asio::post(scene.context, [&] {
+            if (!trouble)
+                return;
+            record.line(leader->id + " crashes; it has " + leader->position());
+            leader->crash();
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(3600));
+        asio::post(scene.context, [&] { scene.putRegistry(); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(900));
+        asio::post(scene.context, [&] {
+            if (!trouble)
+                return;
+            replica->deaf = false;
+            record.line(replica->id + " receives again");
+        });
+        for (int waited = 0; trouble && waited < 24; ++waited) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            const std::lock_guard lock(mutex);
+            if (!promoted.empty())
+                break;
+        }
+        {
+            const std::lock_guard lock(mutex);
+            record.line("round " + std::to_string(round + 1) + " ends; promoted: " + promoted);
+            promoted.clear();
+        }
+        asio::post(scene.context, [&] {
+            if (trouble && !leader->up)
+                leader->restart();
+            scene.putRegistry();
+        });
+        std::this_thread::sleep_for(std::chrono::seconds(1));
     }
+    stopped = true;
     for (auto& thread : threads)
         thread.join();
-    const int ended = scene.countEnded();
-    return verdict(record, ended > 0, "daemons that ended by themselves: " + std::to_string(ended) + (lost ? " (last client unserved)" : ""));
+    if (served == 0)
+        return couldNotRun;
+    if (isLost())
+        return verdict(record, true, "LOST: acknowledged commits are not in the log of the promoted member:" + lost);
+    return verdict(record, false, "the log of each promoted member held all acknowledged commits");
 }
 
 } // namespace
@@ -163,8 +239,8 @@
         return review::runLineFeed(record);
     if (name == "failed-set")
         return review::runFailedSet(record);
-    if (name == "unread-answers")
-        return review::runUnreadAnswers(record);
+    if (name == "sync-replica")
+        return review::runSyncReplica(record);
     std::cerr << "unknown case\n";
     return review::couldNotRun;
 }
--- a/review/standin-2/scene.cc
+++ b/review/standin-2/scene.cc
@@ -95,7 +95,8 @@
     std::map<std::string, std::string> values;
     // Kinds of the prepared statements: READ or WRITE.
     std::map<std::string, std::string> prepared;
-    bool wrote = false;
+    // Writes of the open transaction.
+    std::vector<std::string> writes;
 };
 
 Member::Member(asio::io_context& context, Service& service, std::string id, bool primary)
@@ -103,11 +104,55 @@
     , primary(primary)
     , context(context)
     , service(service)
-    , acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+    , acceptor(context)
 {
+    this->log.push_back({ 1, {} });
+    this->listen();
+}
+
+void Member::listen()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), this->boundPort);
+    this->acceptor.open(address.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(address);
+    this->acceptor.listen();
+    this->boundPort = this->acceptor.local_endpoint().port();
     this->accept();
 }
 
+void Member::crash()
+{
+    this->up = false;
+    this->busy = 0;
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto& connection : this->connections)
+        connection->socket.close(ignored);
+    this->connections.clear();
+}
+
+void Member::restart()
+{
+    this->up = true;
+    auto* leader = this->service.leader();
+    this->primary = leader == this;
+    this->listen();
+}
+
+std::string Member::position() const
+{
+    return std::to_string(this->log.back().term) + "." + std::to_string(this->log.size());
+}
+
+bool Member::contains(const std::string& wanted) const
+{
+    const auto dot = wanted.find('.');
+    const auto number = std::stoull(wanted.substr(dot + 1));
+    return number <= this->log.size()
+        && (number == 0 || this->log[number - 1].term == std::stoull(wanted.substr(0, dot)));
+}
+
 void Member::accept()
 {
     this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
@@ -115,7 +160,9 @@
             return;
         asio::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        this->read(std::make_shared<Connection>(std::move(socket)));
+        const auto connection = std::make_shared<Connection>(std::move(socket));
+        this->connections.insert(connection);
+        this->read(connection);
         this->accept();
     });
 }
@@ -124,8 +171,10 @@
 {
     connection->socket.async_read_some(
         asio::buffer(connection->buffer), [this, connection](const asio::error_code& error, std::size_t length) {
-            if (error)
+            if (error || !connection->socket.is_open()) {
+                this->connections.erase(connection);
                 return;
+            }
             connection->received.append(connection->buffer.data(), length);
             for (auto end = connection->received.find("\r\n"); end != std::string::npos;
                  end = connection->received.find("\r\n")) {
@@ -138,14 +187,18 @@
         });
 }
 
+void Member::reply(const std::shared_ptr<Connection>& connection, const std::string& text)
+{
+    if (!connection->socket.is_open())
+        return;
+    const auto bytes = std::make_shared<std::string>(
+        text + "READY " + (connection->inTransaction ? "T " : "I ") + this->position() + "\r\n");
+    asio::async_write(
+        connection->socket, asio::buffer(*bytes), [connection, bytes](const asio::error_code&, std::size_t) {});
+}
+
 void Member::take(const std::shared_ptr<Connection>& connection, const std::string& line)
 {
-    const auto reply = [this, connection](const std::string& text) {
-        const auto bytes = std::make_shared<std::string>(text + "READY " + (connection->inTransaction ? "T" : "I")
-            + " 1." + std::to_string(this->service.committed) + "\r\n");
-        asio::async_write(
-            connection->socket, asio::buffer(*bytes), [connection, bytes](const asio::error_code&, std::size_t) {});
-    };
     auto rest = line;
     const auto word = takeWord(rest);
     if (word == "STARTUP") {
@@ -153,7 +206,7 @@
         takeWord(rest);
         connection->started = service == this->service.name && (rest.empty() || rest == this->id);
         if (connection->started)
-            reply("");
+            this->reply(connection, "");
         else {
             const std::string refused = "ERROR MISROUTED " + this->id + "\r\n";
             asio::write(connection->socket, asio::buffer(refused));
@@ -164,18 +217,60 @@
     if (word != "QUERY" || !connection->started)
         return;
     const auto queryId = takeWord(rest);
-    const auto timer = std::make_shared<asio::steady_timer>(this->context, this->service.work);
-    timer->async_wait([this, connection, timer, queryId, rest, reply](const asio::error_code&) {
-        reply(this->answer(*connection, queryId, rest));
+    const auto text = rest;
+    const bool full = this->service.slots > 0 && this->busy >= this->service.slots;
+    if (queryId == "-" && rest != "STATUS") {
+        this->reply(connection, this->answer(*connection, queryId, text));
+        return;
+    }
+    if (full) {
+        if (rest == "STATUS")
+            this->service.record.line(this->id + " has no free slot and answers STATUS with BUSY");
+        this->reply(connection, "ERROR BUSY full\r\n");
+        return;
+    }
+    ++this->busy;
+    const auto timer = std::make_shared<asio::steady_timer>(
+        this->context, queryId == "-" ? std::chrono::milliseconds(1) : this->service.work);
+    timer->async_wait([this, connection, timer, queryId, text](const asio::error_code&) {
+        if (!this->up || !connection->socket.is_open())
+            return;
+        --this->busy;
+        this->finish(connection, queryId, text);
     });
 }
 
+// Answers when what was committed is held by enough replicas.
+void Member::finish(const std::shared_ptr<Connection>& connection, const std::string& queryId, const std::string& text)
+{
+    const auto before = this->log.size();
+    const auto answer = this->answer(*connection, queryId, text);
+    const auto size = this->log.size();
+    if (size == before || this->service.syncReplicas == 0) {
+        this->reply(connection, answer);
+        return;
+    }
+    const auto wait = std::make_shared<std::function<void()>>();
+    *wait = [this, connection, answer, size, weak = std::weak_ptr<std::function<void()>>(wait)] {
+        if (!this->up || !connection->socket.is_open())
+            return;
+        if (this->service.isHeld(size)) {
+            this->reply(connection, answer);
+            return;
+        }
+        const auto timer = std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds(2));
+        timer->async_wait([timer, self = weak.lock()](const asio::error_code&) { (*self)(); });
+    };
+    (*wait)();
+}
+
 std::string Member::answer(Connection& connection, const std::string& queryId, const std::string& text)
 {
     auto rest = text;
     auto word = takeWord(rest);
     if (word == "WAITLSN") {
-        takeWord(rest);
+        if (!this->contains(takeWord(rest)))
+            return "ERROR LAGGING " + this->id + "\r\n";
         word = takeWord(rest);
     }
     const bool own = queryId == "-";
@@ -200,14 +295,18 @@
         return "COMPLETE -\r\n";
     }
     if (word == "STATUS") {
-        const auto position = "1." + std::to_string(this->service.committed);
-        return std::string("DATAROW ") + (this->primary ? "primary" : "replica") + " 1 " + position
-            + " 0 0 0 1\r\nCOMPLETE -\r\n";
+        this->service.record.line(this->id + " answers STATUS with " + this->position());
+        return std::string("DATAROW ") + (this->primary ? "primary " : "replica ") + std::to_string(this->term) + " "
+            + this->position() + " 0 0 " + std::to_string(this->busy) + " " + std::to_string(this->connections.size())
+            + "\r\nCOMPLETE -\r\n";
     }
-    if (word == "DEMOTE" || word == "PAUSE" || word == "RESUME")
+    if (word == "DEMOTE") {
+        this->primary = this->primary && this->term >= std::stoull(rest);
         return "COMPLETE -\r\n";
+    }
     if (word == "ROLLBACK") {
-        connection.inTransaction = connection.wrote = false;
+        connection.inTransaction = false;
+        connection.writes.clear();
         return "COMPLETE -\r\n";
     }
     if (word == "BEGIN") {
@@ -234,13 +333,13 @@
         const std::lock_guard lock(this->service.mutex);
         this->service.runs.push_back({ this->id, queryId, text, connection.values });
     }
-    const bool commits = kind == "COMMIT" ? connection.wrote : kind == "WRITE" && !connection.inTransaction;
-    if (kind == "WRITE" && connection.inTransaction)
-        connection.wrote = true;
+    if (kind == "WRITE")
+        connection.writes.push_back(queryId);
+    const bool ends = kind == "COMMIT" || !connection.inTransaction;
     if (kind == "COMMIT")
-        connection.inTransaction = connection.wrote = false;
-    if (commits)
-        ++this->service.committed;
+        connection.inTransaction = false;
+    if (ends && !connection.writes.empty())
+        this->log.push_back({ this->term, std::exchange(connection.writes, {}) });
     const auto rows = kind == "READ" && this->service.rows ? this->service.rows(queryId) : "DATAROW row\r\n";
     return rows + "COMPLETE sig." + this->id + "." + queryId + "\r\n";
 }
@@ -248,11 +347,70 @@
 Service::Service(asio::io_context& context, Record& record, std::string name)
     : name(std::move(name))
     , record(record)
+    , context(context)
 {
     for (int i = 1; i <= 3; ++i)
         this->members.push_back(std::make_unique<Member>(context, *this, "i-" + std::to_string(i), i == 1));
 }
 
+Member* Service::leader()
+{
+    Member* leader = nullptr;
+    for (const auto& member : this->members) {
+        if (member->primary && (leader == nullptr || member->term > leader->term))
+            leader = member.get();
+    }
+    return leader;
+}
+
+void Service::replicate()
+{
+    auto* source = this->leader();
+    if (source == nullptr || !source->up)
+        return;
+    for (const auto& member : this->members) {
+        if (member.get() == source || !member->up || member->deaf)
+            continue;
+        member->primary = false;
+        member->term = source->term;
+        member->log = source->log;
+    }
+}
+
+bool Service::isHeld(std::size_t logSize) const
+{
+    int count = 0;
+    for (const auto& member : this->members)
+        count += !member->primary && member->up && member->log.size() >= logSize ? 1 : 0;
+    return count >= this->syncReplicas;
+}
+
+int Service::promote(const std::string& id)
+{
+    constexpr int accepted = 200;
+    constexpr int rejected = 409;
+    for (const auto& member : this->members) {
+        if (member->id != id || !member->up)
+            continue;
+        this->record.line("the platform is told to promote " + id + ", which has received " + member->position());
+        const auto timer = std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds(300));
+        timer->async_wait([this, timer, target = member.get()](const asio::error_code&) {
+            if (target->primary && this->leader() == target)
+                return;
+            std::uint64_t highest = 0;
+            for (const auto& other : this->members)
+                highest = std::max(highest, other->term);
+            target->term = highest + 1;
+            target->primary = true;
+            this->record.line(target->id + " leads term " + std::to_string(target->term));
+            if (this->onPromoted)
+                this->onPromoted(*target);
+        });
+        return accepted;
+    }
+    return rejected;
+}
+
 Client::Client(std::string name, Record& record)
     : name(std::move(name))
     , record(record)
@@ -339,7 +497,9 @@
 Scene::Scene(Record& record, int count, const std::string& memoryMb)
     : record(record)
     , store(this->context, this->random,
-          [](const std::string&, const std::string&, const std::string&, std::uint64_t) { return 409; })
+          [this](const std::string&, const std::string& id, const std::string&, std::uint64_t) {
+              return this->service.promote(id);
+          })
     , service(this->context, record, "shopdb")
     , memoryMb(memoryMb)
     , ticker(this->context)
@@ -390,16 +550,20 @@
             { "Type", type }, { "TimeoutMs", 800 }, { "TargetLatencyMs", 200 }, { "Priority", 1 },
             { "Service", this->service.name }, { "MaxStalenessMs", 1500 } });
     }
-    const json services = json::array({ { { "Name", this->service.name }, { "MaxConns", 16 }, { "SyncReplicas", 0 } } });
+    const json services = json::array({ { { "Name", this->service.name }, { "MaxConns", 16 }, { "SyncReplicas", this->service.syncReplicas } } });
     this->store.put("op", "config",
         json { { "Version", 3 }, { "Routes", routes }, { "Services", services },
-            { "Limits", { { "TxIdleMs", this->transactionIdleMs } } } }
+            { "Limits", { { "TxIdleMs", 3000 } } } }
             .dump());
 }
 
 void Scene::putRegistry()
 {
     for (const auto& member : this->service.members) {
+        if (!member->up) {
+            this->store.remove("servers", member->id);
+            continue;
+        }
         this->store.put("servers", member->id,
             json { { "Service", this->service.name }, { "Address", "127.0.0.1:" + std::to_string(member->port()) },
                 { "Zone", "bkk-a" }, { "Version", "v1" }, { "Capacity", 2 }, { "State", "ready" },
@@ -440,6 +604,7 @@
 void Scene::tick()
 {
     this->store.tick();
+    this->service.replicate();
     this->ticker.expires_after(std::chrono::milliseconds(5));
     this->ticker.async_wait([this](const asio::error_code& error) {
         if (!error)
--- a/review/standin-2/scene.h
+++ b/review/standin-2/scene.h
@@ -2,6 +2,7 @@
 
 #include "soak/standin_store.h"
 
+#include <array>
 #include <asio.hpp>
 
 #include <chrono>
@@ -44,6 +45,12 @@
 // A text with its control characters written as escapes, cut after some characters.
 std::string printable(const std::string& text);
 
+// One entry of a member's log: the term in which it was committed, and the writes that it holds.
+struct Entry {
+    std::uint64_t term = 1;
+    std::vector<std::string> writes;
+};
+
 // One statement that a member has run.
 struct Run {
     std::string member;
@@ -60,15 +67,30 @@
 public:
     Member(asio::io_context& context, Service& service, std::string id, bool primary);
 
-    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return this->boundPort; }
+    // Ends the process: closes the port and all connections. The log stays.
+    void crash();
+    // Starts again with its log, as a replica if another member leads.
+    void restart();
+    // TERM.NUMBER of what it has received.
+    [[nodiscard]] std::string position() const;
 
     std::string id;
     bool primary;
+    bool up = true;
+    // Receives nothing.
+    bool deaf = false;
+    std::uint64_t term = 1;
+    std::vector<Entry> log;
 
 private:
     struct Connection;
 
+    void listen();
     void accept();
+    [[nodiscard]] bool contains(const std::string& wanted) const;
+    void finish(const std::shared_ptr<Connection>& connection, const std::string& queryId, const std::string& text);
+    void reply(const std::shared_ptr<Connection>& connection, const std::string& text);
     void read(const std::shared_ptr<Connection>& connection);
     void take(const std::shared_ptr<Connection>& connection, const std::string& line);
     std::string answer(Connection& connection, const std::string& queryId, const std::string& text);
@@ -76,13 +98,31 @@
     asio::io_context& context;
     Service& service;
     asio::ip::tcp::acceptor acceptor;
+    std::uint16_t boundPort = 0;
+    // Slots in use.
+    int busy = 0;
+    std::set<std::shared_ptr<Connection>> connections;
 };
 
-// The members of one service with one log. What is committed is at all members at once.
+// The members of one service.
 class Service {
 public:
     Service(asio::io_context& context, Record& record, std::string name);
 
+    // Sends the primary's log to the replicas; called every few milliseconds.
+    void replicate();
+    // The platform's order to promote a member. Returns the status code.
+    int promote(const std::string& id);
+    Member* leader();
+    // Whether the newest entry of the primary has been received by as many replicas as the service asks for.
+    [[nodiscard]] bool isHeld(std::size_t logSize) const;
+
+    int syncReplicas = 0;
+    // Reads, writes and commits that a member runs at a time; 0 for any number.
+    int slots = 0;
+    // A member was promoted. Called when that takes effect.
+    std::function<void(const Member&)> onPromoted;
+
     // Session commands of which the member answers FAILED although it has executed them.
     std::function<bool(const std::string& member, const std::string& text)> failsAfterRun;
     // Rows that a READ returns; one row named after the statement if it is not set.
@@ -95,7 +135,9 @@
     std::vector<std::unique_ptr<Member>> members;
     std::mutex mutex;
     std::vector<Run> runs;
-    std::uint64_t committed = 1;
+
+private:
+    asio::io_context& context;
 };
 
 // One client session with blocking calls.
@@ -156,12 +198,11 @@
     endivetrestle::soak::StandinStore store;
     Service service;
     std::vector<Daemon> daemons;
-    // Milliseconds for which a transaction may be idle.
-    int transactionIdleMs = 3000;
+    // Writes the members' entries to the registry, without those that are down.
+    void putRegistry();
 
 private:
     void putConfiguration();
-    void putRegistry();
     void startDaemon(Daemon& daemon);
     void tick();
 
