--- a/review/standin-2/case.cc
+++ b/review/standin-2/case.cc
@@ -55,26 +55,31 @@
     const auto answer = client.answer();
     record.line("answer: " + joined(answer));
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    std::string found;
     for (const auto& run : runsOf(scene)) {
-        const auto found = sent.find(run.id);
-        if (found == sent.end())
-            return verdict(record, true, "UNASKED: a member ran " + run.id + " [" + printable(run.text)
-                    + "], whose id no client sent; it was inside the data of another statement");
-        if (found->second != run.text)
-            return verdict(record, true, "UNASKED: a member ran " + run.id + " with changed text");
+        const auto statement = sent.find(run.id);
+        if (statement == sent.end())
+            found += " a member ran " + run.id + " [" + printable(run.text)
+                + "], which no client sent: it was inside the data of another statement;";
+        else if (statement->second != run.text)
+            found += " a member ran " + run.id + " with changed text;";
     }
+    if (!found.empty())
+        return verdict(record, true, "UNASKED:" + found);
     if (!troubled() && runsOf(scene).empty())
         return couldNotRun;
     return verdict(record, false, "no member ran a statement that no client sent");
 }
 
-// A member executes a SET and answers FAILED. Another client's statement follows on the same connection.
+// A member executes one SET and answers FAILED. Another client's statement follows on the same connection.
 int runFailedSet(Record& record)
 {
     Scene scene(record, 2);
     const bool trouble = troubled();
-    scene.service.failsAfterRun
-        = [trouble](const std::string&, const std::string& text) { return trouble && text.rfind("SET ", 0) == 0; };
+    bool failed = false;
+    scene.service.failsAfterRun = [trouble, &failed](const std::string&, const std::string& text) {
+        return trouble && text.rfind("SET ", 0) == 0 && !std::exchange(failed, true);
+    };
     if (!scene.start())
         return couldNotRun;
     std::map<std::string, std::map<std::string, std::string>> values;
@@ -97,7 +102,8 @@
     }
     for (const auto& run : runsOf(scene)) {
         if (run.values != values[run.id])
-            return verdict(record, true, "PINNED: " + run.id + " ran with "
+            return verdict(record, true,
+                "PINNED: " + run.id + " ran with "
                     + (run.values.empty() ? "no session value" : "tenant=" + run.values.at("tenant"))
                     + ", which was not acknowledged to its client");
     }
@@ -106,8 +112,8 @@
     return verdict(record, false, "all statements ran with the values of their sessions");
 }
 
-// The service asks for one replica to hold what is acknowledged. One replica receives nothing for a while, and the primary
-// crashes meanwhile, under ordinary load.
+// The service asks for one replica to hold what is acknowledged. One replica receives nothing for a while, and the
+// primary crashes meanwhile, under ordinary load.
 int runSyncReplica(Record& record)
 {
     Scene scene(record, 4);
--- a/review/standin-2/scene.cc
+++ b/review/standin-2/scene.cc
@@ -550,10 +550,11 @@
             { "Type", type }, { "TimeoutMs", 800 }, { "TargetLatencyMs", 200 }, { "Priority", 1 },
             { "Service", this->service.name }, { "MaxStalenessMs", 1500 } });
     }
-    const json services = json::array({ { { "Name", this->service.name }, { "MaxConns", 16 }, { "SyncReplicas", this->service.syncReplicas } } });
+    const json services = json::array(
+        { { { "Name", this->service.name }, { "MaxConns", 16 }, { "SyncReplicas", this->service.syncReplicas } } });
     this->store.put("op", "config",
-        json { { "Version", 3 }, { "Routes", routes }, { "Services", services },
-            { "Limits", { { "TxIdleMs", 3000 } } } }
+        json {
+            { "Version", 3 }, { "Routes", routes }, { "Services", services }, { "Limits", { { "TxIdleMs", 3000 } } } }
             .dump());
 }
 
@@ -579,14 +580,16 @@
     std::ofstream(file) << "NodeName = \"" << daemon.name
                         << "\"\nRole = \"proxy\"\nMachineClass = \"frontend\"\nServes = [\"frontend\", "
                            "\"control_plane\"]\nIp = \""
-                        << daemon.ip << "\"\nZone = \"bkk-a\"\nRegion = \"th-central\"\nInternalPorts = [17440, 17455]\n"
-                        << "Seeds = [\"" << this->daemons.front().ip << ":18786\"]\nBootstrap = true\nHeartbeatMs = 1200\n"
+                        << daemon.ip
+                        << "\"\nZone = \"bkk-a\"\nRegion = \"th-central\"\nInternalPorts = [17440, 17455]\n"
+                        << "Seeds = [\"" << this->daemons.front().ip
+                        << ":18786\"]\nBootstrap = true\nHeartbeatMs = 1200\n"
                         << "[ListenAddrs]\nFrontend = \"" << daemon.ip << ":" << frontendPort << "\"\nReadiness = \""
                         << daemon.ip << ":" << readinessPort << "\"\nControlPlane = \"" << daemon.ip
                         << ":18786\"\n[Limits]\nCpuQuota = 0.25\nCores = 1\nMemoryMb = " << this->memoryMb
                         << "\nMaxFds = 4300\n[Bounds]\nGraceS = 6\n[platform]\nAddress = \"127.0.0.1:"
-                        << this->store.port(this->storeClient) << "\"\n[Cloud]\nAddress = \"127.0.0.1:"
-                        << this->store.port(this->storeClient) << "\"\n";
+                        << this->store.port(this->storeClient)
+                        << "\"\n[Cloud]\nAddress = \"127.0.0.1:" << this->store.port(this->storeClient) << "\"\n";
     const auto log = this->directory + "/" + daemon.name + ".log";
     const pid_t child = fork();
     if (child == 0) {
@@ -648,7 +651,8 @@
     const std::string request = "GET /v1/ready HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n";
     std::array<char, 256> buffer {};
     const bool answered = ::send(descriptor, request.data(), request.size(), MSG_NOSIGNAL) > 0
-        && waitFor(descriptor, POLLIN, Clock::now() + limit) && recv(descriptor, buffer.data(), buffer.size() - 1, 0) > 0;
+        && waitFor(descriptor, POLLIN, Clock::now() + limit)
+        && recv(descriptor, buffer.data(), buffer.size() - 1, 0) > 0;
     ::close(descriptor);
     return answered && std::strstr(buffer.data(), " 200 ") != nullptr;
 }
