--- a/review/standin-2/case.cc
+++ b/review/standin-2/case.cpp
@@ -1,6 +1,6 @@
 // The scripted cases of the review. Usage: case NAME RECORD; run in the repository root. TROUBLE=0 leaves out the
 // disruption.
-#include "scene.h"
+#include "scene.hpp"
 
 #include <atomic>
 #include <cstdlib>
@@ -112,6 +112,41 @@
     return verdict(record, false, "all statements ran with the values of their sessions");
 }
 
+// Clients of all daemons of a larger fleet write data that contains a zero byte. Most daemons forward the statement.
+int runZeroByte(Record& record)
+{
+    constexpr int daemons = 6;
+    Scene scene(record, daemons);
+    if (!scene.start())
+        return couldNotRun;
+    const std::string between(1, troubled() ? '\0' : '.');
+    std::map<std::string, std::string> sent;
+    std::set<std::string> acknowledged;
+    for (int i = 0; i < daemons; ++i) {
+        const auto name = "c" + std::to_string(i + 1);
+        Client client(name, record);
+        if (!client.start(scene.frontend(static_cast<std::size_t>(i)), "shop-primary"))
+            return couldNotRun;
+        const auto id = name + "w";
+        sent[id] = "WRITE 1a4 first half" + between + "second half";
+        const auto lines = client.query(id, sent[id]);
+        if (lines.size() > 1 && lines[lines.size() - 2].rfind("COMPLETE ", 0) == 0)
+            acknowledged.insert(id);
+    }
+    std::string found;
+    for (const auto& run : runsOf(scene)) {
+        if (sent[run.id] != run.text)
+            found += " " + run.id + " ran with " + std::to_string(run.text.size()) + " bytes of text instead of "
+                + std::to_string(sent[run.id].size())
+                + (acknowledged.count(run.id) != 0 ? " and was acknowledged;" : ";");
+    }
+    if (acknowledged.empty())
+        return couldNotRun;
+    if (!found.empty())
+        return verdict(record, true, "UNASKED:" + found);
+    return verdict(record, false, "all statements ran as they were sent");
+}
+
 // The service asks for one replica to hold what is acknowledged. One replica receives nothing for a while, and the
 // primary crashes meanwhile, under ordinary load.
 int runSyncReplica(Record& record)
@@ -245,6 +280,8 @@
         return review::runLineFeed(record);
     if (name == "failed-set")
         return review::runFailedSet(record);
+    if (name == "zero-byte")
+        return review::runZeroByte(record);
     if (name == "sync-replica")
         return review::runSyncReplica(record);
     std::cerr << "unknown case\n";
--- a/review/standin-2/scene.cc
+++ b/review/standin-2/scene.cpp
@@ -1,4 +1,4 @@
-#include "scene.h"
+#include "scene.hpp"
 
 #include <arpa/inet.h>
 #include <csignal>
