Promote only an endpoint that is known to hold every acknowledged commit

Cause: a promotion took the best of the endpoints that answered, however few. SyncReplicas was not decoded, and an endpoint without a free slot, a silent one, an unreadable answer and one that is not registered were the same missing value.

Evidence: in the simulation, a replica that is down in place of busy loses the same commits, so asking again is not enough.

Change: acknowledgedPosition tells which position a log must have reached, or that the replies do not tell: with k synchronous replicas, fewer than k may be missing, or the old primary has reported. chooseCandidate decides from that. Replies are typed, so each use of the question knows busy from silent: the poll about a suspected primary, the peer's question, the planned change (a busy old primary is asked again), catch-up and adoption. An endpoint that has left counts until it is back or another one is at its address. Without a proof nothing is ordered, and the crashed primary, back with its log, goes on. With 0 synchronous replicas nothing is proven and nobody waits for it.

The simulation's check of draining candidates is narrowed for synchronous replicas only: a draining replica may be promoted if no other usable one has all acknowledged commits (test "promotes a draining replica that alone holds ...").

--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -182,6 +182,7 @@
             { { "version", table->version }, { "routes", table->routes.size() } });
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
         this->configurationRow = row;
+        this->syncRequirement.apply(*this->routes, bootNow());
         this->updateGroups();
         this->updatePlacements();
         this->sessions->startHeldSessions();
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -18,6 +18,7 @@
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
 #include "process/store_contact.h"
+#include "process/sync_requirement.h"
 #include "process/table_feed.h"
 
 #include <asio/signal_set.hpp>
@@ -60,8 +61,8 @@
 
     // session_proxy_fleet.cc
     FleetHooks makeFleetHooks();
-    void queryEndpoint(const DatabaseId& group, const EndpointId& endpoint,
-        std::function<void(std::optional<EndpointReport>)> callback);
+    void queryEndpoint(
+        const DatabaseId& group, const EndpointId& endpoint, std::function<void(const EndpointReply&)> callback);
     void makeBootstrap();
     [[nodiscard]] BootstrapAnswer bootstrapAnswer(StoreVersion knownRowVersion) const;
     void applyBootstrap(const BootstrapAnswer& answer);
@@ -121,6 +122,7 @@
     StoreRow configurationRow;
     std::unique_ptr<SeedBootstrap> bootstrap;
     EndpointDirectory directory;
+    SyncRequirement syncRequirement;
     bool registryKnown = false;
     std::map<DatabaseId, Group> groups;
     std::unique_ptr<FleetController> fleet;
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -28,27 +28,34 @@
     return PromotionOutcome::Unknown;
 }
 
+EndpointReply replyOf(const EndpointAnswer* answer)
+{
+    if (answer == nullptr)
+        return { EndpointReplyStatus::Silent, {} };
+    if (!answer->succeeded)
+        return { answer->code == ReplyCode::Busy ? EndpointReplyStatus::Busy : EndpointReplyStatus::Unreadable, {} };
+    const auto status = platform::parseStatusRow(answer->firstRow);
+    if (!status)
+        return { EndpointReplyStatus::Unreadable, {} };
+    return EndpointReply::reported({ status->isPrimary, status->term, status->received });
+}
+
 } // namespace
 
 void SessionProxy::queryEndpoint(
-    const DatabaseId& group, const EndpointId& endpoint, std::function<void(std::optional<EndpointReport>)> callback)
+    const DatabaseId& group, const EndpointId& endpoint, std::function<void(const EndpointReply&)> callback)
 {
     auto* scheduler = this->schedulerOf(group);
-    if (scheduler == nullptr) {
-        this->timers.subscribeAt(bootNow(), [callback = std::move(callback)](Time) { callback(std::nullopt); });
+    if (scheduler == nullptr || this->directory.records().count(endpoint) == 0) {
+        this->timers.subscribeAt(bootNow(), [callback = std::move(callback)](Time) {
+            callback({ EndpointReplyStatus::Unregistered, {} });
+        });
         return;
     }
     EndpointCommand command;
     command.kind = CommandKind::Status;
-    scheduler->runControlCommand(
-        endpoint, command, reportTimeout, bootNow(), [callback = std::move(callback)](const EndpointAnswer* answer) {
-            const auto status
-                = answer != nullptr && answer->succeeded ? platform::parseStatusRow(answer->firstRow) : std::nullopt;
-            if (status)
-                callback(EndpointReport { status->isPrimary, status->term, status->received });
-            else
-                callback(std::nullopt);
-        });
+    scheduler->runControlCommand(endpoint, command, reportTimeout, bootNow(),
+        [callback = std::move(callback)](const EndpointAnswer* answer) { callback(replyOf(answer)); });
 }
 
 FleetHooks SessionProxy::makeFleetHooks()
@@ -74,7 +81,7 @@
         this->peers.askReachable(address, { group, endpoint }, std::move(callback));
     };
     hooks.queryEndpoint = [this](const DatabaseId& group, const EndpointId& endpoint,
-                              std::function<void(std::optional<EndpointReport>)> callback) {
+                              std::function<void(const EndpointReply&)> callback) {
         this->queryEndpoint(group, endpoint, std::move(callback));
     };
     hooks.demote = [this](const DatabaseId& group, const EndpointId& endpoint, std::uint64_t term,
@@ -118,6 +125,8 @@
         }
         return result;
     };
+    hooks.absentEndpointsOf = [this](const DatabaseId& group) { return this->directory.absentOf(group); };
+    hooks.syncReplicas = [this](const DatabaseId& group) { return this->syncRequirement.of(group, bootNow()); };
     hooks.groups = [this] {
         std::vector<DatabaseId> result;
         for (const auto& [id, group] : this->groups)
@@ -220,11 +229,10 @@
         }
     } else if (request.path == peerReachablePath) {
         if (const auto question = decodeReachableQuestion(request.body)) {
-            this->queryEndpoint(question->group, question->endpoint,
-                [answer = std::move(answer)](const std::optional<EndpointReport>& report) {
-                    const bool reachable = report && report->isPrimary;
-                    answer(HttpResponse {
-                        200, "application/json", reachable ? "{\"reachable\":true}" : "{\"reachable\":false}" });
+            this->queryEndpoint(
+                question->group, question->endpoint, [answer = std::move(answer)](const EndpointReply& reply) {
+                    answer(HttpResponse { 200, "application/json",
+                        reply.mayBePrimary() ? "{\"reachable\":true}" : "{\"reachable\":false}" });
                 });
             return;
         }
--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -1,5 +1,6 @@
 #include "process/endpoint_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace endivetrestle {
@@ -39,11 +40,28 @@
 
 void EndpointDirectory::put(const EndpointRecord& record)
 {
+    this->forgetAbsent(record);
     this->listed[record.id] = record;
     this->members[record.group].insert(record.id);
     this->changedGroups.insert(record.group);
 }
 
+void EndpointDirectory::forgetAbsent(const EndpointRecord& successor)
+{
+    this->absent.erase(successor.address);
+    std::erase_if(this->absent, [&](const auto& entry) { return entry.second.id == successor.id; });
+}
+
+std::vector<EndpointId> EndpointDirectory::absentOf(const DatabaseId& group) const
+{
+    std::vector<EndpointId> result;
+    for (const auto& [address, record] : this->absent) {
+        if (record.group == group)
+            result.push_back(record.id);
+    }
+    return result;
+}
+
 void EndpointDirectory::removeFromGroup(const EndpointRecord& record)
 {
     this->changedGroups.insert(record.group);
@@ -83,6 +101,15 @@
     return changed;
 }
 
+// An endpoint whose address another one has already taken over is not missed.
+void EndpointDirectory::noteAbsent(const EndpointRecord& record)
+{
+    const bool succeeded = std::any_of(this->listed.begin(), this->listed.end(),
+        [&](const auto& entry) { return entry.second.address == record.address; });
+    if (!succeeded)
+        this->absent[record.address] = record;
+}
+
 bool EndpointDirectory::expire(Time now)
 {
     bool changed = false;
@@ -91,8 +118,10 @@
             ++entry;
             continue;
         }
-        if (const auto record = this->listed.extract(entry->first))
+        if (const auto record = this->listed.extract(entry->first)) {
             this->removeFromGroup(record.mapped());
+            this->noteAbsent(record.mapped());
+        }
         entry = this->vanishedSince.erase(entry);
         changed = true;
     }
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -71,6 +71,10 @@
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const { return this->listed; }
     // Returns the listed endpoints of one group, without iterating over other groups.
     [[nodiscard]] std::vector<EndpointRecord> recordsOf(const DatabaseId& group) const;
+    // Returns the endpoints of one group that are not listed any more and whose log no listed endpoint has: neither the
+    // endpoint itself has come back, nor has another one been registered at its address. An endpoint that is stopped
+    // hands its log over to the next one at its address.
+    [[nodiscard]] std::vector<EndpointId> absentOf(const DatabaseId& group) const;
     // Returns the groups whose listed records have changed since the last call.
     std::set<DatabaseId> takeChangedGroups();
     // Whether the entry has disappeared from the registry and is only kept for its grace period.
@@ -78,6 +82,8 @@
 
 private:
     void put(const EndpointRecord& record);
+    void forgetAbsent(const EndpointRecord& successor);
+    void noteAbsent(const EndpointRecord& record);
     [[nodiscard]] EndpointRecord withKnownDraining(EndpointRecord record, Time now) const;
     void removeFromGroup(const EndpointRecord& record);
 
@@ -90,6 +96,8 @@
     std::optional<Time> copyDistrustedUntil;
     // Start of the grace period of each vanished entry.
     std::map<EndpointId, Time> vanishedSince;
+    // Last records of the endpoints that have left, by address.
+    std::map<SocketAddress, EndpointRecord> absent;
 };
 
 } // namespace endivetrestle
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -143,7 +143,7 @@
     // fleet_controller_adoption.cc
     void adoptGroups(Time now);
     [[nodiscard]] std::vector<std::pair<DatabaseId, EndpointId>> adoptableGroups(Time now);
-    void onAdoptionReport(const DatabaseId& group, const EndpointId& endpoint, const EndpointReport* report);
+    void onAdoptionReply(const DatabaseId& group, const EndpointId& endpoint, const EndpointReply& reply);
     void storeAdoption();
 
     // fleet_controller_promotion.cc
--- a/src/process/fleet_controller_adoption.cc
+++ b/src/process/fleet_controller_adoption.cc
@@ -70,18 +70,18 @@
     for (const auto& [group, endpoint] : candidates) {
         this->hooks.queryEndpoint(group, endpoint,
             [this, group = group, endpoint = endpoint, weak = std::weak_ptr<int>(this->lifetime)](
-                const std::optional<EndpointReport>& report) {
+                const EndpointReply& reply) {
                 if (!weak.expired())
-                    this->onAdoptionReport(group, endpoint, report ? &*report : nullptr);
+                    this->onAdoptionReply(group, endpoint, reply);
             });
     }
 }
 
-void FleetController::onAdoptionReport(
-    const DatabaseId& group, const EndpointId& endpoint, const EndpointReport* report)
+// An endpoint that has not reported is asked again with the next adoption.
+void FleetController::onAdoptionReply(const DatabaseId& group, const EndpointId& endpoint, const EndpointReply& reply)
 {
-    if (report != nullptr && report->isPrimary)
-        this->adoption->rows.push_back({ group, false, endpoint, report->term, this->identity.daemon });
+    if (reply.report && reply.report->isPrimary)
+        this->adoption->rows.push_back({ group, false, endpoint, reply.report->term, this->identity.daemon });
     if (--this->adoption->outstanding > 0)
         return;
     // What was found for an earlier era may have been carried over, or replaced, meanwhile.
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -126,17 +126,16 @@
     }
     for (const auto& record : records) {
         const bool isPrimary = record.id == primary;
-        this->hooks.queryEndpoint(
-            group, record.id, [this, group, isPrimary, weak](const std::optional<EndpointReport>& report) {
-                if (weak.expired())
-                    return;
-                auto& current = this->reachabilityPolls[group];
-                if (isPrimary)
-                    ++(report && report->isPrimary ? current.reachable : current.unreachable);
-                else if (report)
-                    ++current.replicasReached;
-                this->onReachabilityAnswer(group);
-            });
+        this->hooks.queryEndpoint(group, record.id, [this, group, isPrimary, weak](const EndpointReply& reply) {
+            if (weak.expired())
+                return;
+            auto& current = this->reachabilityPolls[group];
+            if (isPrimary)
+                ++(reply.mayBePrimary() ? current.reachable : current.unreachable);
+            else if (reply.isAlive())
+                ++current.replicasReached;
+            this->onReachabilityAnswer(group);
+        });
     }
 }
 
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -4,6 +4,7 @@
 #include "base/socket_address.h"
 #include "connection/endpoint_connection.h"
 #include "process/endpoint_directory.h"
+#include "process/endpoint_report.h"
 #include "process/fleet_rows.h"
 #include "process/lease_batch.h"
 
@@ -14,15 +15,6 @@
 
 namespace endivetrestle {
 
-// Role, term and log position of an endpoint, as it reports them on request.
-struct EndpointReport {
-    bool isPrimary = false;
-    std::uint64_t term = 0;
-    Position received;
-
-    bool operator==(const EndpointReport&) const = default;
-};
-
 // How a call to another daemon ended.
 enum class PeerStatus {
     Done,
@@ -60,9 +52,8 @@
         askReachable;
     // Asks another daemon for the newest claim that it knows; no value if it does not answer or has no lease itself.
     std::function<void(const SocketAddress&, std::function<void(std::optional<StoreVersion>)>)> askWitness;
-    // Asks an endpoint for its report; no value if it does not answer in time.
-    std::function<void(const DatabaseId&, const EndpointId&, std::function<void(std::optional<EndpointReport>)>)>
-        queryEndpoint;
+    // Asks an endpoint for its report, once.
+    std::function<void(const DatabaseId&, const EndpointId&, std::function<void(const EndpointReply&)>)> queryEndpoint;
     // Tells an endpoint to step down as primary of any term below the given one.
     std::function<void(const DatabaseId&, const EndpointId&, std::uint64_t term, std::function<void()>)> demote;
     // Orders the platform to promote an endpoint.
@@ -79,6 +70,10 @@
     std::function<bool()> missingEndpointsAreGone;
     // Registered endpoints of a group, as this daemon last read them.
     std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
+    // Endpoints of a group that left the registry, and whose log no registered endpoint has taken over.
+    std::function<std::vector<EndpointId>(const DatabaseId&)> absentEndpointsOf;
+    // Number of replicas of a group that receive a commit before it is acknowledged.
+    std::function<std::size_t(const DatabaseId&)> syncReplicas;
     // Groups of the current configuration.
     std::function<std::vector<DatabaseId>()> groups;
     // Groups whose primary this daemon watches. In a large fleet a daemon owns or uses few of all groups.
--- a/src/process/fleet_simulation_test.h
+++ b/src/process/fleet_simulation_test.h
@@ -46,6 +46,10 @@
         bool draining = false;
         // Whether the registry has an entry.
         bool listed = true;
+        // Whether it has no free slot, so that it answers requests for its report as busy.
+        bool busy = false;
+        // Whether it receives nothing from the primary.
+        bool deaf = false;
     };
 
     using Endpoints = std::map<EndpointId, Endpoint>;
@@ -82,6 +86,10 @@
     std::map<DatabaseId, Endpoints> groupEndpoints;
     // Endpoints of the first group.
     Endpoints& endpoints = groupEndpoints[group()];
+    // Replicas that receive a commit before it is acknowledged.
+    std::size_t syncReplicas = 0;
+    // Number of the last acknowledged commit of each group.
+    std::map<DatabaseId, std::uint64_t> acknowledged;
     bool storeDown = false;
     // The store refuses every call at once.
     bool storeBusy = false;
@@ -200,6 +208,40 @@
         this->storeDown = false;
     }
 
+    // The replicas that run and hear the leader of a group take its term and its log. Returns their number.
+    std::size_t replicate(const DatabaseId& ofGroup = group())
+    {
+        auto& members = this->groupEndpoints.at(ofGroup);
+        const auto leaderId = this->leader(ofGroup);
+        if (leaderId.empty())
+            return 0;
+        const auto& leader = members.at(leaderId);
+        std::size_t receivers = 0;
+        for (auto& [id, endpoint] : members) {
+            if (id == leaderId || !leader.up || !endpoint.up || endpoint.deaf)
+                continue;
+            endpoint.primary = false;
+            endpoint.term = leader.term;
+            endpoint.received = leader.received;
+            ++receivers;
+        }
+        return receivers;
+    }
+
+    // The leader of a group commits a write. Returns whether enough replicas have received it to acknowledge it.
+    bool commit(const DatabaseId& ofGroup = group())
+    {
+        auto& members = this->groupEndpoints.at(ofGroup);
+        const auto leader = members.find(this->leader(ofGroup));
+        if (leader == members.end() || !leader->second.up)
+            return false;
+        ++leader->second.received;
+        if (this->replicate(ofGroup) < this->syncReplicas)
+            return false;
+        this->acknowledged[ofGroup] = leader->second.received;
+        return true;
+    }
+
     // Ends all faults and starts the daemons that are down.
     void heal()
     {
@@ -210,6 +252,9 @@
             for (auto& [name, endpoint] : members) {
                 endpoint.draining = false;
                 endpoint.up = true;
+                endpoint.busy = false;
+                endpoint.deaf = false;
+                endpoint.listed = true;
             }
         }
         for (std::size_t i = 0; i < this->daemons.size(); ++i) {
@@ -524,20 +569,23 @@
             const bool reachable
                 = this->peerReachable(index, peer) && this->daemons[peer]->running && !this->daemons[peer]->frozen;
             const auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
-            const auto vote = reachable ? std::optional<bool>(endpoint.up && endpoint.primary) : std::nullopt;
+            const bool mayBePrimary = endpoint.up && (endpoint.primary || endpoint.busy);
+            const auto vote = reachable ? std::optional<bool>(mayBePrimary) : std::nullopt;
             this->after(index, reachable ? messageDelay : peerTimeout, [callback, vote] { callback(vote); });
         };
         hooks.queryEndpoint = [this, index](const DatabaseId& ofGroup, const EndpointId& id,
-                                  const std::function<void(std::optional<EndpointReport>)>& callback) {
+                                  const std::function<void(const EndpointReply&)>& callback) {
             this->recordCall(index, "query");
             this->after(index, messageDelay, [this, ofGroup, id, callback] {
                 this->followLeader(ofGroup);
                 const auto& endpoint = this->groupEndpoints.at(ofGroup).at(id);
-                if (!endpoint.up) {
-                    callback(std::nullopt);
-                    return;
-                }
-                callback(EndpointReport { endpoint.primary, endpoint.term, { endpoint.term, endpoint.received } });
+                if (!endpoint.up)
+                    callback({ EndpointReplyStatus::Silent, {} });
+                else if (endpoint.busy)
+                    callback({ EndpointReplyStatus::Busy, {} });
+                else
+                    callback(EndpointReply::reported(
+                        { endpoint.primary, endpoint.term, { endpoint.term, endpoint.received } }));
             });
         };
         hooks.demote = [this, index](const DatabaseId& ofGroup, const EndpointId& id, std::uint64_t term,
@@ -590,6 +638,15 @@
             const auto& daemon = *this->daemons[index];
             return daemon.registryStale ? daemon.oldList.at(id) : this->registryOf(id);
         };
+        hooks.absentEndpointsOf = [this](const DatabaseId& id) {
+            std::vector<EndpointId> absent;
+            for (const auto& [endpointId, endpoint] : this->groupEndpoints.at(id)) {
+                if (!endpoint.listed)
+                    absent.push_back(endpointId);
+            }
+            return absent;
+        };
+        hooks.syncReplicas = [this](const DatabaseId&) { return this->syncReplicas; };
         hooks.groups = [this] { return this->groups(); };
         hooks.watchedGroups = [this] {
             std::vector<WatchedGroup> watched;
@@ -627,7 +684,7 @@
         return records;
     }
 
-    // Replicas that run take the term of the leader, if it runs.
+    // Replicas that run and hear the leader take its term.
     void followLeader(const DatabaseId& ofGroup)
     {
         auto& members = this->groupEndpoints.at(ofGroup);
@@ -635,7 +692,7 @@
         if (present == members.end() || !present->second.up)
             return;
         for (auto& [id, endpoint] : members) {
-            if (endpoint.up && !endpoint.primary)
+            if (endpoint.up && !endpoint.deaf && !endpoint.primary)
                 endpoint.term = std::max(endpoint.term, present->second.term);
         }
     }
@@ -652,18 +709,34 @@
             return;
         endpoint.primary = true;
         endpoint.term = term + 1;
+        this->checkLog(ofGroup, id);
         this->followLeader(ofGroup);
         ++this->promotions;
     }
 
+    // Every acknowledged commit must be in the log of the endpoint that was promoted. Without synchronous replicas, the
+    // commits that it lacks are lost with the primary.
+    void checkLog(const DatabaseId& ofGroup, const EndpointId& id)
+    {
+        auto& last = this->acknowledged[ofGroup];
+        const auto received = this->groupEndpoints.at(ofGroup).at(id).received;
+        if (this->syncReplicas > 0 && received < last)
+            this->violations.push_back("promotion of " + id.value + " of " + ofGroup.value + ", which has received "
+                + std::to_string(received) + " of " + std::to_string(last) + " acknowledged commits");
+        last = std::min(last, received);
+    }
+
     // An endpoint that has been leaving for a while may not become the primary while another one could.
     void checkCandidate(const DatabaseId& ofGroup, const EndpointId& id)
     {
         const auto& members = this->groupEndpoints.at(ofGroup);
         const auto usable
             = [&](const Endpoint& endpoint) { return endpoint.up && endpoint.listed && !endpoint.draining; };
-        const bool other = std::any_of(members.begin(), members.end(),
-            [&](const auto& entry) { return entry.first != id && usable(entry.second); });
+        // One that lacks acknowledged commits which synchronous replicas hold could not take over.
+        const auto required = this->syncReplicas > 0 ? this->acknowledged[ofGroup] : 0;
+        const bool other = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+            return entry.first != id && usable(entry.second) && entry.second.received >= required;
+        });
         if (members.at(id).draining && other)
             this->violations.push_back("promotion of " + id.value + " of " + ofGroup.value + ", which drains, at "
                 + std::to_string(toSeconds(this->clock.time_since_epoch())) + " s");
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -222,7 +222,8 @@
     if (this->stepName != "await")
         this->enterStep("await");
     this->context.hooks.queryEndpoint(
-        this->initialRow.group, this->candidate, this->guarded([this](const std::optional<EndpointReport>& report) {
+        this->initialRow.group, this->candidate, this->guarded([this](const EndpointReply& reply) {
+            const auto& report = reply.report;
             const auto waited = this->context.now() - this->stepStartedAt;
             const bool leadsAnew = report && report->isPrimary && report->term > this->highestTerm;
             // An order for the endpoint that already leads has no effect, unless an earlier order has made another
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timer_service.h"
+#include "process/candidate_choice.h"
 #include "process/fleet_hooks.h"
 #include "process/lease_holders.h"
 #include "process/promotion_lock.h"
@@ -41,11 +42,11 @@
 //
 // Steps: claim the group's row, on condition that the promotion lock is held; wait until every daemon has stopped using
 // the primary, which is known from its confirmation or the expiry of its lease; read which endpoints are registered now
-// and query them for their positions; if the old primary still answers, wait until the best replica has caught up with
-// it, and demote it; order the promotion; wait until the new primary leads with a higher term; record and announce it.
-// A step that fails is retried, or the promotion ends and the controller starts a new one, which claims the row again.
-// Each step is safe if another daemon has taken over, because the claim, the order and the record are bound to the
-// lock, its fencing token and the version of the row.
+// and query them for their positions, until an endpoint is known to hold every acknowledged commit; if the old primary
+// still answers, wait until the best replica has caught up with it, and demote it; order the promotion; wait until the
+// new primary leads with a higher term; record and announce it. A step that fails is retried, or the promotion ends and
+// the controller starts a new one, which claims the row again. Each step is safe if another daemon has taken over,
+// because the claim, the order and the record are bound to the lock, its fencing token and the version of the row.
 class Promotion {
 public:
     // The initial row is the current row of the group, which the claim replaces. The callback runs once, when the
@@ -68,8 +69,13 @@
     void checkAllSuspended();
     void refreshEndpoints();
     void queryEndpoints();
-    void chooseCandidate();
-    void waitForCatchUp(const EndpointId& old);
+    void queryEndpoint(const EndpointId& endpoint);
+    void onReplies();
+    void askAgain();
+    void waitForProof(const LogEvidence& evidence);
+    void waitForCatchUp(const Position& target, const EndpointReport& candidateReport);
+    void pollCatchUp(const Position& target);
+    void onCatchUpTimeout(const EndpointReply& reply);
     void demoteOldPrimary();
     void orderPromotion();
     void awaitLeadership();
@@ -77,9 +83,11 @@
     void finish(bool succeeded);
     void enterStep(const char* step);
     void schedule(Duration delay, std::function<void()> action);
-    [[nodiscard]] bool waitForCompleteLog(const EndpointReport& best);
-    static bool isAhead(const EndpointReport& left, const EndpointReport& right);
-    [[nodiscard]] bool isDraining(const EndpointId& endpoint) const;
+    [[nodiscard]] LogEvidence logEvidence() const;
+    [[nodiscard]] CandidateInput candidateInput() const;
+    [[nodiscard]] bool mustWaitForOldPrimary();
+    [[nodiscard]] bool mustWaitForTerm(const EndpointReport& best);
+    void logMissingProof(const LogEvidence& evidence);
 
     // Wraps a callback so that it does nothing once the promotion has ended or another step has begun.
     template <typename Function> auto guarded(Function function)
@@ -108,13 +116,22 @@
     // Addresses of all daemons with a lease, for the announcement of the new primary.
     std::vector<SocketAddress> peers;
     std::size_t queriesOutstanding = 0;
-    std::map<EndpointId, EndpointReport> reports;
+    // Latest reply of each endpoint that was asked.
+    std::map<EndpointId, EndpointReply> replies;
     std::set<EndpointId> rejectedEndpoints;
     // Endpoints whose promotion this attempt has ordered.
     std::set<EndpointId> orderedEndpoints;
     EndpointId candidate;
     // Time since which only endpoints have answered that lack the term of the last primary.
     std::optional<Time> incompleteSince;
+    // Position that holds every acknowledged commit; no value if the replies do not tell.
+    std::optional<Position> requiredPosition;
+    // Whether a candidate did not catch up with the old primary in time.
+    bool catchUpFailed = false;
+    // Time since which the old primary has been running without reporting.
+    std::optional<Time> oldUnreportedSince;
+    // Time since which no endpoint has been known to hold all acknowledged commits.
+    std::optional<Time> unprovenSince;
     // Highest term that an endpoint reported.
     std::uint64_t highestTerm = 0;
     // Whether no other endpoint can lead with a higher term: all have answered, and no promotion has been ordered so
--- a/src/process/promotion_candidate.cc
+++ b/src/process/promotion_candidate.cc
@@ -1,10 +1,10 @@
-// Which endpoint takes over: asks the registered endpoints and waits until the best one holds what it must.
+// Finds the endpoint that takes over: asks the registered endpoints until one is known to hold what it must.
 #include "process/promotion.h"
 
 #include "base/log.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace endivetrestle {
 
@@ -12,6 +12,12 @@
 
 // Delay before the endpoints are queried again when none could be chosen.
 constexpr Duration queryRetryDelay = std::chrono::milliseconds(300);
+// Delay before an endpoint that had no free slot is queried again.
+constexpr Duration busyQueryDelay = std::chrono::milliseconds(20);
+// Longest wait for the report of an old primary that runs.
+constexpr Duration oldPrimaryPatience = std::chrono::milliseconds(400);
+// Time after which an attempt ends in which no endpoint is known to hold all acknowledged commits.
+constexpr Duration proofTimeout = std::chrono::seconds(3);
 // Longest wait for an endpoint that has followed the last primary. A change of primary may take 11 s.
 constexpr Duration completeLogTimeout = std::chrono::seconds(10);
 // Interval at which the position of the candidate is compared with that of the old primary, and the longest time to
@@ -21,16 +27,6 @@
 
 } // namespace
 
-// An endpoint that already leads because of an order of an earlier attempt comes first, then the one with the highest
-// received position.
-bool Promotion::isAhead(const EndpointReport& left, const EndpointReport& right)
-{
-    const auto rank = [](const EndpointReport& report) {
-        return std::make_tuple(report.isPrimary ? report.term : 0, report.received);
-    };
-    return rank(left) > rank(right);
-}
-
 // The candidate is chosen from the endpoints that are registered now. This daemon may have missed changes since it last
 // read them, while the others were asked to stop or before.
 void Promotion::refreshEndpoints()
@@ -51,80 +47,157 @@
 
 void Promotion::queryEndpoints()
 {
-    this->reports.clear();
+    this->replies.clear();
     const auto records = this->context.hooks.endpointsOf(this->initialRow.group);
-    this->queriesOutstanding = records.size();
     if (records.empty()) {
         this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
         return;
     }
-    for (const auto& record : records) {
-        this->context.hooks.queryEndpoint(this->initialRow.group, record.id,
-            this->guarded([this, id = record.id](const std::optional<EndpointReport>& report) {
-                if (report)
-                    this->reports[id] = *report;
-                if (--this->queriesOutstanding == 0)
-                    this->chooseCandidate();
-            }));
+    this->queriesOutstanding = records.size();
+    for (const auto& record : records)
+        this->queryEndpoint(record.id);
+}
+
+void Promotion::queryEndpoint(const EndpointId& endpoint)
+{
+    this->context.hooks.queryEndpoint(
+        this->initialRow.group, endpoint, this->guarded([this, endpoint](const EndpointReply& reply) {
+            this->replies[endpoint] = reply;
+            if (--this->queriesOutstanding == 0)
+                this->onReplies();
+        }));
+}
+
+// Asks those again that run but have not reported. All are asked again once the list of endpoints may be old.
+void Promotion::askAgain()
+{
+    std::vector<EndpointId> unreported;
+    for (const auto& [id, reply] : this->replies) {
+        if (reply.isAliveWithoutReport())
+            unreported.push_back(id);
+    }
+    const bool listMayBeOld = this->context.now() - this->stepStartedAt >= queryRetryDelay;
+    if (unreported.empty() || listMayBeOld) {
+        this->schedule(unreported.empty() ? queryRetryDelay : busyQueryDelay, [this] { this->refreshEndpoints(); });
+        return;
     }
+    this->schedule(busyQueryDelay, [this, unreported] {
+        this->queriesOutstanding = unreported.size();
+        for (const auto& id : unreported)
+            this->queryEndpoint(id);
+    });
 }
 
-bool Promotion::isDraining(const EndpointId& endpoint) const
+LogEvidence Promotion::logEvidence() const
 {
-    const auto records = this->context.hooks.endpointsOf(this->initialRow.group);
-    return std::any_of(records.begin(), records.end(),
-        [&](const EndpointRecord& record) { return record.id == endpoint && record.draining; });
+    LogEvidence evidence;
+    evidence.syncReplicas = this->context.hooks.syncReplicas(this->initialRow.group);
+    evidence.oldPrimary = this->initialRow.endpoint;
+    evidence.term = this->initialRow.term;
+    for (const auto& record : this->context.hooks.endpointsOf(this->initialRow.group))
+        evidence.members.insert(record.id);
+    for (const auto& id : this->context.hooks.absentEndpointsOf(this->initialRow.group))
+        evidence.members.insert(id);
+    for (const auto& [id, reply] : this->replies) {
+        if (reply.report)
+            evidence.reports[id] = *reply.report;
+    }
+    return evidence;
 }
 
-void Promotion::chooseCandidate()
+CandidateInput Promotion::candidateInput() const
 {
-    const auto now = this->context.now();
-    if (!this->context.promotionLock.isHeld(now)) {
+    CandidateInput input;
+    input.evidence = this->logEvidence();
+    for (const auto& record : this->context.hooks.endpointsOf(this->initialRow.group)) {
+        if (record.draining)
+            input.draining.insert(record.id);
+    }
+    input.rejected = this->rejectedEndpoints;
+    input.catchUpFailed = this->catchUpFailed;
+    return input;
+}
+
+void Promotion::onReplies()
+{
+    if (!this->context.promotionLock.isHeld(this->context.now())) {
         this->finish(false);
         return;
     }
+    const auto input = this->candidateInput();
+    const auto& reports = input.evidence.reports;
     this->highestTerm = this->initialRow.term;
-    const bool allAnswered = this->reports.size() == this->context.hooks.endpointsOf(this->initialRow.group).size();
-    const bool orderedBefore = this->initialRow.replacing && !this->initialRow.isOpened();
-    this->leadershipCertain = allAnswered && !orderedBefore && this->orderedEndpoints.empty();
-    const EndpointReport* best = nullptr;
-    for (const auto& [id, report] : this->reports) {
+    for (const auto& [id, report] : reports)
         this->highestTerm = std::max(this->highestTerm, report.term);
-        const bool usable
-            = id != this->initialRow.endpoint && !this->isDraining(id) && this->rejectedEndpoints.count(id) == 0;
-        if (usable && (best == nullptr || isAhead(report, *best))) {
-            best = &report;
-            this->candidate = id;
-        }
-    }
-    const auto old = this->reports.find(this->initialRow.endpoint);
-    const bool oldAnswers = old != this->reports.end();
-    const bool oldMayLead = oldAnswers && old->second.isPrimary && !this->isDraining(old->first);
-    const bool incomplete = best != nullptr && best->term < this->initialRow.term;
-    if (best == nullptr || (incomplete && oldMayLead)) {
-        // No replica can take over. If the old primary still answers, it is confirmed as the primary.
+    const bool allReported = reports.size() == this->context.hooks.endpointsOf(this->initialRow.group).size();
+    const bool orderedBefore = this->initialRow.replacing && !this->initialRow.isOpened();
+    this->leadershipCertain = allReported && !orderedBefore && this->orderedEndpoints.empty();
+
+    const auto choice = chooseCandidate(input);
+    this->candidate = choice.endpoint;
+    this->candidateAlreadyLeads = choice.alreadyLeads;
+    this->requiredPosition = choice.required;
+    if (choice.action == CandidateAction::NoCandidate) {
         this->rejectedEndpoints.clear();
-        if (!oldMayLead) {
-            this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
-            return;
-        }
-        best = &old->second;
-        this->candidate = old->first;
-    }
-    if (this->waitForCompleteLog(*best)) {
+        this->askAgain();
+    } else if (choice.action == CandidateAction::AwaitProof) {
+        this->waitForProof(input.evidence);
+    } else if (choice.action == CandidateAction::Order && this->mustWaitForOldPrimary())
+        this->askAgain();
+    else if (this->mustWaitForTerm(reports.at(this->candidate)))
         this->schedule(queryRetryDelay, [this] { this->refreshEndpoints(); });
-        return;
-    }
-    this->candidateAlreadyLeads = best->isPrimary && best->term == this->highestTerm;
-    if (oldAnswers && old->first != this->candidate && !this->candidateAlreadyLeads)
-        this->waitForCatchUp(old->first);
+    else if (choice.action == CandidateAction::CatchUp)
+        this->waitForCatchUp(reports.at(this->initialRow.endpoint).received, reports.at(this->candidate));
     else
         this->orderPromotion();
 }
 
+// No endpoint is ordered as long as acknowledged commits may be missing in its log. The group stays without a primary;
+// this attempt ends after a while, so that the promotion lock is free for other groups, and another one follows.
+void Promotion::waitForProof(const LogEvidence& evidence)
+{
+    const auto now = this->context.now();
+    if (!this->unprovenSince) {
+        this->unprovenSince = now;
+        this->logMissingProof(evidence);
+    }
+    if (now < *this->unprovenSince + proofTimeout)
+        this->askAgain();
+    else
+        this->finish(false);
+}
+
+void Promotion::logMissingProof(const LogEvidence& evidence)
+{
+    std::string missing;
+    for (const auto& id : evidence.members) {
+        const auto reply = this->replies.find(id);
+        const auto status = reply == this->replies.end() ? EndpointReplyStatus::Unregistered : reply->second.status;
+        if (status != EndpointReplyStatus::Reported)
+            missing += (missing.empty() ? "" : " ") + id.value + ":" + replyStatusName(status);
+    }
+    logEvent(LogLevel::Warning, "promotion_waits_for_proof",
+        { { "group", this->initialRow.group.value }, { "sync_replicas", evidence.syncReplicas },
+            { "reported", evidence.reports.size() }, { "missing", missing },
+            { "required", this->requiredPosition ? toString(*this->requiredPosition) : "" } });
+}
+
+// An old primary that runs but had no free slot holds commits that the candidate may lack. It is asked again before the
+// candidate is ordered without catching up with it.
+bool Promotion::mustWaitForOldPrimary()
+{
+    const auto reply = this->replies.find(this->initialRow.endpoint);
+    if (this->candidateAlreadyLeads || reply == this->replies.end() || !reply->second.isAliveWithoutReport())
+        return false;
+    const auto now = this->context.now();
+    if (!this->oldUnreportedSince)
+        this->oldUnreportedSince = now;
+    return now < *this->oldUnreportedSince + oldPrimaryPatience;
+}
+
 // An endpoint that has not followed the primary of the last term lacks what was acknowledged in it. Those that have it
 // may be back soon, and until then nothing is read that lacks it.
-bool Promotion::waitForCompleteLog(const EndpointReport& best)
+bool Promotion::mustWaitForTerm(const EndpointReport& best)
 {
     if (best.term >= this->initialRow.term)
         return false;
@@ -138,27 +211,47 @@
     return now < *this->incompleteSince + completeLogTimeout;
 }
 
-void Promotion::waitForCatchUp(const EndpointId& old)
+// Waits until the candidate has received what the old primary reported.
+void Promotion::waitForCatchUp(const Position& target, const EndpointReport& candidateReport)
 {
-    const auto target = this->reports.at(old).received;
-    if (this->reports.at(this->candidate).received >= target) {
+    if (candidateReport.received >= target) {
         this->demoteOldPrimary();
         return;
     }
     this->enterStep("catch_up");
-    const auto giveUpAt = this->context.now() + catchUpTimeout;
-    const auto poll = std::make_shared<std::function<void()>>();
-    *poll = [this, target, giveUpAt, weak = std::weak_ptr<std::function<void()>>(poll)] {
-        this->context.hooks.queryEndpoint(this->initialRow.group, this->candidate,
-            this->guarded([this, target, giveUpAt, self = weak.lock()](const std::optional<EndpointReport>& report) {
-                const bool reached = report && report->received >= target;
-                if (reached || this->context.now() >= giveUpAt)
-                    this->demoteOldPrimary();
-                else
-                    this->schedule(catchUpPollInterval, [self] { (*self)(); });
-            }));
-    };
-    (*poll)();
+    this->pollCatchUp(target);
+}
+
+void Promotion::pollCatchUp(const Position& target)
+{
+    this->context.hooks.queryEndpoint(
+        this->initialRow.group, this->candidate, this->guarded([this, target](const EndpointReply& reply) {
+            const bool reached = reply.report && reply.report->received >= target;
+            if (reached)
+                this->demoteOldPrimary();
+            else if (this->context.now() < this->stepStartedAt + catchUpTimeout)
+                this->schedule(catchUpPollInterval, [this, target] { this->pollCatchUp(target); });
+            else
+                this->onCatchUpTimeout(reply);
+        }));
+}
+
+// Without the commits that were acknowledged the candidate is not ordered, however long that takes.
+void Promotion::onCatchUpTimeout(const EndpointReply& reply)
+{
+    const bool nothingRequired = this->requiredPosition == Position {};
+    const bool complete = reply.report && this->requiredPosition && reply.report->received >= *this->requiredPosition;
+    if (nothingRequired || complete) {
+        this->demoteOldPrimary();
+        return;
+    }
+    logEvent(LogLevel::Warning, "catch_up_failed",
+        { { "group", this->initialRow.group.value }, { "candidate", this->candidate.value },
+            { "reply", replyStatusName(reply.status) },
+            { "received", reply.report ? toString(reply.report->received) : "" },
+            { "required", this->requiredPosition ? toString(*this->requiredPosition) : "" } });
+    this->catchUpFailed = true;
+    this->refreshEndpoints();
 }
 
 } // namespace endivetrestle
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/identifier.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +42,8 @@
     DatabaseId group;
     // Connections that an endpoint of the group accepts from all daemons together.
     int connectionLimit = 16;
+    // Replicas that must have received a commit before an endpoint of the group acknowledges it.
+    std::size_t syncReplicas = 0;
 
     bool operator==(const GroupDeclaration&) const = default;
 };
