End lines at CR LF only, and build lines from fields that cannot hold a separator

A member's row with a line feed broke its answer.

Cause: the framer took any line feed for a line end. Behind it, names and values were joined to lines unchecked.

Change: bytes are divided in one place (takeUnit), which both directions and the soak use. Lines to members are built by LineBuilder, which gives no line if a field holds a separator; nothing is sent then and the connection counts as lost. The soak's clients and members use data and rows with line feeds.

--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -24,11 +24,7 @@
     const auto address = asio::ip::make_address(record.address.ip, error);
     link.socket->connect(
         asio::ip::tcp::endpoint(address, record.address.port),
-        [this, id, greeting = platform::encodeStartup(record.group, record.id)] {
-            const auto found = this->links.find(id);
-            if (found != this->links.end())
-                found->second.socket->write(greeting);
-        },
+        [this, id, greeting = platform::encodeStartup(record.group, record.id)] { this->write(id, greeting); },
         [this, id](std::string_view line) { return this->onLine(id, line); }, [this, id] { this->onLost(id); });
 }
 
@@ -75,10 +71,25 @@
 }
 
 void EndpointTransport::send(ConnectionId id, const EndpointCommand& command)
+{
+    this->write(id, platform::encodeCommand(command));
+}
+
+// Nothing is sent of a line that cannot be built. The connection counts as lost, since the caller expects an answer.
+void EndpointTransport::write(ConnectionId id, const std::optional<std::string>& line)
 {
     const auto found = this->links.find(id);
-    if (found != this->links.end())
-        found->second.socket->write(platform::encodeCommand(command));
+    if (found == this->links.end())
+        return;
+    if (line) {
+        found->second.socket->write(*line);
+        return;
+    }
+    logEvent(LogLevel::Error, "endpoint_line_not_sent", { { "connection", id }, { "reason", "separator_in_field" } });
+    asio::post(this->context, [this, id, alive = std::weak_ptr<int>(this->lifetime)] {
+        if (!alive.expired() && this->links.count(id) != 0)
+            this->onLost(id);
+    });
 }
 
 void EndpointTransport::close(ConnectionId id)
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -30,6 +30,7 @@
     EndpointTransport& operator=(const EndpointTransport&) = delete;
 
     void open(ConnectionId id, const EndpointRecord& record);
+    // Sends a command, which is answered or followed by the loss of the connection.
     void send(ConnectionId id, const EndpointCommand& command);
     void close(ConnectionId id);
 
@@ -42,10 +43,12 @@
 
     bool onLine(ConnectionId id, std::string_view line);
     void onLost(ConnectionId id);
+    void write(ConnectionId id, const std::optional<std::string>& line);
 
     asio::io_context& context;
     EndpointInput input;
     std::unordered_map<ConnectionId, Link> links;
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
 
 } // namespace endivetrestle
--- a/src/edge/line_socket.cc
+++ b/src/edge/line_socket.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 65536;
-// Bytes of a frame's length.
-constexpr std::size_t lengthBytes = 4;
 
 std::array<char, readBufferBytes>& sharedBuffer()
 {
@@ -98,44 +96,13 @@
         this->waitForInput();
 }
 
-std::optional<std::string_view> LineSocket::nextLine(std::string_view& input) const
-{
-    const auto end = input.find('\n');
-    if (end == std::string_view::npos)
-        return std::nullopt;
-    auto line = input.substr(0, end);
-    if (!line.empty() && line.back() == '\r')
-        line.remove_suffix(1);
-    input.remove_prefix(end + 1);
-    return line;
-}
-
-std::optional<std::string_view> LineSocket::nextFrame(std::string_view& input) const
-{
-    if (input.size() < lengthBytes)
-        return std::nullopt;
-    std::size_t length = 0;
-    for (const char byte : input.substr(0, lengthBytes))
-        length = length << 8U | static_cast<unsigned char>(byte);
-    if (input.size() - lengthBytes < length)
-        return std::nullopt;
-    const auto frame = input.substr(lengthBytes, length);
-    input.remove_prefix(lengthBytes + length);
-    return frame;
-}
-
-std::optional<std::string_view> LineSocket::nextUnit(std::string_view& input) const
-{
-    return this->framing == Framing::Lines ? this->nextLine(input) : this->nextFrame(input);
-}
-
 bool LineSocket::takeUnits()
 {
     const auto self = this->shared_from_this();
     const std::string received = std::move(this->partial);
     this->partial.clear();
     std::string_view input = received;
-    while (const auto unit = this->nextUnit(input)) {
+    while (const auto unit = takeUnit(this->framing, input)) {
         if (!this->onLine(*unit)) {
             this->closeAfterWrites();
             return false;
@@ -144,22 +111,14 @@
             return false;
     }
     this->partial = input;
-    if (this->partial.size() > this->maxLineBytes) {
+    if (exceedsLimit(this->framing, this->partial, this->maxLineBytes)) {
         this->fail();
         return false;
     }
     return true;
 }
 
-void LineSocket::writeFrame(std::string_view frame)
-{
-    std::string bytes;
-    bytes.reserve(lengthBytes + frame.size());
-    for (int shift = 24; shift >= 0; shift -= 8)
-        bytes += static_cast<char>(frame.size() >> static_cast<unsigned>(shift) & 0xffU);
-    bytes += frame;
-    this->write(bytes);
-}
+void LineSocket::writeFrame(std::string_view frame) { this->write(encodeFrame(frame)); }
 
 void LineSocket::write(std::string_view text)
 {
--- a/src/edge/line_socket.h
+++ b/src/edge/line_socket.h
@@ -1,24 +1,16 @@
 #pragma once
 
+#include "edge/framing.h"
+
 #include <asio.hpp>
 
-#include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace endivetrestle {
 
-// How the bytes of a connection are divided into units.
-enum class Framing {
-    // Lines that end with CR LF. The line end is not part of the unit.
-    Lines,
-    // Units that follow their length, four bytes with the most significant first.
-    Lengths,
-};
-
 // TCP connection that exchanges lines or length-prefixed frames, on the caller's event loop. An idle connection holds
 // no read buffer: all connections of a loop share one.
 //
@@ -58,10 +50,6 @@
     void waitForInput();
     void readAvailable();
     bool takeUnits();
-    // Returns the first unit of the input and removes it; no value if it is not complete yet.
-    std::optional<std::string_view> nextUnit(std::string_view& input) const;
-    std::optional<std::string_view> nextLine(std::string_view& input) const;
-    std::optional<std::string_view> nextFrame(std::string_view& input) const;
     void flush();
     void fail();
     void setOptions();
--- a/src/edge/session_server_test.cc
+++ b/src/edge/session_server_test.cc
@@ -296,3 +296,20 @@
     CHECK(std::none_of(
         fixture.ends.begin(), fixture.ends.end(), [](const SessionEnd& end) { return !end.request.empty(); }));
 }
+
+TEST_CASE("SessionServer, runs one statement for a line whose data contains a line feed")
+{
+    // Guards against data that smuggles another statement, or an end of the transaction that it is in (review/8).
+    Fixture fixture;
+    Client client(fixture);
+    client.start();
+    const std::string text = "WRITE 1a4 note\nQUERY 9999 WRITE 7f0 free";
+    client.send("QUERY 5c0e " + text);
+    client.received();
+    REQUIRE(fixture.runner.held.size() == 1);
+    CHECK(fixture.runner.held.front()->work.statement.id == "5c0e");
+    CHECK(fixture.runner.held.front()->work.statement.text == text);
+    fixture.runner.answerOne();
+    CHECK(client.received() == "COMPLETE sig\r\nREADY I -\r\n");
+    CHECK(fixture.runner.held.empty());
+}
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "platform/line_codec.h"
+#include "soak/standin_group.h"
 
 #include <utility>
 
@@ -119,7 +120,7 @@
 void SoakClient::checkAnswer()
 {
     const bool data = this->expected == Expect::Read || this->expected == Expect::Write;
-    if (data && this->row != "row-" + this->currentId)
+    if (data && this->row != rowOf(this->currentId))
         this->audit.violate("statement " + this->currentId + " got the row " + this->row);
     if ((data || this->expected == Expect::Commit) && this->signature != "sig-" + this->currentId)
         this->audit.violate("statement " + this->currentId + " got the signature " + this->signature);
@@ -224,7 +225,8 @@
 
 void SoakClient::sendData(bool write)
 {
-    this->send(write ? Expect::Write : Expect::Read, write ? "WRITE 1 x" : "READ 1");
+    // The data of a write would be another write if a line feed ended the statement.
+    this->send(write ? Expect::Write : Expect::Read, write ? "WRITE 1 x\nQUERY unsent WRITE 1 y" : "READ 1");
 }
 
 void SoakClient::send(Expect kind, const std::string& text)
--- a/src/soak/standin_group.cc
+++ b/src/soak/standin_group.cc
@@ -25,6 +25,8 @@
 
 } // namespace
 
+std::string rowOf(const std::string& queryId) { return "row-" + queryId + "\nCOMPLETE forged"; }
+
 StandinMember::StandinMember(asio::io_context& context, StandinGroup& group, std::string id)
     : id(std::move(id))
     , context(context)
@@ -223,7 +225,7 @@
         connection.writes.push_back(queryId);
     else if (writes)
         this->append({ queryId });
-    return "DATAROW row-" + queryId + "\r\nCOMPLETE sig-" + queryId + "\r\n";
+    return "DATAROW " + rowOf(queryId) + "\r\nCOMPLETE sig-" + queryId + "\r\n";
 }
 
 std::string StandinMember::commit(Connection& connection, const std::string& queryId)
--- a/src/soak/standin_group.h
+++ b/src/soak/standin_group.h
@@ -12,6 +12,10 @@
 
 namespace endivetrestle::soak {
 
+// Row that an endpoint returns for a statement. It contains a line feed, behind which it looks like the end of an
+// answer.
+std::string rowOf(const std::string& queryId);
+
 class StandinGroup;
 
 // One member of a stand-in group: speaks the line protocol of the platform's members on a loopback port.
