Name prepared statements on shared connections by one word

Cause: the name was "r_" or "w_" and the shape, which may hold blanks, while a name ends at the first one.

Evidence: with the old name, "PreparedStatement, has a name of its own that is one word, whatever its shape contains" and "ConnectionSessionState, prepares statements whose shapes begin with the same word separately" fail.

--- a/src/connection/session_state.cc
+++ b/src/connection/session_state.cc
@@ -1,10 +1,29 @@
 #include "connection/session_state.h"
 
+#include "base/sha256.h"
+
 #include <algorithm>
+#include <string_view>
 
 namespace endivetrestle {
 
-std::string PreparedStatement::sharedName() const { return (this->writes ? "w_" : "r_") + this->shape; }
+namespace {
+
+// Whether a shape can be a part of a name as it is: short, and without blanks or control characters.
+bool fitsName(std::string_view shape)
+{
+    constexpr std::size_t maxNameBytes = 64;
+    return shape.size() <= maxNameBytes
+        && std::all_of(shape.begin(), shape.end(), [](char byte) { return byte > ' ' && byte <= '~'; });
+}
+
+} // namespace
+
+std::string PreparedStatement::sharedName() const
+{
+    const std::string access = this->writes ? "w" : "r";
+    return fitsName(this->shape) ? access + "_" + this->shape : access + "x_" + sha256Hex(this->shape);
+}
 
 bool ConnectionSessionState::isCompatible(const SessionState& session) const
 {
--- a/src/connection/session_state.h
+++ b/src/connection/session_state.h
@@ -18,7 +18,8 @@
     bool operator==(const PreparedStatement&) const = default;
 
     // Name under which the statement is prepared on endpoint connections. It depends only on the shape and on whether
-    // the statement writes, so that sessions share it.
+    // the statement writes, so that sessions share it, and two statements never have the same one. It contains no blank
+    // or line end, whatever the shape contains.
     [[nodiscard]] std::string sharedName() const;
 };
 
--- a/src/connection/session_state_test.cc
+++ b/src/connection/session_state_test.cc
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
+
 using namespace endivetrestle;
 using namespace std::chrono_literals;
 
@@ -154,3 +157,39 @@
         endpoint.decayBusyPeak();
     CHECK(endpoint.connectionsWanted() <= 1);
 }
+
+TEST_CASE("PreparedStatement, has a name of its own that is one word, whatever its shape contains")
+{
+    // Guards against two clients' statements under one name, and against a tail of the name that is taken for data: the
+    // shape "x WRITE y" was prepared as the name "r_x" with another shape.
+    const std::vector<std::string> shapes { "x", "x WRITE y", "x ", " x", "x\n", "x\r", std::string("x\0y", 3),
+        "\xc3\xa4", "x_" + std::string(64, 'a'), std::string(1000, 'x') };
+    std::set<std::string> names;
+    for (const auto& shape : shapes) {
+        for (const bool writes : { false, true }) {
+            const auto name = PreparedStatement { writes, shape }.sharedName();
+            CAPTURE(shape, name);
+            CHECK(std::all_of(name.begin(), name.end(), [](char byte) { return byte > ' ' && byte <= '~'; }));
+            CHECK(names.insert(name).second);
+        }
+    }
+    CHECK(PreparedStatement { true, "q2c" }.sharedName() == "w_q2c");
+    // A shape that looks like a digest is not taken for one.
+    const auto digest = PreparedStatement { false, "x y" }.sharedName();
+    CHECK(PreparedStatement { false, digest.substr(2) }.sharedName() != digest);
+}
+
+TEST_CASE("ConnectionSessionState, prepares statements whose shapes begin with the same word separately")
+{
+    // Guards against a prepared name that runs another shape than its client prepared.
+    ConnectionSessionState held;
+    const SessionState session;
+    const PreparedStatement plain { false, "x" };
+    const PreparedStatement longer { false, "x WRITE y" };
+    recordAllExecuted(held, held.commandsFor(session, longer));
+    const auto commands = held.commandsFor(session, plain);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().text == plain.sharedName());
+    CHECK(commands.front().text != longer.sharedName());
+    CHECK(longer.sharedName().find(' ') == std::string::npos);
+}
--- a/src/edge/caller_api.cc
+++ b/src/edge/caller_api.cc
@@ -1,5 +1,6 @@
 #include "edge/caller_api.h"
 
+#include "base/sha256.h"
 #include "base/strict_json.h"
 
 #include <algorithm>
--- a/src/edge/daemon.cc
+++ b/src/edge/daemon.cc
@@ -1,6 +1,7 @@
 #include "edge/daemon.h"
 
 #include "base/log.h"
+#include "base/sha256.h"
 
 #include <algorithm>
 #include <ctime>
--- a/src/tool/deployment.cc
+++ b/src/tool/deployment.cc
@@ -1,4 +1,5 @@
 #include "tool/deployment.h"
+#include "base/sha256.h"
 
 #include <future>
 #include <random>
--- a/src/version/configuration.cc
+++ b/src/version/configuration.cc
@@ -1,11 +1,9 @@
 #include "version/configuration.h"
 
+#include "base/sha256.h"
 #include "version/declaration_json.h"
 
-#include <openssl/sha.h>
-
 #include <algorithm>
-#include <array>
 #include <set>
 
 namespace endivetrestle {
@@ -164,19 +162,6 @@
     return toJson(ordered).dump();
 }
 
-std::string sha256Hex(std::string_view text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    for (const auto byte : digest) {
-        hex += digits[byte >> 4U];
-        hex += digits[byte & 15U];
-    }
-    return hex;
-}
-
 Configuration::Configuration(ConfigurationDocument document)
     : content(std::move(document))
 {
--- a/src/version/configuration.h
+++ b/src/version/configuration.h
@@ -113,9 +113,6 @@
 // Canonical text: compact JSON with sorted keys and identifiers. Equal documents have equal texts.
 std::string serialiseConfiguration(const ConfigurationDocument& document);
 
-// SHA-256 of a text as 64 lower-case hexadecimal digits. Used as content hash and for caller keys.
-std::string sha256Hex(std::string_view text);
-
 // One valid configuration version with lookups. Immutable; shared as std::shared_ptr<const Configuration>.
 class Configuration {
 public:
--- a/src/version/configuration_test.cc
+++ b/src/version/configuration_test.cc
@@ -1,3 +1,4 @@
+#include "base/sha256.h"
 #include "version/configuration.h"
 #include "version/configuration_difference.h"
 
--- a/src/version/confirm_machine_test.cc
+++ b/src/version/confirm_machine_test.cc
@@ -1,3 +1,4 @@
+#include "base/sha256.h"
 #include "version/confirm_machine.h"
 
 #include <catch2/catch.hpp>
--- a/src/version/version_keeper.cc
+++ b/src/version/version_keeper.cc
@@ -1,4 +1,5 @@
 #include "version/version_keeper.h"
+#include "base/sha256.h"
 
 #include <algorithm>
 
--- a/tests/caller_errors_test.cc
+++ b/tests/caller_errors_test.cc
@@ -1,3 +1,4 @@
+#include "base/sha256.h"
 #include "end_to_end.h"
 
 #include <catch2/catch.hpp>
--- a/tests/fault_matrix_confirm.cc
+++ b/tests/fault_matrix_confirm.cc
@@ -1,4 +1,5 @@
 #include "fault_matrix_confirm.h"
+#include "base/sha256.h"
 
 #include "base/hmac.h"
 #include "version/plan.h"
