Use no connection again whose session state a failed command may have changed

As long as the connection lived, every client without a value of that name got it.

Cause: a SET that was answered FAILED counted as not executed, and the connection was released with the state that it had before, although FAILED and TIMEOUT say that there was a run. RESET and PREPARE the same.

Change: the state becomes unknown when such a command is sent, and known again only by an answer that tells whether it ran. settle() is the only way back to Idle, for statements, commands, rollbacks and control commands, and closes what is not known.

--- a/src/connection/session_state.cc
+++ b/src/connection/session_state.cc
@@ -49,7 +49,26 @@
     return commands;
 }
 
-void ConnectionSessionState::recordExecuted(const EndpointCommand& command)
+void ConnectionSessionState::onSent(const EndpointCommand& command)
+{
+    const bool changesState = command.kind == CommandKind::Reset || command.kind == CommandKind::SetValue
+        || command.kind == CommandKind::Prepare;
+    if (changesState)
+        this->outstanding = command;
+}
+
+void ConnectionSessionState::onAnswer(const EndpointAnswer& answer)
+{
+    if (!this->outstanding)
+        return;
+    if (answer.succeeded)
+        this->apply(*this->outstanding);
+    else if (!provesNotRun(answer.code))
+        this->unknown = true;
+    this->outstanding.reset();
+}
+
+void ConnectionSessionState::apply(const EndpointCommand& command)
 {
     if (command.kind == CommandKind::Reset) {
         this->values.clear();
--- a/src/connection/session_state.h
+++ b/src/connection/session_state.h
@@ -34,9 +34,14 @@
 // Session values and prepared statements that are set on one endpoint connection. Client sessions share connections, so
 // a connection must be brought to the state of the session before a statement runs on it.
 //
+// A command that changes the state makes it unknown when it is sent. The answer makes it known again if it tells
+// whether the command ran; a failure does not. Only a connection whose state is known may serve another session.
+//
 // Example:
-//     for (const auto& command : sessionState.commandsFor(session, statement))
-//         send(command); // one after the other; recordExecuted(command) after each success
+//     for (const auto& command : sessionState.commandsFor(session, statement)) {
+//         sessionState.onSent(command);
+//         sessionState.onAnswer(send(command));
+//     }
 class ConnectionSessionState {
 public:
     // A connection with this many prepared statements is reset before another one is prepared.
@@ -47,20 +52,32 @@
     [[nodiscard]] std::vector<EndpointCommand> commandsFor(
         const SessionState& session, const std::optional<PreparedStatement>& statement) const;
 
-    // Records that the endpoint has executed a command.
-    void recordExecuted(const EndpointCommand& command);
+    // Records that a command was sent. The answer to the command before must have been recorded.
+    void onSent(const EndpointCommand& command);
+    // Records the answer to the command that was sent last.
+    void onAnswer(const EndpointAnswer& answer);
 
     // Records that the endpoint does not know a prepared statement.
     void forgetPrepared(const std::string& sharedName);
 
+    // Whether the values and statements that are set are known. False while a command that changes them is outstanding,
+    // and for good after one of which it is not known whether it ran.
+    [[nodiscard]] bool isKnown() const { return !this->outstanding && !this->unknown; }
+
     // Whether the connection can serve the session without a reset.
     [[nodiscard]] bool isCompatible(const SessionState& session) const;
     // Whether the connection holds exactly the values of the session.
     [[nodiscard]] bool matches(const SessionState& session) const { return this->values == session.values; }
 
 private:
+    void apply(const EndpointCommand& command);
+
     std::map<std::string, std::string> values;
     std::set<std::string> prepared;
+    // Command that changes the state and has not been answered.
+    std::optional<EndpointCommand> outstanding;
+    // Whether such a command was answered without telling whether it ran.
+    bool unknown = false;
 };
 
 } // namespace endivetrestle
--- a/src/connection/session_state_test.cc
+++ b/src/connection/session_state_test.cc
@@ -14,8 +14,12 @@
 // Records all commands as executed.
 void recordAllExecuted(ConnectionSessionState& held, const std::vector<EndpointCommand>& commands)
 {
-    for (const auto& command : commands)
-        held.recordExecuted(command);
+    EndpointAnswer success;
+    success.succeeded = true;
+    for (const auto& command : commands) {
+        held.onSent(command);
+        held.onAnswer(success);
+    }
 }
 
 std::vector<CommandKind> kindsOf(const std::vector<EndpointCommand>& commands)
@@ -193,3 +197,57 @@
     CHECK(commands.front().text != longer.sharedName());
     CHECK(longer.sharedName().find(' ') == std::string::npos);
 }
+
+TEST_CASE("ConnectionSessionState, is unknown after a command of which it is not known whether it ran")
+{
+    // Guards against a value that is set although the endpoint answered with a failure, and that another client's
+    // statement then runs with; and against one that is gone although its reset was answered so (review/7).
+    const auto kind = GENERATE(CommandKind::SetValue, CommandKind::Reset, CommandKind::Prepare);
+    const auto code = GENERATE(ReplyCode::Failed, ReplyCode::Timeout, ReplyCode::InDoubt, ReplyCode::Unknown,
+        ReplyCode::Malformed, ReplyCode::Aborted);
+    ConnectionSessionState held;
+    CHECK(held.isKnown());
+    held.onSent({ kind, "", "zone", "a" });
+    CHECK_FALSE(held.isKnown());
+    EndpointAnswer failure;
+    failure.code = code;
+    held.onAnswer(failure);
+    CHECK_FALSE(held.isKnown());
+    // Nothing that follows makes it known again.
+    EndpointAnswer success;
+    success.succeeded = true;
+    for (const auto next : { CommandKind::Status, CommandKind::SetValue, CommandKind::Reset }) {
+        held.onSent({ next, "", "lang", "th" });
+        held.onAnswer(success);
+        CHECK_FALSE(held.isKnown());
+    }
+}
+
+TEST_CASE("ConnectionSessionState, is what it was after a command that did not run")
+{
+    const auto kind = GENERATE(CommandKind::SetValue, CommandKind::Reset, CommandKind::Prepare);
+    ConnectionSessionState held;
+    SessionState session;
+    session.values = { { "zone", "a" } };
+    recordAllExecuted(held, held.commandsFor(session, std::nullopt));
+    EndpointAnswer busy;
+    busy.code = ReplyCode::Busy;
+    held.onSent({ kind, "", "zone", "b" });
+    held.onAnswer(busy);
+    CHECK(held.isKnown());
+    CHECK(held.matches(session));
+}
+
+TEST_CASE("ConnectionSessionState, stays known whatever a statement is answered that cannot change it")
+{
+    // Guards against connections that are closed for each failed read, which the endpoint would have to open anew.
+    ConnectionSessionState held;
+    EndpointAnswer failure;
+    failure.code = ReplyCode::Failed;
+    for (const auto kind : { CommandKind::Forward, CommandKind::Execute, CommandKind::Begin, CommandKind::BeginRead,
+             CommandKind::Rollback, CommandKind::Status, CommandKind::Demote }) {
+        held.onSent({ kind });
+        held.onAnswer(failure);
+        CHECK(held.isKnown());
+    }
+}
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -208,8 +208,7 @@
     }
     connection->phase = EndpointConnection::Phase::Ending;
     connection->pendingCommands = { { CommandKind::Rollback } };
-    connection->sentAt = now;
-    this->hooks.send(id, connection->pendingCommands.front());
+    this->sendNext(*connection, now);
 }
 
 void GroupScheduler::abandon(const ExecutionPtr& execution, Time)
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -43,6 +43,8 @@
     std::uint64_t busyAnswers = 0;
     std::uint64_t laggingAnswers = 0;
     std::uint64_t hedgedReads = 0;
+    // Connections that were closed because it is not known whether a command changed their session state.
+    std::uint64_t unknownStates = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
 };
@@ -56,7 +58,7 @@
 // - A read with a staleness bound carries the position that the endpoint's log must contain, so that an endpoint that
 //   lags refuses it.
 // - A statement is sent again only if it is known not to have run, or if it only reads.
-// - A connection whose state is unknown is closed.
+// - A connection whose state is unknown is closed: settle() is the only way from a statement or command back to Idle.
 class GroupScheduler : public StatementRunner {
 public:
     GroupScheduler(
@@ -174,6 +176,7 @@
     bool startControlTask(EndpointState& endpoint, EndpointConnection& connection, Time now);
 
     // group_scheduler_release.cc
+    void settle(EndpointConnection& connection, SessionPhase phase, Time now);
     void release(EndpointConnection& connection, Time now);
     void closeConnection(EndpointConnection& connection);
     void eraseConnection(ConnectionId connection);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -25,6 +25,15 @@
     return answer;
 }
 
+// Answer to a statement that was not sent because a command before it failed. A failure of the endpoint says nothing
+// about the statement, which did not run and may be sent again; that a command is not valid may be its client's doing.
+EndpointAnswer answerToUnsent(const EndpointAnswer& commandAnswer)
+{
+    if (commandAnswer.code != ReplyCode::Failed && commandAnswer.code != ReplyCode::Timeout)
+        return commandAnswer;
+    return proxyError(ReplyCode::Busy, "the endpoint failed before the statement was sent", SessionPhase::Idle);
+}
+
 } // namespace
 
 void GroupScheduler::finish(const ExecutionPtr& execution, const StatementResult& result)
@@ -92,6 +101,7 @@
 void GroupScheduler::sendNext(EndpointConnection& connection, Time now)
 {
     connection.sentAt = now;
+    connection.sessionState.onSent(connection.pendingCommands.front());
     this->hooks.send(connection.id, connection.pendingCommands.front());
 }
 
@@ -157,11 +167,12 @@
         this->closeConnection(*connection);
         return;
     }
+    connection->sessionState.onAnswer(answer);
     if (connection->control) {
         const auto task = std::exchange(connection->control, nullptr);
         connection->pendingCommands.clear();
         --endpoint.running;
-        this->release(*connection, now);
+        this->settle(*connection, answer.phase, now);
         if (!std::exchange(task->finished, true)) {
             this->timers.cancel(task->timer);
             task->callback(&answer);
@@ -170,10 +181,7 @@
     }
     if (connection->phase == EndpointConnection::Phase::Ending) {
         connection->pendingCommands.clear();
-        if (answer.phase == SessionPhase::Idle)
-            this->release(*connection, now);
-        else
-            this->closeConnection(*connection);
+        this->settle(*connection, answer.phase, now);
         return;
     }
     if (connection->pendingCommands.size() > 1)
@@ -188,7 +196,6 @@
     const auto execution = connection.execution;
     if (answer.succeeded) {
         connection.pendingCommands.pop_front();
-        connection.sessionState.recordExecuted(command);
         if (command.kind == CommandKind::Begin || command.kind == CommandKind::BeginRead) {
             connection.inTransaction = true;
             connection.transactionSince = now;
@@ -210,14 +217,14 @@
     connection.execution.reset();
     --this->endpoints.at(connection.endpoint).running;
     connection.pendingCommands.clear();
-    if (wasInTransaction || answer.phase != SessionPhase::Idle)
+    if (wasInTransaction)
         this->closeConnection(connection);
     else
-        this->release(connection, now);
+        this->settle(connection, answer.phase, now);
     if (wasInTransaction)
         this->refuse(execution, ReplyCode::Aborted, "the transaction was rolled back", "preparation_failed");
     else
-        this->requeueOrFail(execution, answer, now);
+        this->requeueOrFail(execution, answerToUnsent(answer), now);
 }
 
 bool GroupScheduler::prepareAgain(EndpointConnection& connection, Time now)
@@ -284,7 +291,7 @@
     result.fromEndpoint = true;
     const auto connectionId = connection.id;
     if (answer.phase == SessionPhase::Idle) {
-        this->release(connection, now);
+        this->settle(connection, answer.phase, now);
     } else if (!inTransaction || (this->suspended && plain)) {
         this->closeConnection(connection);
         if (inTransaction)
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -1,11 +1,31 @@
 // GroupScheduler: release, loss and refusal of connections, and timeouts of statements.
 #include "process/group_scheduler.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace endivetrestle {
 
+// Decides what becomes of a connection whose command was answered and that holds no transaction for a client: it serves
+// others only if it is known that no transaction is open on it, and which session state it holds.
+void GroupScheduler::settle(EndpointConnection& connection, SessionPhase phase, Time now)
+{
+    if (phase == SessionPhase::Idle && connection.sessionState.isKnown()) {
+        this->release(connection, now);
+        return;
+    }
+    if (!connection.sessionState.isKnown()) {
+        ++this->counts.unknownStates;
+        logEvent(LogLevel::Info, "connection_state_unknown",
+            { { "group", this->group.value }, { "endpoint", connection.endpoint.value },
+                { "connection", connection.id } });
+    }
+    this->closeConnection(connection);
+    this->dispatch(now);
+}
+
 void GroupScheduler::release(EndpointConnection& connection, Time now)
 {
     if (connection.inTransaction)
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -85,6 +85,9 @@
     set("endpoint_lagging_answers", "Reads refused by replicas that lag.",
         static_cast<double>(statistics.laggingAnswers));
     set("hedged_reads", "Reads sent to a second endpoint.", static_cast<double>(statistics.hedgedReads));
+    set("unknown_session_states",
+        "Connections closed because a command may or may not have changed their session state.",
+        static_cast<double>(statistics.unknownStates));
     set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(statistics.replicaReads));
     set("primary_reads", "Reads with an age bound served by the primary.",
         static_cast<double>(statistics.primaryReads));
