Close a connection in doubt before another statement starts on it

A commit whose success may not be reported released its connection, which may start a waiting statement at once, and then closed it: that statement got no answer until its timeout, and counted as running at the endpoint for good.

Cause: what becomes of the connection was decided twice, before and after the release.

Evidence: "GroupScheduler, lets a statement go on that was started on the connection of a commit in doubt" fails on the code before: the connection is closed under the read, which gets no answer.

Change: decided once. With a transaction open the connection is closed, without one it is settled like any other.

--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -264,7 +264,7 @@
     const bool inTransaction = connection.inTransaction;
     const bool plain = connection.writableTransaction;
     const bool mustBePrimary = work.changesData() || (isCommit && plain && connection.transactionWrote);
-    const bool mayReportSuccess = !mustBePrimary || this->mayAcknowledge(connection, now);
+    const bool successInDoubt = answer.succeeded && mustBePrimary && !this->mayAcknowledge(connection, now);
     // A read at the primary that was answered after the lease expired may miss commits of a newer primary.
     const bool readOutlivedLease = !mustBePrimary && work.needsPrimary && !this->hooks.leaseValid(now);
     connection.pendingCommands.clear();
@@ -292,7 +292,7 @@
     const auto connectionId = connection.id;
     if (answer.phase == SessionPhase::Idle) {
         this->settle(connection, answer.phase, now);
-    } else if (!inTransaction || (this->suspended && plain)) {
+    } else if (!inTransaction || (this->suspended && plain) || successInDoubt) {
         this->closeConnection(connection);
         if (inTransaction)
             result.answer = proxyError(ReplyCode::Aborted, "the primary is being replaced", SessionPhase::Idle);
@@ -309,13 +309,10 @@
         this->dispatch(now);
         return;
     }
-    if (answer.succeeded && !mayReportSuccess) {
+    if (successInDoubt) {
         result.answer = proxyError(
             ReplyCode::InDoubt, "the primary was replaced or the lease expired before the answer", SessionPhase::Idle);
         result.reason = "primary_replaced";
-        result.connection.reset();
-        if (auto* pinned = this->findConnection(connectionId); pinned != nullptr && inTransaction)
-            this->closeConnection(*pinned);
     } else if (answer.succeeded && readOutlivedLease && !inTransaction) {
         this->refuse(execution, ReplyCode::Busy, "the lease expired before the answer", "lease_expired");
         this->dispatch(now);
--- a/src/process/group_scheduler_session_test.cc
+++ b/src/process/group_scheduler_session_test.cc
@@ -154,3 +154,43 @@
     CHECK(answered);
     CHECK(isClosed(fixture, status.connection));
 }
+
+TEST_CASE("GroupScheduler, lets a statement go on that was started on the connection of a commit in doubt")
+{
+    // Guards against a connection that is closed under another client's statement, which then waits until it times out and
+    // is counted as running at the endpoint for good.
+    SchedulerFixture fixture;
+    fixture.connectionShare = 1;
+    fixture.reportPosition();
+    fixture.advance(500ms);
+    auto begin = SchedulerFixture::write();
+    begin.start = TransactionStart::Plain;
+    fixture.submit(begin);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    const auto write = fixture.take();
+    fixture.succeed(write, SessionPhase::Transaction);
+    REQUIRE(fixture.results.back().connection);
+    fixture.scheduler->continueTransaction(
+        *fixture.results.back().connection, fixture.makeExecution(SchedulerFixture::commit()), fixture.now);
+    const auto commit = fixture.take();
+    REQUIRE(commit.connection == write.connection);
+    // The other endpoints are gone, so a read that a replica may serve waits for this connection.
+    fixture.scheduler->setConnectionShare(1, false);
+    std::vector<EndpointRecord> only(1);
+    only.front().id = EndpointId("e1");
+    only.front().group = DatabaseId("shop");
+    only.front().dataCentre = DataCentre("a");
+    only.front().slots = 2;
+    fixture.scheduler->setEndpoints(only, fixture.now);
+    fixture.lease = false;
+    fixture.submit(SchedulerFixture::read(false));
+    REQUIRE(fixture.sent.empty());
+    fixture.succeed(commit, SessionPhase::Idle, { 1, 11 });
+    CHECK(fixture.results.back().answer.code == ReplyCode::InDoubt);
+    REQUIRE(fixture.sent.size() == 1);
+    const auto read = fixture.take();
+    CHECK(read.connection == commit.connection);
+    CHECK_FALSE(isClosed(fixture, read.connection));
+    fixture.succeed(read);
+    CHECK(fixture.results.back().answer.succeeded);
+}
