Let the daemons of tests listen on an address of their own

Seen: "StoreOutage, is not ready until the store answers when every daemon restarts during the outage" failed once with "bind: Address already in use" in a run of all tests on 8 cores.

Cause: a test that restarts a daemon gives up its ports for a moment. On 127.0.0.1 a connection of another test's process may take one as its own port meanwhile.

Change: the daemons of a test listen on a loopback address that is made from the process's id. Outgoing connections use 127.0.0.1, so nothing else takes ports there. No check has changed.

The collision was seen once in some hundred runs and has no run of its own that shows it gone.

--- a/src/tool/deployment.cc
+++ b/src/tool/deployment.cc
@@ -76,12 +76,13 @@
     this->standinLoop.start("standin");
     this->startStandins();
     for (std::size_t i = 0; i < this->options.daemons.size(); ++i) {
-        this->listen[i] = { { loopback, 0 }, { loopback, 0 }, { loopback, 0 } };
+        const auto& address = this->options.address;
+        this->listen[i] = { { address, 0 }, { address, 0 }, { address, 0 } };
         this->daemons.push_back(
             std::make_unique<Daemon>(this->daemonSettings(i), this->secrets, this->options.daemonOptions));
         const auto& daemon = *this->daemons.back();
-        this->listen[i] = { { loopback, daemon.callerPort() }, { loopback, daemon.peerPort() },
-            { loopback, daemon.operatorPort() } };
+        this->listen[i]
+            = { { address, daemon.callerPort() }, { address, daemon.peerPort() }, { address, daemon.operatorPort() } };
     }
     this->registerHosts();
 }
--- a/src/tool/deployment.h
+++ b/src/tool/deployment.h
@@ -23,6 +23,8 @@
     Region region;
     std::vector<DataCentre> dataCentres;
     std::vector<DeployedDaemon> daemons;
+    // Loopback address on which the daemons listen.
+    std::string address = "127.0.0.1";
     std::vector<DatabaseId> databases;
     // Endpoints of each database, placed in the data centres in turn.
     int endpointsPerDatabase = 3;
--- a/tests/end_to_end.h
+++ b/tests/end_to_end.h
@@ -3,6 +3,8 @@
 #include "tool/caller_client.h"
 #include "tool/deployment.h"
 
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -21,10 +23,23 @@
     std::string code;
 };
 
+// Lets the daemons listen on a loopback address that no other process uses. While a daemon is down, its ports are free,
+// and on 127.0.0.1 a connection of another test could take one, so that the daemon could not be restarted.
+inline DeploymentOptions withOwnAddress(DeploymentOptions options)
+{
+    constexpr int firstNetwork = 64;
+    constexpr int networks = 128;
+    constexpr int byteValues = 256;
+    const int process = ::getpid();
+    options.address = "127." + std::to_string(firstNetwork + process / byteValues / byteValues % networks) + "."
+        + std::to_string(process / byteValues % byteValues) + "." + std::to_string(process % byteValues);
+    return options;
+}
+
 // A deployment with a caller and an operator that talk HTTP to its daemons, for tests over real sockets.
 struct RunningDeployment {
     explicit RunningDeployment(DeploymentOptions options)
-        : deployment(std::move(options))
+        : deployment(withOwnAddress(std::move(options)))
         , problem(deployment.start(std::chrono::seconds(30)))
         , io(kj::setupAsyncIo())
         , client(*io.provider, addresses(), deployment.caller().key)
@@ -258,7 +273,7 @@
         std::vector<DaemonAddress> result;
         for (std::size_t i = 0; i < this->deployment.daemonCount(); ++i)
             result.push_back(this->deployment.running(i)
-                    ? DaemonAddress { "127.0.0.1", this->deployment.daemon(i).callerPort() }
+                    ? DaemonAddress { this->deployment.shape().address, this->deployment.daemon(i).callerPort() }
                     : DaemonAddress {});
         return result;
     }
@@ -267,7 +282,7 @@
     {
         std::vector<DaemonAddress> result;
         for (std::size_t i = 0; i < this->deployment.daemonCount(); ++i)
-            result.push_back({ "127.0.0.1", this->deployment.daemon(i).operatorPort() });
+            result.push_back({ this->deployment.shape().address, this->deployment.daemon(i).operatorPort() });
         return result;
     }
 
