Read a table as a whole after the store came back from a copy, whatever is outstanding

Cause: watches went on from the number of a version of before, which the store had given out again. On the change of the era the feed watched from the same number, and did nothing if no watch was outstanding.

Evidence: if startOver() only watches again, "TableFeed, reads the whole table when it starts over, whatever is outstanding" (three cases) and "... until that succeeds once it has started over" fail.

Change: after a change of the era the known version is unusable until the table has been read as a whole; watches and catch-ups read it meanwhile. The registry the same.

--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -156,8 +156,8 @@
 {
     this->fleet->onEraChanged(era);
     this->directory.onRestored(bootNow());
-    this->configurationFeed->watchAgain();
-    this->registryFeed->watchAgain();
+    this->configurationFeed->startOver();
+    this->registryFeed->startOver();
 }
 
 void SessionProxy::onConfigurationRows(const std::vector<StoreRow>& rows)
--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -47,6 +47,7 @@
         // The snapshot is reported before the store is reported as reachable, so that the grace period of entries that
         // expired during an outage starts first.
         this->lastVersion = std::max(this->lastVersion, result.version);
+        this->versionUsable = true;
         this->hooks.snapshot(result.rows);
         this->setReachable(true);
         this->watch();
@@ -58,6 +59,10 @@
 
 void TableFeed::catchUp(std::function<void(bool)> callback)
 {
+    if (this->lastVersion.isSet() && !this->versionUsable) {
+        this->readAll(callback);
+        return;
+    }
     const auto take
         = [this, callback = std::move(callback), weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
               if (weak.expired())
@@ -97,6 +102,18 @@
     this->watch();
 }
 
+void TableFeed::startOver()
+{
+    this->versionUsable = false;
+    if (std::exchange(this->watching, false))
+        this->store.abandonWatches(this->table);
+    // Answers to calls of before are ignored.
+    ++this->watchNumber;
+    // Entries that are missing in the copy get their grace period again.
+    this->setReachable(false);
+    this->readAll();
+}
+
 // Reports the rows that are newer than what has been reported. A watch and a reading beside it may be answered in
 // either order.
 void TableFeed::takeChanges(const StoreResult& result)
@@ -126,6 +143,10 @@
 
 void TableFeed::watch()
 {
+    if (!this->versionUsable) {
+        this->readAll();
+        return;
+    }
     // The store client would keep a new watch waiting behind one that is lost.
     if (std::exchange(this->watching, true))
         this->store.abandonWatches(this->table);
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -25,7 +25,7 @@
 // Follows the changes of one table in the store: reads the whole table once and then watches for changes after the
 // version that was read. A watch that fails is repeated from the same version, so that no change is missed. Rows are
 // reported in the order of their versions, whichever call brings them. What is read after the store has come back from
-// a copy is newer than all that was read before, whatever its number.
+// a copy is newer than all that was read before, whatever its number; no change is asked for by a number from before.
 class TableFeed {
 public:
     // Time that a watch waits for a change. Keep-alive probes detect a broken connection earlier.
@@ -48,6 +48,9 @@
     void catchUp(std::function<void(bool)> callback);
     // Gives up the outstanding watch, if there is one, and watches anew. Call when the watch may be lost.
     void watchAgain();
+    // Reads the whole table, whatever is outstanding. Call when the store has come back from a copy: it gives numbers
+    // of versions out again, so changes after the number that is known do not tell what has changed.
+    void startOver();
 
     // Version of the table up to which changes have been reported.
     [[nodiscard]] StoreVersion version() const { return this->lastVersion; }
@@ -71,6 +74,9 @@
     std::uint64_t watchNumber = 0;
     // Whether a watch is outstanding.
     bool watching = false;
+    // Whether changes after the last version tell what has changed. Not so before the first reading, nor after the
+    // store has come back from a copy until the table has been read again.
+    bool versionUsable = false;
     bool reachable = true;
     // Start of the last watch.
     Time watchedAt;
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -254,3 +254,49 @@
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 39, 3));
     CHECK(fixture.snapshots == std::vector<std::size_t> { 1 });
 }
+
+TEST_CASE("TableFeed, reads the whole table when it starts over, whatever is outstanding")
+{
+    // Guards against a watch that goes on from a number of before the store came back from a copy: the store gives the
+    // number out again, so the watch misses what is written under it or a lower one (review/10).
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 40, 1));
+    const std::string outstanding = GENERATE("watch", "next watch", "retry");
+    CAPTURE(outstanding);
+    if (outstanding == "next watch")
+        fixture.store.answerWatch(FeedFixture::result(StoreStatus::Done, 41, 1));
+    else if (outstanding == "retry")
+        fixture.store.answerWatch(FeedFixture::result(StoreStatus::Unknown, 0));
+    fixture.feed->startOver();
+    CHECK(fixture.store.watches.empty());
+    CHECK(fixture.store.abandoned.size() == (outstanding == "watch" ? 1 : 0));
+    CHECK(fixture.store.reads.size() == 1);
+    // What was scheduled before asks for no change after the number of before.
+    fixture.elapseRetryDelay();
+    CHECK(fixture.store.watches.empty());
+    auto restored = FeedFixture::result(StoreStatus::Done, 44, 2);
+    restored.version.era = 2;
+    const auto reads = std::exchange(fixture.store.reads, {});
+    for (const auto& read : reads)
+        read(restored);
+    CHECK(fixture.snapshots.back() == 2);
+    CHECK(fixture.store.watches.size() == 1);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 2, 44 });
+    CHECK(fixture.reachable);
+}
+
+TEST_CASE("TableFeed, reads the whole table until that succeeds once it has started over")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 40, 1));
+    fixture.feed->startOver();
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Refused, 0));
+    std::optional<bool> current;
+    fixture.feed->catchUp([&](bool value) { current = value; });
+    CHECK(fixture.store.catchUps.empty());
+    auto restored = FeedFixture::result(StoreStatus::Done, 12, 2);
+    restored.version.era = 2;
+    fixture.store.answerRead(restored);
+    CHECK(current == true);
+    CHECK(fixture.store.watchedAfter == StoreVersion { 2, 12 });
+}
