Bound the time in which a feed may believe that it hears

Cause: a watch waited 28 s, and one whose opening the store swallowed while all other calls were answered told nothing before.

Evidence: with a wait of 28 s the ten cases of "TableFeed, reports a change in time although the store swallowed the opening of its watch" fail.

Change: a watch waits 2 s. A lost one is noticed 3 s after it was opened, sooner than the 4 s after which the store counts as well again.

--- a/src/process/store_contact.h
+++ b/src/process/store_contact.h
@@ -19,8 +19,8 @@
 // Passes calls on to the store, tells when it answers again after a call has had no answer, and keeps the eras of the
 // store apart.
 //
-// An answer that is lost closes no connection, but nothing arrives there any more. A watch may wait for half a minute
-// on such a connection. Only what happened to other calls meanwhile tells that the watch may be lost as well.
+// An answer that is lost closes no connection, but nothing arrives there any more. A watch that waits on such a
+// connection notices that only at the end of its wait. What happened to other calls meanwhile may tell it earlier.
 //
 // An answer counts only in the era for which the call was made: versions are given out again when the store comes back
 // from a copy, so the same condition may then hold for another row. A change that is answered in another era than that
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -28,8 +28,9 @@
 // a copy is newer than all that was read before, whatever its number; no change is asked for by a number from before.
 class TableFeed {
 public:
-    // Time that a watch waits for a change. Keep-alive probes detect a broken connection earlier.
-    static constexpr Duration watchTimeout = std::chrono::seconds(28);
+    // Time that a watch waits for a change. It bounds the time in which a feed may believe that it hears although the
+    // store has lost its watch: nothing else tells, as the connection stays open and other calls are answered.
+    static constexpr Duration watchTimeout = std::chrono::seconds(2);
     // Minimum time between the starts of two watches, so that changes in quick succession are read together.
     static constexpr Duration minWatchInterval = std::chrono::milliseconds(250);
     // Time after which a watch is lost if it has not told what another reading has brought.
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -184,7 +184,7 @@
 
 TEST_CASE("TableFeed, replaces a watch that does not tell what another reading has brought")
 {
-    // Guards against a watch that a silent store has lost, which would be noticed after half a minute.
+    // Guards against a watch that a silent store has lost, which it would notice only at the end of its wait.
     FeedFixture fixture;
     fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
     fixture.feed->catchUp([](bool) {});
@@ -300,3 +300,115 @@
     CHECK(current == true);
     CHECK(fixture.store.watchedAfter == StoreVersion { 2, 12 });
 }
+
+namespace {
+
+// A store with one row, on virtual time. While it is silent it swallows the opening of watches: they are never
+// answered, and the client gives them up one second after the wait that was asked for.
+class SwallowingStore : public TableStore {
+public:
+    explicit SwallowingStore(TimerService& timers, const Time& now)
+        : timers(timers)
+        , now(now)
+    {
+    }
+
+    void readAll(const std::string&, Callback callback) override { this->later(5ms, this->answer(0), callback); }
+    void change(const StoreChange&, Callback) override { }
+    void abandonWatches(const std::string&) override { ++this->generation; }
+
+    void watch(const std::string&, StoreVersion after, Duration wait, Callback callback) override
+    {
+        ++this->watchCalls;
+        const auto given = ++this->generation;
+        if (this->silent) {
+            StoreResult unanswered;
+            this->later(wait + 1s, unanswered, [this, given, callback](const StoreResult& result) {
+                if (given == this->generation)
+                    callback(result);
+            });
+            return;
+        }
+        this->poll(after, this->now + wait, given, callback);
+    }
+
+    StoreVersion version { 1, 1 };
+    bool silent = false;
+    int watchCalls = 0;
+
+private:
+    [[nodiscard]] StoreResult answer(std::uint64_t after) const
+    {
+        StoreResult result;
+        result.status = StoreStatus::Done;
+        result.answered = true;
+        result.version = this->version;
+        if (this->version.number > after)
+            result.rows = { { "op", "config", "", this->version } };
+        return result;
+    }
+
+    void later(Duration delay, const StoreResult& result, const Callback& callback)
+    {
+        this->timers.subscribeAt(this->now + delay, [result, callback](Time) { callback(result); });
+    }
+
+    void poll(StoreVersion after, Time until, std::uint64_t given, const Callback& callback)
+    {
+        this->timers.subscribeAt(this->now + 5ms, [this, after, until, given, callback](Time at) {
+            if (given != this->generation)
+                return;
+            if (this->version > after || at >= until)
+                callback(this->answer(after.number));
+            else
+                this->poll(after, until, given, callback);
+        });
+    }
+
+    TimerService& timers;
+    const Time& now;
+    std::uint64_t generation = 0;
+};
+
+} // namespace
+
+TEST_CASE("TableFeed, reports a change in time although the store swallowed the opening of its watch")
+{
+    // Guards against a feed that hears nothing for half a minute while every other call is answered (review/9).
+    // Targets: a configuration is in force within 3 s, and the store counts as well again 4 s after its last fault.
+    constexpr Duration applyLimit = 3s;
+    constexpr Duration settleTime = 4s;
+    const auto silentFor = GENERATE(as<Duration> {}, 350ms, 600ms);
+    const auto changedAfter = GENERATE(as<Duration> {}, 10ms, 500ms, 1900ms, 3s, 6s);
+    CAPTURE(toMilliseconds(silentFor), toMilliseconds(changedAfter));
+    Time now { 100s };
+    TimerService timers;
+    SwallowingStore store(timers, now);
+    std::optional<Time> reportedAt;
+    TableFeedHooks hooks;
+    hooks.now = [&now] { return now; };
+    hooks.snapshot = [](const std::vector<StoreRow>&) {};
+    hooks.changed = [&](const std::vector<StoreRow>&) { reportedAt = now; };
+    hooks.reachable = [](bool) {};
+    TableFeed feed("op", store, timers, hooks);
+    const auto runUntil = [&](Time end) {
+        for (; now < end; now += 1ms)
+            timers.advance(now);
+    };
+    feed.start();
+    runUntil(now + 1s);
+    // The first watch that is opened in the silence is lost, at whichever moment of it.
+    store.silent = true;
+    feed.watchAgain();
+    runUntil(now + silentFor);
+    store.silent = false;
+    const auto silenceEnd = now;
+    runUntil(now + changedAfter);
+    store.version.number = 2;
+    const auto changedAt = now;
+    runUntil(now + 40s);
+    REQUIRE(reportedAt);
+    CHECK(*reportedAt <= std::max(silenceEnd + settleTime, changedAt + applyLimit));
+    // The price: one call in two seconds while nothing changes.
+    CHECK(store.watchCalls <= 30);
+}
