Carry all bytes of a text between daemons

Cause: a std::string that is set as Cap'n Proto text is taken as a C string, which ends at its first zero byte.

Change: every text of both links between daemons is set by textOf() and read by stringOf(). The form on the wire stays.

--- a/src/edge/forward_codec.cc
+++ b/src/edge/forward_codec.cc
@@ -1,6 +1,7 @@
 #include "edge/forward_codec.h"
 
 #include "base/log.h"
+#include "edge/capnp_text.h"
 #include "edge/forward.capnp.h"
 
 #include <capnp/message.h>
@@ -15,8 +16,6 @@
 // Words of the first segment of a message that is built; larger messages get further segments.
 constexpr std::size_t firstSegmentWords = 256;
 
-std::string readText(capnp::Text::Reader reader) { return { reader.begin(), reader.size() }; }
-
 std::string readData(capnp::Data::Reader reader)
 {
     return { reinterpret_cast<const char*>(reader.begin()), reader.size() };
@@ -46,23 +45,23 @@
 {
     const auto& work = message.work;
     builder.setNumber(message.number);
-    builder.setGroup(message.group.value);
+    builder.setGroup(textOf(message.group.value));
     builder.setConnection(message.connection.value_or(0));
     builder.setKind(static_cast<std::uint8_t>(work.statement.kind));
-    builder.setId(work.statement.id);
-    builder.setText(work.statement.text);
-    builder.setName(work.statement.name);
-    builder.setArgument(work.statement.argument);
+    builder.setId(textOf(work.statement.id));
+    builder.setText(textOf(work.statement.text));
+    builder.setName(textOf(work.statement.name));
+    builder.setArgument(textOf(work.statement.argument));
     if (work.prepared) {
-        builder.setPreparedShape(work.prepared->shape);
+        builder.setPreparedShape(textOf(work.prepared->shape));
         builder.setPreparedWrites(work.prepared->writes);
     }
     auto values = builder.initValues(static_cast<unsigned>(work.session->values.size()));
     unsigned index = 0;
     for (const auto& [name, value] : work.session->values) {
         auto entry = values[index++];
-        entry.setName(name);
-        entry.setValue(value);
+        entry.setName(textOf(name));
+        entry.setValue(textOf(value));
     }
     builder.setStart(static_cast<std::uint8_t>(work.start));
     builder.setNeedsPrimary(work.needsPrimary);
@@ -82,20 +81,20 @@
         return std::nullopt;
     ForwardedStatement message;
     message.number = reader.getNumber();
-    message.group = DatabaseId(readText(reader.getGroup()));
+    message.group = DatabaseId(stringOf(reader.getGroup()));
     if (reader.getConnection() != 0)
         message.connection = reader.getConnection();
     auto& work = message.work;
     work.statement.kind = *kind;
-    work.statement.id = readText(reader.getId());
-    work.statement.text = readText(reader.getText());
-    work.statement.name = readText(reader.getName());
-    work.statement.argument = readText(reader.getArgument());
+    work.statement.id = stringOf(reader.getId());
+    work.statement.text = stringOf(reader.getText());
+    work.statement.name = stringOf(reader.getName());
+    work.statement.argument = stringOf(reader.getArgument());
     if (reader.getPreparedShape().size() > 0)
-        work.prepared = PreparedStatement { reader.getPreparedWrites(), readText(reader.getPreparedShape()) };
+        work.prepared = PreparedStatement { reader.getPreparedWrites(), stringOf(reader.getPreparedShape()) };
     auto session = std::make_shared<SessionState>();
     for (const auto entry : reader.getValues())
-        session->values[readText(entry.getName())] = readText(entry.getValue());
+        session->values[stringOf(entry.getName())] = stringOf(entry.getValue());
     work.session = std::move(session);
     work.start = *start;
     work.needsPrimary = reader.getNeedsPrimary();
@@ -116,13 +115,13 @@
     builder.setDeclined(message.declined);
     builder.setSucceeded(result.answer.succeeded);
     builder.setCode(static_cast<std::uint8_t>(result.answer.code));
-    builder.setErrorText(result.answer.errorText);
+    builder.setErrorText(textOf(result.answer.errorText));
     builder.setPayload(dataOf(result.answer.payload));
     builder.setPhase(static_cast<std::uint8_t>(result.answer.phase));
     if (result.answer.position)
         writePosition(builder.initPosition(), *result.answer.position);
-    builder.setReason(result.reason);
-    builder.setEndpoint(result.endpoint);
+    builder.setReason(textOf(result.reason));
+    builder.setEndpoint(textOf(result.endpoint));
     builder.setConnection(result.connection.value_or(0));
     builder.setFromEndpoint(result.fromEndpoint);
     builder.setAttempts(message.attempts);
@@ -140,13 +139,13 @@
     auto& result = message.result;
     result.answer.succeeded = reader.getSucceeded();
     result.answer.code = *code;
-    result.answer.errorText = readText(reader.getErrorText());
+    result.answer.errorText = stringOf(reader.getErrorText());
     result.answer.payload = readData(reader.getPayload());
     result.answer.phase = *phase;
     if (reader.hasPosition())
         result.answer.position = readPosition(reader.getPosition());
-    result.reason = readText(reader.getReason());
-    result.endpoint = readText(reader.getEndpoint());
+    result.reason = stringOf(reader.getReason());
+    result.endpoint = stringOf(reader.getEndpoint());
     if (reader.getConnection() != 0)
         result.connection = reader.getConnection();
     result.fromEndpoint = reader.getFromEndpoint();
@@ -162,7 +161,7 @@
     case wire::Message::OUTCOME:
         return read(reader.getOutcome());
     case wire::Message::END:
-        return ForwardedRollback { DatabaseId(readText(reader.getEnd().getGroup())), reader.getEnd().getConnection() };
+        return ForwardedRollback { DatabaseId(stringOf(reader.getEnd().getGroup())), reader.getEnd().getConnection() };
     case wire::Message::ABANDON:
         return ForwardedAbandon { reader.getAbandon() };
     case wire::Message::OWNER_LEAVING:
@@ -185,7 +184,7 @@
     void operator()(const ForwardedRollback& message)
     {
         auto end = this->builder.initEnd();
-        end.setGroup(message.group.value);
+        end.setGroup(textOf(message.group.value));
         end.setConnection(message.connection);
     }
     void operator()(const ForwardedAbandon& message) { this->builder.setAbandon(message.number); }
--- a/src/edge/forward_codec_test.cc
+++ b/src/edge/forward_codec_test.cc
@@ -115,3 +115,39 @@
         return true;
     });
 }
+
+TEST_CASE("ForwardCodec, keeps every byte of every text")
+{
+    // Guards against a statement that runs with its text cut off at a zero byte, and is acknowledged.
+    const std::string zero("a\0b\r\n \xff", 8);
+    auto sent = sample();
+    sent.group = DatabaseId(zero);
+    auto& work = sent.work;
+    work.statement = { StatementKind::Execute, zero + "1", zero + "2", zero + "3", zero + "4", false };
+    work.prepared = PreparedStatement { true, zero };
+    auto session = std::make_shared<SessionState>();
+    session->values = { { zero, zero + "5" } };
+    work.session = session;
+    const auto decoded = decodeForward(encodeForward(sent, sender), receiver);
+    REQUIRE(decoded);
+    const auto& received = std::get<ForwardedStatement>(*decoded);
+    CHECK(received.group == sent.group);
+    CHECK(received.work.statement == sent.work.statement);
+    CHECK(received.work.prepared == sent.work.prepared);
+    CHECK(received.work.session->values == sent.work.session->values);
+
+    ForwardedOutcome outcome;
+    outcome.result.answer.errorText = zero;
+    outcome.result.reason = zero + "1";
+    outcome.result.endpoint = zero + "2";
+    const auto decodedOutcome = decodeForward(encodeForward(outcome, sender), receiver);
+    REQUIRE(decodedOutcome);
+    const auto& result = std::get<ForwardedOutcome>(*decodedOutcome).result;
+    CHECK(result.answer.errorText == outcome.result.answer.errorText);
+    CHECK(result.reason == outcome.result.reason);
+    CHECK(result.endpoint == outcome.result.endpoint);
+
+    const auto end = decodeForward(encodeForward(ForwardedRollback { DatabaseId(zero), 3 }, sender), receiver);
+    REQUIRE(end);
+    CHECK(std::get<ForwardedRollback>(*end).group.value == zero);
+}
--- a/src/edge/peer_client.cc
+++ b/src/edge/peer_client.cc
@@ -1,4 +1,5 @@
 #include "base/log.h"
+#include "edge/capnp_text.h"
 #include "edge/peer_message.h"
 #include "edge/peer_rpc.h"
 
@@ -56,28 +57,34 @@
     std::uint64_t lastGeneration = 0;
     bool stopped = false;
 
+    // Proves the knowledge of the fleet key on a new connection and keeps the interface that this opens.
+    kj::Promise<void> logIn(const std::shared_ptr<Link>& link)
+    {
+        return link->gate().challengeRequest().send().then([this, link](auto response) {
+            const auto& daemon = this->identity.daemon.value;
+            const auto mac = internal::loginMac(this->identity.fleetKey, daemon, stringOf(response.getNonce()));
+            auto login = link->gate().loginRequest();
+            login.setDaemon(textOf(daemon));
+            login.setMac(textOf(mac));
+            return login.send().then([link](auto answer) { link->peer = answer.getPeer(); });
+        });
+    }
+
     kj::Promise<void> openLink(kj::AsyncIoContext& io, const std::string& address, std::uint64_t generation)
     {
         auto& timer = io.provider->getTimer();
-        auto opened
-            = io.provider->getNetwork()
-                  .parseAddress(address.c_str())
-                  .then([](kj::Own<kj::NetworkAddress> parsed) {
-                      auto connected = parsed->connect();
-                      return connected.attach(kj::mv(parsed));
-                  })
-                  .then([this, address, generation](kj::Own<kj::AsyncIoStream> stream) {
-                      KJ_REQUIRE(this->entries[address].generation == generation, "connection was replaced");
-                      auto link = std::make_shared<Link>(kj::mv(stream));
-                      this->entries[address].link = link;
-                      return link->gate().challengeRequest().send().then([this, link](auto response) {
-                          auto login = link->gate().loginRequest();
-                          const std::string nonce = response.getNonce();
-                          login.setDaemon(this->identity.daemon.value);
-                          login.setMac(internal::loginMac(this->identity.fleetKey, this->identity.daemon.value, nonce));
-                          return login.send().then([link](auto answer) { link->peer = answer.getPeer(); });
-                      });
-                  });
+        auto opened = io.provider->getNetwork()
+                          .parseAddress(address.c_str())
+                          .then([](kj::Own<kj::NetworkAddress> parsed) {
+                              auto connected = parsed->connect();
+                              return connected.attach(kj::mv(parsed));
+                          })
+                          .then([this, address, generation](kj::Own<kj::AsyncIoStream> stream) {
+                              KJ_REQUIRE(this->entries[address].generation == generation, "connection was replaced");
+                              auto link = std::make_shared<Link>(kj::mv(stream));
+                              this->entries[address].link = link;
+                              return this->logIn(link);
+                          });
         return timer.timeoutAfter(toKj(this->connectTimeout), kj::mv(opened));
     }
 
@@ -205,9 +212,9 @@
 {
     const auto send = [message, done](rpc::Peer::Client& peer) {
         auto call = peer.gossipRequest();
-        call.setMessage(message);
+        call.setMessage(textOf(message));
         return call.send().then([done](auto response) -> Deliver {
-            std::string text = response.getMessage();
+            auto text = stringOf(response.getMessage());
             return [done, text] { done(text); };
         });
     };
@@ -219,8 +226,8 @@
 {
     const auto send = [database, endpoint, done](rpc::Peer::Client& peer) {
         auto call = peer.opinionRequest();
-        call.setDatabase(database.value);
-        call.setEndpoint(endpoint.value);
+        call.setDatabase(textOf(database.value));
+        call.setEndpoint(textOf(endpoint.value));
         return call.send().then([done](auto response) -> Deliver {
             const auto reader = response.getOpinion();
             PeerOpinion opinion;
@@ -240,7 +247,7 @@
         auto call = peer.fetchConfigurationRequest();
         call.setAtLeast(atLeast);
         return call.send().then([done](auto response) -> Deliver {
-            ConfigurationBody body { response.getVersion(), response.getBody() };
+            ConfigurationBody body { response.getVersion(), stringOf(response.getBody()) };
             return [done, body] { done(body); };
         });
     };
--- a/src/edge/peer_message.cc
+++ b/src/edge/peer_message.cc
@@ -1,5 +1,7 @@
 #include "edge/peer_message.h"
 
+#include "edge/capnp_text.h"
+
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
@@ -21,24 +23,22 @@
 
 Position readPosition(rpc::Position::Reader reader) { return { reader.getTerm(), reader.getIndex() }; }
 
-std::string readText(capnp::Text::Reader reader) { return { reader.begin(), reader.size() }; }
-
 } // namespace
 
 void writeRequest(rpc::ForwardRequest::Builder builder, const Request& request, Duration remaining)
 {
-    builder.setId(request.id.value);
-    builder.setCaller(request.caller.value);
-    builder.setDatabase(request.database.value);
+    builder.setId(textOf(request.id.value));
+    builder.setCaller(textOf(request.caller.value));
+    builder.setDatabase(textOf(request.database.value));
     builder.setKind(static_cast<std::uint8_t>(request.kind));
     builder.setPriority(static_cast<std::uint8_t>(request.priority));
     builder.setRepeatable(request.repeatable);
-    builder.setStatement(request.statement);
+    builder.setStatement(textOf(request.statement));
     builder.setMaxAgeUs(request.maxAge ? request.maxAge->count() : -1);
     writePosition(builder.initMinPosition(), request.minPosition);
     builder.setRequiresPrimary(request.requiresPrimary);
     builder.setRemainingUs(remaining.count());
-    builder.setTransaction(request.transaction.value);
+    builder.setTransaction(textOf(request.transaction.value));
 }
 
 std::optional<Request> readRequest(rpc::ForwardRequest::Reader reader, Time now)
@@ -46,53 +46,53 @@
     if (reader.getKind() > lastKind || reader.getPriority() > lastPriority)
         return std::nullopt;
     Request request;
-    request.id = RequestId(readText(reader.getId()));
-    request.caller = CallerId(readText(reader.getCaller()));
-    request.database = DatabaseId(readText(reader.getDatabase()));
+    request.id = RequestId(stringOf(reader.getId()));
+    request.caller = CallerId(stringOf(reader.getCaller()));
+    request.database = DatabaseId(stringOf(reader.getDatabase()));
     request.kind = static_cast<RequestKind>(reader.getKind());
     request.priority = static_cast<Priority>(reader.getPriority());
     request.repeatable = reader.getRepeatable();
-    request.statement = readText(reader.getStatement());
+    request.statement = stringOf(reader.getStatement());
     if (reader.getMaxAgeUs() >= 0)
         request.maxAge = Duration(reader.getMaxAgeUs());
     request.minPosition = readPosition(reader.getMinPosition());
     request.requiresPrimary = reader.getRequiresPrimary();
     request.deadline = now + Duration(reader.getRemainingUs());
-    request.transaction = TransactionId(readText(reader.getTransaction()));
+    request.transaction = TransactionId(stringOf(reader.getTransaction()));
     return request;
 }
 
 void writeOutcome(rpc::ForwardOutcome::Builder builder, const RequestId& id, const Outcome& outcome)
 {
-    builder.setId(id.value);
+    builder.setId(textOf(id.value));
     builder.setState(static_cast<std::uint8_t>(outcome.state));
     const auto code = static_cast<ErrorCode>(outcome.code.value());
-    builder.setCode(code == ErrorCode::None ? std::string() : std::string(errorName(code)));
-    builder.setRows(outcome.rows);
+    builder.setCode(textOf(code == ErrorCode::None ? std::string() : std::string(errorName(code))));
+    builder.setRows(textOf(outcome.rows));
     writePosition(builder.initPosition(), outcome.position);
-    builder.setServedBy(outcome.servedBy.value);
+    builder.setServedBy(textOf(outcome.servedBy.value));
     builder.setServedByReplica(outcome.servedByReplica);
-    builder.setTransaction(outcome.transaction.value);
+    builder.setTransaction(textOf(outcome.transaction.value));
     builder.setRetryAfterUs(outcome.retryAfter.count());
-    builder.setDetail(outcome.detail);
+    builder.setDetail(textOf(outcome.detail));
 }
 
 Outcome readOutcome(rpc::ForwardOutcome::Reader reader, const RequestId& expectedId)
 {
-    if (reader.getState() > lastState || readText(reader.getId()) != expectedId.value)
+    if (reader.getState() > lastState || stringOf(reader.getId()) != expectedId.value)
         return unknownOutcome(ErrorCode::AnswerMismatch, "the owner's answer is for another request");
     Outcome outcome;
     outcome.state = static_cast<OutcomeState>(reader.getState());
-    const auto code = readText(reader.getCode());
+    const auto code = stringOf(reader.getCode());
     if (!code.empty())
         outcome.code = errorFromName(code);
-    outcome.rows = readText(reader.getRows());
+    outcome.rows = stringOf(reader.getRows());
     outcome.position = readPosition(reader.getPosition());
-    outcome.servedBy = EndpointId(readText(reader.getServedBy()));
+    outcome.servedBy = EndpointId(stringOf(reader.getServedBy()));
     outcome.servedByReplica = reader.getServedByReplica();
-    outcome.transaction = TransactionId(readText(reader.getTransaction()));
+    outcome.transaction = TransactionId(stringOf(reader.getTransaction()));
     outcome.retryAfter = Duration(reader.getRetryAfterUs());
-    outcome.detail = readText(reader.getDetail());
+    outcome.detail = stringOf(reader.getDetail());
     return outcome;
 }
 
--- a/src/edge/peer_server.cc
+++ b/src/edge/peer_server.cc
@@ -1,4 +1,5 @@
 #include "base/log.h"
+#include "edge/capnp_text.h"
 #include "edge/peer_message.h"
 #include "edge/peer_rpc.h"
 
@@ -54,8 +55,8 @@
 
     kj::Promise<void> gossip(GossipContext context) override
     {
-        const std::string message = context.getParams().getMessage();
-        context.getResults().setMessage(this->handlers.gossip(this->from, message));
+        const auto message = stringOf(context.getParams().getMessage());
+        context.getResults().setMessage(textOf(this->handlers.gossip(this->from, message)));
         return kj::READY_NOW;
     }
 
@@ -65,7 +66,7 @@
         auto pair = kj::newPromiseAndCrossThreadFulfiller<PeerOpinion>();
         auto fulfiller
             = std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<PeerOpinion>>>(kj::mv(pair.fulfiller));
-        this->handlers.opinion(DatabaseId(params.getDatabase()), EndpointId(params.getEndpoint()),
+        this->handlers.opinion(DatabaseId(stringOf(params.getDatabase())), EndpointId(stringOf(params.getEndpoint())),
             [fulfiller](const PeerOpinion& opinion) { (*fulfiller)->fulfill(PeerOpinion(opinion)); });
         return pair.promise.then([context](const PeerOpinion& opinion) mutable {
             auto builder = context.getResults().initOpinion();
@@ -78,7 +79,7 @@
     {
         const auto body = this->handlers.fetchConfiguration(context.getParams().getAtLeast());
         context.getResults().setVersion(body.version);
-        context.getResults().setBody(body.body);
+        context.getResults().setBody(textOf(body.body));
         return kj::READY_NOW;
     }
 
@@ -99,7 +100,7 @@
     kj::Promise<void> challenge(ChallengeContext context) override
     {
         this->nonce = randomNonce();
-        context.getResults().setNonce(this->nonce);
+        context.getResults().setNonce(textOf(this->nonce));
         return kj::READY_NOW;
     }
 
