Tell endpoints that were stopped from those that crashed when a log is missed

Callers would have seen: with synchronous replicas, a group without a primary for good after a release whose new members have other addresses.

Cause: an endpoint that has left was missed until another one is at its address. promotion_waits_for_proof named two endpoints that had been released long before.

Change: DepartedEndpoints. One that crashed is missed until it is back or another one is at its address; one that was draining until a new endpoint of the group is listed, 10 s at most, since it hands its log over.

--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -125,7 +125,7 @@
         }
         return result;
     };
-    hooks.absentEndpointsOf = [this](const DatabaseId& group) { return this->directory.absentOf(group); };
+    hooks.absentEndpointsOf = [this](const DatabaseId& group) { return this->directory.absentOf(group, bootNow()); };
     hooks.syncReplicas = [this](const DatabaseId& group) { return this->syncRequirement.of(group, bootNow()); };
     hooks.groups = [this] {
         std::vector<DatabaseId> result;
--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -1,6 +1,5 @@
 #include "process/endpoint_directory.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace endivetrestle {
@@ -19,7 +18,7 @@
         return false;
     if (found != this->listed.end())
         this->removeFromGroup(found->second);
-    this->put(*record);
+    this->put(*record, now);
     return true;
 }
 
@@ -38,30 +37,14 @@
     this->copyDistrustedUntil = now + removalGrace;
 }
 
-void EndpointDirectory::put(const EndpointRecord& record)
+void EndpointDirectory::put(const EndpointRecord& record, Time now)
 {
-    this->forgetAbsent(record);
+    this->departed.onListed(record, now);
     this->listed[record.id] = record;
     this->members[record.group].insert(record.id);
     this->changedGroups.insert(record.group);
 }
 
-void EndpointDirectory::forgetAbsent(const EndpointRecord& successor)
-{
-    this->absent.erase(successor.address);
-    std::erase_if(this->absent, [&](const auto& entry) { return entry.second.id == successor.id; });
-}
-
-std::vector<EndpointId> EndpointDirectory::absentOf(const DatabaseId& group) const
-{
-    std::vector<EndpointId> result;
-    for (const auto& [address, record] : this->absent) {
-        if (record.group == group)
-            result.push_back(record.id);
-    }
-    return result;
-}
-
 void EndpointDirectory::removeFromGroup(const EndpointRecord& record)
 {
     this->changedGroups.insert(record.group);
@@ -101,15 +84,6 @@
     return changed;
 }
 
-// An endpoint whose address another one has already taken over is not missed.
-void EndpointDirectory::noteAbsent(const EndpointRecord& record)
-{
-    const bool succeeded = std::any_of(this->listed.begin(), this->listed.end(),
-        [&](const auto& entry) { return entry.second.address == record.address; });
-    if (!succeeded)
-        this->absent[record.address] = record;
-}
-
 bool EndpointDirectory::expire(Time now)
 {
     bool changed = false;
@@ -120,7 +94,7 @@
         }
         if (const auto record = this->listed.extract(entry->first)) {
             this->removeFromGroup(record.mapped());
-            this->noteAbsent(record.mapped());
+            this->departed.onLeft(record.mapped().id, now);
         }
         entry = this->vanishedSince.erase(entry);
         changed = true;
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -2,9 +2,8 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
-#include "base/socket_address.h"
+#include "process/departed_endpoints.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,23 +12,6 @@
 
 namespace endivetrestle {
 
-// Registry entry in which an endpoint describes itself.
-struct EndpointRecord {
-    EndpointId id;
-    DatabaseId group;
-    SocketAddress address;
-    DataCentre dataCentre;
-    // Number of statements that the endpoint runs concurrently.
-    int slots = 1;
-    bool draining = false;
-    // Whether the endpoint considers itself the primary. May still be set after it was replaced.
-    bool claimsPrimary = false;
-    // Start of the endpoint's process as Unix time in milliseconds. Distinguishes restarts under the same id.
-    std::int64_t processStartMs = 0;
-
-    bool operator==(const EndpointRecord&) const = default;
-};
-
 // Local view of the registered endpoints. An entry that disappears from the registry is kept for a grace period,
 // because entries of live endpoints expire while the store is unavailable.
 //
@@ -71,19 +53,18 @@
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const { return this->listed; }
     // Returns the listed endpoints of one group, without iterating over other groups.
     [[nodiscard]] std::vector<EndpointRecord> recordsOf(const DatabaseId& group) const;
-    // Returns the endpoints of one group that are not listed any more and whose log no listed endpoint has: neither the
-    // endpoint itself has come back, nor has another one been registered at its address. An endpoint that is stopped
-    // hands its log over to the next one at its address.
-    [[nodiscard]] std::vector<EndpointId> absentOf(const DatabaseId& group) const;
+    // Returns the endpoints of one group that have left and may alone hold commits (DepartedEndpoints).
+    [[nodiscard]] std::vector<EndpointId> absentOf(const DatabaseId& group, Time now) const
+    {
+        return this->departed.of(group, now);
+    }
     // Returns the groups whose listed records have changed since the last call.
     std::set<DatabaseId> takeChangedGroups();
     // Whether the entry has disappeared from the registry and is only kept for its grace period.
     [[nodiscard]] bool isVanished(const EndpointId& id) const { return this->vanishedSince.count(id) != 0; }
 
 private:
-    void put(const EndpointRecord& record);
-    void forgetAbsent(const EndpointRecord& successor);
-    void noteAbsent(const EndpointRecord& record);
+    void put(const EndpointRecord& record, Time now);
     [[nodiscard]] EndpointRecord withKnownDraining(EndpointRecord record, Time now) const;
     void removeFromGroup(const EndpointRecord& record);
 
@@ -96,8 +77,7 @@
     std::optional<Time> copyDistrustedUntil;
     // Start of the grace period of each vanished entry.
     std::map<EndpointId, Time> vanishedSince;
-    // Last records of the endpoints that have left, by address.
-    std::map<SocketAddress, EndpointRecord> absent;
+    DepartedEndpoints departed;
 };
 
 } // namespace endivetrestle
