--- a/src/process/group_scheduler_session_test.cc
+++ b/src/process/group_scheduler_session_test.cc
@@ -157,8 +157,8 @@
 
 TEST_CASE("GroupScheduler, lets a statement go on that was started on the connection of a commit in doubt")
 {
-    // Guards against a connection that is closed under another client's statement, which then waits until it times out and
-    // is counted as running at the endpoint for good.
+    // Guards against a connection that is closed under another client's statement, which then waits until it times out
+    // and is counted as running at the endpoint for good.
     SchedulerFixture fixture;
     fixture.connectionShare = 1;
     fixture.reportPosition();
