Keep the signature of an endpoint's answer

An endpoint signs each run of a forwarded statement, and the proxy's own commands get no signature. Change: EndpointAnswer holds it; the scheduler's fixture answers as endpoints do, and can deliver an answer a second time. No decision reads it yet.

--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -152,22 +152,37 @@
         return found == this->endpointOf.end() ? "" : found->second.value;
     }
 
-    void succeed(const Sent& command, SessionPhase phase = SessionPhase::Idle, Position position = { 1, 10 })
+    // Answers the command with success: a forwarded statement with rows and a signature of its own, a status command
+    // with a row. Returns the answer, so that it can be sent again.
+    EndpointAnswer succeed(const Sent& command, SessionPhase phase = SessionPhase::Idle, Position position = { 1, 10 })
     {
         EndpointAnswer answer;
         answer.succeeded = true;
-        answer.payload = "rows";
         answer.phase = phase;
         answer.position = position;
-        this->scheduler->onAnswer(command.connection, answer, this->now);
+        const auto kind = command.command.kind;
+        if (kind == CommandKind::Forward || kind == CommandKind::Execute) {
+            answer.signature = "signature-" + std::to_string(++this->lastSignature);
+            answer.payload = "rows " + answer.signature;
+        } else if (kind == CommandKind::Status)
+            answer.firstRow = "row " + std::to_string(++this->lastRow);
+        this->answerAgain(command, answer);
+        return answer;
     }
 
-    void fail(const Sent& command, ReplyCode code, SessionPhase phase = SessionPhase::Idle)
+    EndpointAnswer fail(const Sent& command, ReplyCode code, SessionPhase phase = SessionPhase::Idle)
     {
         EndpointAnswer answer;
         answer.code = code;
         answer.phase = phase;
         answer.position = Position { 1, 5 };
+        this->answerAgain(command, answer);
+        return answer;
+    }
+
+    // Delivers an answer on the connection of the command, whatever is outstanding there.
+    void answerAgain(const Sent& command, const EndpointAnswer& answer)
+    {
         this->scheduler->onAnswer(command.connection, answer, this->now);
     }
 
@@ -186,6 +201,8 @@
     // Position that endpoints report when a session starts.
     std::optional<Position> positionAtStart;
     ConnectionId lastConnection = 0;
+    std::uint64_t lastSignature = 0;
+    std::uint64_t lastRow = 0;
     std::vector<std::pair<ConnectionId, EndpointId>> opening;
     std::map<ConnectionId, EndpointId> endpointOf;
     std::vector<Sent> sent;
--- a/src/request/statement.h
+++ b/src/request/statement.h
@@ -78,6 +78,9 @@
     std::string errorText;
     // Encoded result, passed on to the client unchanged.
     std::string payload;
+    // Signature of the endpoint for this run of a forwarded statement. Empty for an error, and for a success without a
+    // run, as that of the proxy's own commands.
+    std::string signature;
     // Text of the first result row. Only control statements of the proxy read it.
     std::string firstRow;
     SessionPhase phase = SessionPhase::Idle;
