--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -163,7 +163,7 @@
         const auto kind = command.command.kind;
         if (kind == CommandKind::Forward || kind == CommandKind::Execute) {
             answer.signature = "signature-" + std::to_string(++this->lastSignature);
-            answer.payload = "rows " + answer.signature;
+            answer.payload = "rows";
         } else if (kind == CommandKind::Status)
             answer.firstRow = "row " + std::to_string(++this->lastRow);
         this->answerAgain(command, answer);
