Tell in logs and metrics whose answer an endpoint has sent

Clients got answers of other statements (MIXED), and statements met other session values (PINNED). Neither logs nor metrics could tell a repeated answer from rows that were cut into lines: an answer that came while a statement was outstanding left no trace. Change: each connection remembers the answers it got (AnswerHistory) and says of each one whether it is proven, may be a repetition, or is one. That is counted and logged with the outstanding command, request, code and signature; an unreadable answer names its endpoint. No decision depends on it yet.

--- /dev/null
+++ b/src/connection/answer_history.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "request/statement.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace endivetrestle {
+
+// How far an answer is known to be the one to the command that is outstanding on its connection.
+enum class AnswerMatch {
+    // It is that command's answer.
+    Proven,
+    // It is that command's answer, or repeats one that the endpoint gave before on this connection.
+    Possible,
+    // It is not that command's answer, but repeats that of an earlier one.
+    Repeated,
+};
+
+// Answers that one connection to an endpoint has received. Answers name no command, and an endpoint may send one a
+// second time, byte for byte and at any later moment. So an answer proves to be that of the outstanding command only if
+// it can be one to such a command and differs from every answer before it:
+//
+// - The signature of a run is never given again.
+// - The other successes are alike but for the transaction state, the position and the row of a status. Once one of them
+//   may have been a repetition, the answer that belongs to its command is still to come, so later ones that look like
+//   it prove nothing either.
+// - Of two errors with the same code the second one may be a repetition, and so may any error as long as an answer is
+//   still to come.
+//
+// An endpoint answers the commands of a connection in order. A proven answer therefore proves those before it.
+class AnswerHistory {
+public:
+    // A connection that has received this many answers is replaced, which bounds the memory of the history.
+    static constexpr std::size_t maxAnswers = 1000;
+
+    // Decides whether the answer is the one to the outstanding command, and remembers it. `inTransaction`: whether a
+    // transaction is open on the connection.
+    AnswerMatch match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer);
+
+    // Whether a success that may have been a repetition was followed by no proven answer yet.
+    [[nodiscard]] bool hasUnproven() const { return this->unproven != 0; }
+    [[nodiscard]] bool isFull() const { return this->seen.size() >= maxAnswers; }
+
+private:
+    bool remember(const EndpointAnswer& answer);
+
+    // Hashes of what identifies each answer, in ascending order.
+    std::vector<std::uint64_t> seen;
+    // Kinds of successes of which an answer may still be to come, as bits.
+    unsigned unproven = 0;
+};
+
+} // namespace endivetrestle
--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
+#include "connection/answer_history.h"
 #include "connection/session_state.h"
 #include "request/scheduled_statement.h"
 
@@ -37,6 +38,9 @@
     EndpointId endpoint;
     Phase phase = Phase::Opening;
     ConnectionSessionState sessionState;
+    AnswerHistory answers;
+    // Whether the endpoint has repeated an answer on it.
+    bool repeats = false;
     // Commands that are not answered yet. Only the first one has been sent; the last one is the statement itself.
     std::deque<EndpointCommand> pendingCommands;
     // Statement that runs; null in all phases but Running.
--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -19,6 +19,7 @@
 void EndpointTransport::open(ConnectionId id, const EndpointRecord& record)
 {
     auto& link = this->links[id];
+    link.endpoint = record.id;
     link.socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
     asio::error_code error;
     const auto address = asio::ip::make_address(record.address.ip, error);
@@ -49,7 +50,9 @@
         return false;
     }
     case platform::AnswerParser::Result::Broken:
-        logEvent(LogLevel::Warning, "endpoint_answer_unreadable", { { "connection", id }, { "bytes", line.size() } });
+        logEvent(LogLevel::Warning, "endpoint_answer_unreadable",
+            { { "endpoint", link.endpoint.value }, { "connection", id }, { "bytes", line.size() },
+                { "started", link.started ? 1 : 0 } });
         this->onLost(id);
         return false;
     case platform::AnswerParser::Result::Complete:
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -36,6 +36,7 @@
 
 private:
     struct Link {
+        EndpointId endpoint;
         std::shared_ptr<LineSocket> socket;
         platform::AnswerParser parser;
         bool started = false;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -45,6 +45,10 @@
     std::uint64_t hedgedReads = 0;
     // Connections that were closed because it is not known whether a command changed their session state.
     std::uint64_t unknownStates = 0;
+    // Answers that repeat an earlier one.
+    std::uint64_t repeatedAnswers = 0;
+    // Answers that may repeat an earlier one.
+    std::uint64_t uncertainAnswers = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
 };
@@ -163,6 +167,7 @@
     // group_scheduler_execution.cc
     void start(EndpointConnection& connection, const Target& target, const ExecutionPtr& execution, Time now);
     void sendNext(EndpointConnection& connection, Time now);
+    AnswerMatch matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer);
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     bool prepareAgain(EndpointConnection& connection, Time now);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -34,6 +34,18 @@
     return proxyError(ReplyCode::Busy, "the endpoint failed before the statement was sent", SessionPhase::Idle);
 }
 
+// Logs an answer that the endpoint should not have sent, with the command that is outstanding.
+void logAnswer(
+    std::string_view event, const DatabaseId& group, const EndpointConnection& connection, const EndpointAnswer& answer)
+{
+    const EndpointCommand* command = connection.pendingCommands.empty() ? nullptr : &connection.pendingCommands.front();
+    logEvent(LogLevel::Warning, event,
+        { { "group", group.value }, { "endpoint", connection.endpoint.value }, { "connection", connection.id },
+            { "outstanding", command == nullptr ? "" : commandName(command->kind) },
+            { "request", command == nullptr ? "" : command->id },
+            { "code", answer.succeeded ? "ok" : replyCodeName(answer.code) }, { "signature", answer.signature } });
+}
+
 } // namespace
 
 void GroupScheduler::finish(const ExecutionPtr& execution, const StatementResult& result)
@@ -153,6 +165,21 @@
         this->history.add(connection.sentAt, *position);
 }
 
+// Tells whose answer it is, and logs what an endpoint should not do.
+AnswerMatch GroupScheduler::matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer)
+{
+    const auto& command = connection.pendingCommands.front();
+    const auto match = connection.answers.match(command, connection.inTransaction, answer);
+    if (match == AnswerMatch::Possible)
+        ++this->counts.uncertainAnswers;
+    if (match == AnswerMatch::Repeated) {
+        ++this->counts.repeatedAnswers;
+        if (!std::exchange(connection.repeats, true))
+            logAnswer("answer_repeated", this->group, connection, answer);
+    }
+    return match;
+}
+
 void GroupScheduler::onAnswer(ConnectionId id, const EndpointAnswer& answer, Time now)
 {
     auto* connection = this->findConnection(id);
@@ -163,10 +190,11 @@
     endpoint.silent = false;
     this->recordPosition(endpoint, *connection, answer.position, now);
     if (connection->pendingCommands.empty()) {
-        logEvent(LogLevel::Warning, "unexpected_answer", { { "endpoint", connection->endpoint.value } });
+        logAnswer("unexpected_answer", this->group, *connection, answer);
         this->closeConnection(*connection);
         return;
     }
+    this->matchAnswer(*connection, answer);
     connection->sessionState.onAnswer(answer);
     if (connection->control) {
         const auto task = std::exchange(connection->control, nullptr);
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -88,6 +88,10 @@
     set("unknown_session_states",
         "Connections closed because a command may or may not have changed their session state.",
         static_cast<double>(statistics.unknownStates));
+    set("repeated_answers", "Answers of endpoints that repeat an earlier one.",
+        static_cast<double>(statistics.repeatedAnswers));
+    set("uncertain_answers", "Answers of endpoints that may repeat an earlier one.",
+        static_cast<double>(statistics.uncertainAnswers));
     set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(statistics.replicaReads));
     set("primary_reads", "Reads with an age bound served by the primary.",
         static_cast<double>(statistics.primaryReads));
--- a/src/request/statement.cc
+++ b/src/request/statement.cc
@@ -52,4 +52,31 @@
     }
 }
 
+std::string_view commandName(CommandKind kind)
+{
+    switch (kind) {
+    case CommandKind::Forward:
+        return "forward";
+    case CommandKind::Execute:
+        return "execute";
+    case CommandKind::Begin:
+        return "begin";
+    case CommandKind::BeginRead:
+        return "begin_read";
+    case CommandKind::Rollback:
+        return "rollback";
+    case CommandKind::Reset:
+        return "reset";
+    case CommandKind::SetValue:
+        return "set_value";
+    case CommandKind::Prepare:
+        return "prepare";
+    case CommandKind::Status:
+        return "status";
+    case CommandKind::Demote:
+        return "demote";
+    }
+    return "unknown";
+}
+
 } // namespace endivetrestle
--- a/src/request/statement.h
+++ b/src/request/statement.h
@@ -91,6 +91,9 @@
 // Kinds of messages the proxy sends to an endpoint.
 enum class CommandKind { Forward, Execute, Begin, BeginRead, Rollback, Reset, SetValue, Prepare, Status, Demote };
 
+// Lower-case name of a kind for logs, for example "set_value".
+std::string_view commandName(CommandKind kind);
+
 // One message to an endpoint.
 struct EndpointCommand {
     CommandKind kind = CommandKind::Forward;
