End a statement only by an answer that is proven to be its own

Cause: nothing on the wire names the statement that an answer belongs to. The scheduler took any answer for that of the outstanding command, so an endpoint that answers twice shifted all later answers of the connection by one.

Change: AnswerHistory alone makes a ProvenAnswer, and a statement ends by nothing else. A signature is of one run, so a success that repeats one is known and dropped, and so is one of a kind that the command cannot have. An error that the connection has given before may be a repetition: the outcome is unknown, the connection is closed, a read runs elsewhere, a write is in doubt, a transaction is aborted. Positions are learnt from proven answers only.

Why it works: the first appearance of a signature on a connection can only answer the outstanding statement, and the first error of a code can only answer the outstanding command.

--- a/src/connection/answer_history.cc
+++ b/src/connection/answer_history.cc
@@ -61,7 +61,16 @@
 
 } // namespace
 
-AnswerMatch AnswerHistory::match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer)
+MatchedAnswer AnswerHistory::match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer)
+{
+    MatchedAnswer result;
+    result.match = this->judge(outstanding, inTransaction, answer);
+    if (result.match == AnswerMatch::Proven)
+        result.proven = ProvenAnswer(answer);
+    return result;
+}
+
+AnswerMatch AnswerHistory::judge(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer)
 {
     if (!fits(outstanding, inTransaction, answer))
         return AnswerMatch::Repeated;
--- a/src/connection/answer_history.h
+++ b/src/connection/answer_history.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace endivetrestle {
@@ -18,6 +19,30 @@
     Repeated,
 };
 
+// An answer that is proven to be the one to the command which was outstanding. Only AnswerHistory makes one, so that no
+// other answer ends a statement.
+class ProvenAnswer {
+public:
+    const EndpointAnswer& operator*() const { return *this->answer; }
+    const EndpointAnswer* operator->() const { return this->answer; }
+
+private:
+    friend class AnswerHistory;
+
+    explicit ProvenAnswer(const EndpointAnswer& answer)
+        : answer(&answer)
+    {
+    }
+
+    const EndpointAnswer* answer;
+};
+
+// What AnswerHistory tells of an answer. `proven` refers to the answer and is set only if the match is Proven.
+struct MatchedAnswer {
+    AnswerMatch match = AnswerMatch::Repeated;
+    std::optional<ProvenAnswer> proven;
+};
+
 // Answers that one connection to an endpoint has received. Answers name no command, and an endpoint may send one a
 // second time, byte for byte and at any later moment. So an answer proves to be that of the outstanding command only if
 // it can be one to such a command and differs from every answer before it:
@@ -37,13 +62,14 @@
 
     // Decides whether the answer is the one to the outstanding command, and remembers it. `inTransaction`: whether a
     // transaction is open on the connection.
-    AnswerMatch match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer);
+    MatchedAnswer match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer);
 
     // Whether a success that may have been a repetition was followed by no proven answer yet.
     [[nodiscard]] bool hasUnproven() const { return this->unproven != 0; }
     [[nodiscard]] bool isFull() const { return this->seen.size() >= maxAnswers; }
 
 private:
+    AnswerMatch judge(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer);
     bool remember(const EndpointAnswer& answer);
 
     // Hashes of what identifies each answer, in ascending order.
--- a/src/connection/answer_history_test.cc
+++ b/src/connection/answer_history_test.cc
@@ -42,6 +42,14 @@
     return answer;
 }
 
+AnswerMatch matchOf(
+    AnswerHistory& history, const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer)
+{
+    const auto matched = history.match(outstanding, inTransaction, answer);
+    CHECK(matched.proven.has_value() == (matched.match == AnswerMatch::Proven));
+    return matched.match;
+}
+
 } // namespace
 
 TEST_CASE("AnswerHistory, knows the signature of every run again")
@@ -49,58 +57,58 @@
     // Guards against a second answer, however late, that passes for that of a later statement.
     AnswerHistory history;
     for (int i = 0; i < 100; ++i)
-        CHECK(history.match(readItem, false, run("s" + std::to_string(i))) == AnswerMatch::Proven);
-    CHECK(history.match(readItem, false, run("s0")) == AnswerMatch::Repeated);
-    CHECK(history.match(readItem, false, run("s99")) == AnswerMatch::Repeated);
-    CHECK(history.match(readItem, false, run("s100")) == AnswerMatch::Proven);
+        CHECK(matchOf(history, readItem, false, run("s" + std::to_string(i))) == AnswerMatch::Proven);
+    CHECK(matchOf(history, readItem, false, run("s0")) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, readItem, false, run("s99")) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, readItem, false, run("s100")) == AnswerMatch::Proven);
 }
 
 TEST_CASE("AnswerHistory, takes no answer for one to a command that cannot have it")
 {
     // Guards against an answer that is known to be another command's by its kind alone.
     AnswerHistory history;
-    CHECK(history.match(readItem, false, done(10)) == AnswerMatch::Repeated);
-    CHECK(history.match(readItem, false, error(ReplyCode::Busy, SessionPhase::FailedTransaction))
+    CHECK(matchOf(history, readItem, false, done(10)) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, readItem, false, error(ReplyCode::Busy, SessionPhase::FailedTransaction))
         == AnswerMatch::Repeated);
-    CHECK(history.match(setValue, false, run("s1")) == AnswerMatch::Repeated);
-    CHECK(history.match(setValue, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Repeated);
-    CHECK(history.match(setValue, false, done(10, SessionPhase::Idle, "primary 1")) == AnswerMatch::Repeated);
-    CHECK(history.match(begin, false, done(10)) == AnswerMatch::Repeated);
-    CHECK(history.match(status, false, done(10)) == AnswerMatch::Repeated);
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, run("s1")) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, setValue, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, setValue, false, done(10, SessionPhase::Idle, "primary 1")) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, begin, false, done(10)) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, status, false, done(10)) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
 }
 
 TEST_CASE("AnswerHistory, proves a success without a signature by a position or row that was not there before")
 {
     // Guards against a second answer to SET, PREPARE, BEGIN or STATUS that passes for that to a later command.
     AnswerHistory history;
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Proven);
-    CHECK(history.match(begin, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Proven);
-    CHECK(history.match(begin, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Possible);
-    CHECK(history.match(status, false, done(10, SessionPhase::Idle, "a")) == AnswerMatch::Proven);
-    CHECK(history.match(status, false, done(10, SessionPhase::Idle, "a")) == AnswerMatch::Possible);
-    CHECK(history.match(setValue, false, done(11)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, begin, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, begin, false, done(10, SessionPhase::Transaction)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, status, false, done(10, SessionPhase::Idle, "a")) == AnswerMatch::Proven);
+    CHECK(matchOf(history, status, false, done(10, SessionPhase::Idle, "a")) == AnswerMatch::Possible);
+    CHECK(matchOf(history, setValue, false, done(11)) == AnswerMatch::Proven);
 }
 
 TEST_CASE("AnswerHistory, proves nothing by a success while one like it is still to come")
 {
     // Guards against the late answer to a SET, at a new position, that passes for that to the next one.
     AnswerHistory history;
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Proven);
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
     CHECK(history.hasUnproven());
-    CHECK(history.match(prepare, false, done(11)) == AnswerMatch::Possible);
-    CHECK(history.match(readItem, false, run("s1")) == AnswerMatch::Proven);
+    CHECK(matchOf(history, prepare, false, done(11)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, readItem, false, run("s1")) == AnswerMatch::Proven);
     CHECK_FALSE(history.hasUnproven());
-    CHECK(history.match(prepare, false, done(12)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, prepare, false, done(12)) == AnswerMatch::Proven);
 }
 
 TEST_CASE("AnswerHistory, proves the answers before a status row")
 {
     AnswerHistory history;
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Proven);
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Possible);
-    CHECK(history.match(status, false, done(10, SessionPhase::Idle, "primary 1")) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, status, false, done(10, SessionPhase::Idle, "primary 1")) == AnswerMatch::Proven);
     CHECK_FALSE(history.hasUnproven());
 }
 
@@ -108,12 +116,12 @@
 {
     // Guards against a repeated refusal of one statement that passes for the promise that another one did not run.
     AnswerHistory history;
-    CHECK(history.match(readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Proven);
-    CHECK(history.match(readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Possible);
-    CHECK(history.match(readItem, false, error(ReplyCode::Lagging)) == AnswerMatch::Proven);
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Proven);
-    CHECK(history.match(setValue, false, done(10)) == AnswerMatch::Possible);
-    CHECK(history.match(readItem, false, error(ReplyCode::Failed)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, readItem, false, error(ReplyCode::Lagging)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, readItem, false, error(ReplyCode::Failed)) == AnswerMatch::Possible);
 }
 
 TEST_CASE("AnswerHistory, is full after a bounded number of answers")
@@ -121,7 +129,7 @@
     AnswerHistory history;
     for (std::size_t i = 0; i < AnswerHistory::maxAnswers; ++i) {
         CHECK_FALSE(history.isFull());
-        history.match(readItem, false, run("s" + std::to_string(i)));
+        matchOf(history, readItem, false, run("s" + std::to_string(i)));
     }
     CHECK(history.isFull());
 }
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -45,7 +45,7 @@
     std::uint64_t hedgedReads = 0;
     // Connections that were closed because it is not known whether a command changed their session state.
     std::uint64_t unknownStates = 0;
-    // Answers that repeat an earlier one.
+    // Answers that repeat an earlier one and were dropped.
     std::uint64_t repeatedAnswers = 0;
     // Answers that may repeat an earlier one.
     std::uint64_t uncertainAnswers = 0;
@@ -63,6 +63,8 @@
 //   lags refuses it.
 // - A statement is sent again only if it is known not to have run, or if it only reads.
 // - A connection whose state is unknown is closed: settle() is the only way from a statement or command back to Idle.
+// - A statement ends only with an answer that is proven to be its own. If the answer may repeat an earlier one, its
+//   outcome is unknown and the connection is closed.
 class GroupScheduler : public StatementRunner {
 public:
     GroupScheduler(
@@ -167,9 +169,11 @@
     // group_scheduler_execution.cc
     void start(EndpointConnection& connection, const Target& target, const ExecutionPtr& execution, Time now);
     void sendNext(EndpointConnection& connection, Time now);
-    AnswerMatch matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer);
+    MatchedAnswer matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer);
+    void onUncertainAnswer(EndpointConnection& connection, Time now);
+    void onControlAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
-    void onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
+    void onStatementAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now);
     bool prepareAgain(EndpointConnection& connection, Time now);
     void recordPosition(EndpointState& endpoint, const EndpointConnection& connection,
         const std::optional<Position>& position, Time now);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -166,18 +166,18 @@
 }
 
 // Tells whose answer it is, and logs what an endpoint should not do.
-AnswerMatch GroupScheduler::matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer)
+MatchedAnswer GroupScheduler::matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer)
 {
     const auto& command = connection.pendingCommands.front();
-    const auto match = connection.answers.match(command, connection.inTransaction, answer);
-    if (match == AnswerMatch::Possible)
+    const auto matched = connection.answers.match(command, connection.inTransaction, answer);
+    if (matched.match == AnswerMatch::Possible)
         ++this->counts.uncertainAnswers;
-    if (match == AnswerMatch::Repeated) {
+    if (matched.match == AnswerMatch::Repeated) {
         ++this->counts.repeatedAnswers;
         if (!std::exchange(connection.repeats, true))
             logAnswer("answer_repeated", this->group, connection, answer);
     }
-    return match;
+    return matched;
 }
 
 void GroupScheduler::onAnswer(ConnectionId id, const EndpointAnswer& answer, Time now)
@@ -188,34 +188,49 @@
     auto& endpoint = this->endpoints.at(connection->endpoint);
     endpoint.lastAnswerAt = now;
     endpoint.silent = false;
-    this->recordPosition(endpoint, *connection, answer.position, now);
     if (connection->pendingCommands.empty()) {
         logAnswer("unexpected_answer", this->group, *connection, answer);
         this->closeConnection(*connection);
         return;
     }
-    this->matchAnswer(*connection, answer);
-    connection->sessionState.onAnswer(answer);
-    if (connection->control) {
-        const auto task = std::exchange(connection->control, nullptr);
-        connection->pendingCommands.clear();
-        --endpoint.running;
-        this->settle(*connection, answer.phase, now);
-        if (!std::exchange(task->finished, true)) {
-            this->timers.cancel(task->timer);
-            task->callback(&answer);
-        }
+    const auto matched = this->matchAnswer(*connection, answer);
+    if (matched.match == AnswerMatch::Repeated)
         return;
-    }
-    if (connection->phase == EndpointConnection::Phase::Ending) {
+    if (matched.proven)
+        this->recordPosition(endpoint, *connection, answer.position, now);
+    connection->sessionState.onAnswer(answer);
+    if (connection->control)
+        this->onControlAnswer(*connection, answer, now);
+    else if (connection->phase == EndpointConnection::Phase::Ending) {
         connection->pendingCommands.clear();
         this->settle(*connection, answer.phase, now);
-        return;
-    }
-    if (connection->pendingCommands.size() > 1)
+    } else if (connection->pendingCommands.size() > 1)
         this->onCommandAnswer(*connection, answer, now);
+    else if (matched.proven)
+        this->onStatementAnswer(*connection, *matched.proven, now);
     else
-        this->onStatementAnswer(*connection, answer, now);
+        this->onUncertainAnswer(*connection, now);
+}
+
+// The answer may be that of an earlier command, and the one that belongs to the outstanding command still to come.
+void GroupScheduler::onUncertainAnswer(EndpointConnection& connection, Time now)
+{
+    this->failExecution(connection, false, "the answer may be that of an earlier statement");
+    this->closeConnection(connection);
+    this->checkDrained(false);
+    this->dispatch(now);
+}
+
+void GroupScheduler::onControlAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    const auto task = std::exchange(connection.control, nullptr);
+    connection.pendingCommands.clear();
+    --this->endpoints.at(connection.endpoint).running;
+    this->settle(connection, answer.phase, now);
+    if (std::exchange(task->finished, true))
+        return;
+    this->timers.cancel(task->timer);
+    task->callback(&answer);
 }
 
 void GroupScheduler::onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
@@ -280,8 +295,9 @@
     return this->isPrimarySinceStart(connection) && !this->suspensionConfirmed && this->hooks.leaseValid(now);
 }
 
-void GroupScheduler::onStatementAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+void GroupScheduler::onStatementAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now)
 {
+    const EndpointAnswer& answer = *proven;
     const auto execution = connection.execution;
     const auto& work = execution->work;
     auto& endpoint = this->endpoints.at(connection.endpoint);
