Rely on no command of the proxy that an endpoint may not have carried out

Callers' statements ran outside their transaction, inside another client's, or with another client's session values (PINNED). Cause: all successes of the proxy's own commands look alike, and a second answer to an earlier BEGIN, ROLLBACK, SET or RESET counted as that to the present one, which might still fail.

Change: a command that begins or ends a transaction counts only with a proven answer, which differs from all before on the connection by transaction state or position; otherwise the connection is closed, which rolls back, and the statement, which was not sent, runs on another one. Session commands come too often for that. Their successes may wait for the proof that a later answer gives, since an endpoint answers in order: that of a status command, which is sent before the statement at an endpoint that has repeated an answer within five minutes, elsewhere the statement's own. While a proof is awaited no error is believed to be the statement's.

What stays possible: a session command that fails at the very moment of the first repetition that a daemon sees of an endpoint.

--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -39,6 +39,8 @@
     Phase phase = Phase::Opening;
     ConnectionSessionState sessionState;
     AnswerHistory answers;
+    // Whether values were set or reset by answers that are not proven yet.
+    bool valuesUnproven = false;
     // Whether the endpoint has repeated an answer on it.
     bool repeats = false;
     // Commands that are not answered yet. Only the first one has been sent; the last one is the statement itself.
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -49,6 +49,8 @@
     std::uint64_t repeatedAnswers = 0;
     // Answers that may repeat an earlier one.
     std::uint64_t uncertainAnswers = 0;
+    // Status commands that were sent to prove session values.
+    std::uint64_t answerProofs = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
 };
@@ -63,8 +65,9 @@
 //   lags refuses it.
 // - A statement is sent again only if it is known not to have run, or if it only reads.
 // - A connection whose state is unknown is closed: settle() is the only way from a statement or command back to Idle.
-// - A statement ends only with an answer that is proven to be its own. If the answer may repeat an earlier one, its
-//   outcome is unknown and the connection is closed.
+// - A statement ends only with an answer that is proven to be its own, and so does a command that begins or ends a
+//   transaction. If the answer may repeat an earlier one, its outcome is unknown and the connection is closed. Session
+//   commands may be proven later, but before a statement relies on them at an endpoint that repeats answers.
 class GroupScheduler : public StatementRunner {
 public:
     GroupScheduler(
@@ -168,8 +171,10 @@
 
     // group_scheduler_execution.cc
     void start(EndpointConnection& connection, const Target& target, const ExecutionPtr& execution, Time now);
+    [[nodiscard]] bool needsProof(const EndpointConnection& connection, Time now) const;
     void sendNext(EndpointConnection& connection, Time now);
-    MatchedAnswer matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer);
+    MatchedAnswer matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
+    [[nodiscard]] static bool canProveLater(const EndpointCommand& command, const EndpointAnswer& answer);
     void onUncertainAnswer(EndpointConnection& connection, Time now);
     void onControlAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -14,6 +14,8 @@
 // Delay before a statement is sent again after the primary refused it as read-only. The new primary has to become known
 // first.
 constexpr Duration readOnlyRetryDelay = std::chrono::milliseconds(50);
+// Time for which an endpoint that has repeated an answer is expected to do so again.
+constexpr Duration repetitionMemory = std::chrono::minutes(5);
 
 // An error reported by the proxy itself instead of an endpoint.
 EndpointAnswer proxyError(ReplyCode code, const std::string& text, SessionPhase phase)
@@ -110,8 +112,21 @@
     this->sendNext(connection, now);
 }
 
+// Whether the session values must be proven before the statement that relies on them is sent. The answer to a status
+// command proves those before it, unless its row repeats an earlier one, but it costs the endpoint a slot. At an
+// endpoint that has not repeated an answer lately, the statement's own answer is proof enough.
+bool GroupScheduler::needsProof(const EndpointConnection& connection, Time now) const
+{
+    return connection.execution && connection.pendingCommands.size() == 1 && connection.valuesUnproven
+        && !connection.inTransaction && now < this->endpoints.at(connection.endpoint).repeatsUntil;
+}
+
 void GroupScheduler::sendNext(EndpointConnection& connection, Time now)
 {
+    if (this->needsProof(connection, now)) {
+        ++this->counts.answerProofs;
+        connection.pendingCommands.push_front({ CommandKind::Status });
+    }
     connection.sentAt = now;
     connection.sessionState.onSent(connection.pendingCommands.front());
     this->hooks.send(connection.id, connection.pendingCommands.front());
@@ -166,13 +181,16 @@
 }
 
 // Tells whose answer it is, and logs what an endpoint should not do.
-MatchedAnswer GroupScheduler::matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer)
+MatchedAnswer GroupScheduler::matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
 {
     const auto& command = connection.pendingCommands.front();
     const auto matched = connection.answers.match(command, connection.inTransaction, answer);
+    if (matched.proven)
+        connection.valuesUnproven = false;
     if (matched.match == AnswerMatch::Possible)
         ++this->counts.uncertainAnswers;
     if (matched.match == AnswerMatch::Repeated) {
+        this->endpoints.at(connection.endpoint).repeatsUntil = now + repetitionMemory;
         ++this->counts.repeatedAnswers;
         if (!std::exchange(connection.repeats, true))
             logAnswer("answer_repeated", this->group, connection, answer);
@@ -190,14 +208,22 @@
     endpoint.silent = false;
     if (connection->pendingCommands.empty()) {
         logAnswer("unexpected_answer", this->group, *connection, answer);
+        endpoint.repeatsUntil = now + repetitionMemory;
         this->closeConnection(*connection);
         return;
     }
-    const auto matched = this->matchAnswer(*connection, answer);
+    const auto matched = this->matchAnswer(*connection, answer, now);
     if (matched.match == AnswerMatch::Repeated)
         return;
+    if (!matched.proven && !canProveLater(connection->pendingCommands.front(), answer)) {
+        this->onUncertainAnswer(*connection, now);
+        return;
+    }
     if (matched.proven)
         this->recordPosition(endpoint, *connection, answer.position, now);
+    else
+        connection->valuesUnproven
+            = connection->valuesUnproven || connection->pendingCommands.front().kind != CommandKind::Prepare;
     connection->sessionState.onAnswer(answer);
     if (connection->control)
         this->onControlAnswer(*connection, answer, now);
@@ -208,13 +234,23 @@
         this->onCommandAnswer(*connection, answer, now);
     else if (matched.proven)
         this->onStatementAnswer(*connection, *matched.proven, now);
-    else
-        this->onUncertainAnswer(*connection, now);
+}
+
+// Whether a success that may be a repetition can stand until a later answer proves it. Session values are proven before
+// a statement relies on them (needsProof), and a statement that was not prepared cannot be executed.
+bool GroupScheduler::canProveLater(const EndpointCommand& command, const EndpointAnswer& answer)
+{
+    return answer.succeeded
+        && (command.kind == CommandKind::Reset || command.kind == CommandKind::SetValue
+            || command.kind == CommandKind::Prepare);
 }
 
 // The answer may be that of an earlier command, and the one that belongs to the outstanding command still to come.
 void GroupScheduler::onUncertainAnswer(EndpointConnection& connection, Time now)
 {
+    const bool unsent = connection.pendingCommands.size() > 1;
+    if (unsent && connection.execution)
+        --connection.execution->attempts;
     this->failExecution(connection, false, "the answer may be that of an earlier statement");
     this->closeConnection(connection);
     this->checkDrained(false);
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -92,6 +92,7 @@
         static_cast<double>(statistics.repeatedAnswers));
     set("uncertain_answers", "Answers of endpoints that may repeat an earlier one.",
         static_cast<double>(statistics.uncertainAnswers));
+    set("answer_proofs", "Status commands sent to prove session values.", static_cast<double>(statistics.answerProofs));
     set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(statistics.replicaReads));
     set("primary_reads", "Reads with an age bound served by the primary.",
         static_cast<double>(statistics.primaryReads));
