Read a status again on a new connection when its answer may be an old one

A promotion, an adoption or a demotion could be decided on the role and position that an endpoint had reported before: its second answer to an earlier STATUS counted as that to the present one. Change: a control command ends by a proven answer only; otherwise it moves to a new connection, whose first answer repeats none.

--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -176,7 +176,8 @@
     MatchedAnswer matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     [[nodiscard]] static bool canProveLater(const EndpointCommand& command, const EndpointAnswer& answer);
     void onUncertainAnswer(EndpointConnection& connection, Time now);
-    void onControlAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
+    void moveControlTask(EndpointConnection& connection, Time now);
+    void onControlAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now);
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void onStatementAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now);
     bool prepareAgain(EndpointConnection& connection, Time now);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -225,8 +225,8 @@
         connection->valuesUnproven
             = connection->valuesUnproven || connection->pendingCommands.front().kind != CommandKind::Prepare;
     connection->sessionState.onAnswer(answer);
-    if (connection->control)
-        this->onControlAnswer(*connection, answer, now);
+    if (connection->control && matched.proven)
+        this->onControlAnswer(*connection, *matched.proven, now);
     else if (connection->phase == EndpointConnection::Phase::Ending) {
         connection->pendingCommands.clear();
         this->settle(*connection, answer.phase, now);
@@ -248,6 +248,10 @@
 // The answer may be that of an earlier command, and the one that belongs to the outstanding command still to come.
 void GroupScheduler::onUncertainAnswer(EndpointConnection& connection, Time now)
 {
+    if (connection.control) {
+        this->moveControlTask(connection, now);
+        return;
+    }
     const bool unsent = connection.pendingCommands.size() > 1;
     if (unsent && connection.execution)
         --connection.execution->attempts;
@@ -257,8 +261,20 @@
     this->dispatch(now);
 }
 
-void GroupScheduler::onControlAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+// Runs a control command again on a new connection, whose first answer repeats none.
+void GroupScheduler::moveControlTask(EndpointConnection& connection, Time now)
 {
+    auto& endpoint = this->endpoints.at(connection.endpoint);
+    --endpoint.running;
+    endpoint.controls.push_front(std::exchange(connection.control, nullptr));
+    this->closeConnection(connection);
+    if (endpoint.opening == 0)
+        this->openConnection(endpoint, now);
+}
+
+void GroupScheduler::onControlAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now)
+{
+    const EndpointAnswer& answer = *proven;
     const auto task = std::exchange(connection.control, nullptr);
     connection.pendingCommands.clear();
     --this->endpoints.at(connection.endpoint).running;
