Replace a connection before it forgets an answer

A repetition may come at any later moment, so a connection must remember all answers it has received; without a bound its memory grows with its age.

--- a/src/process/group_scheduler_answers_test.cc
+++ b/src/process/group_scheduler_answers_test.cc
@@ -240,6 +240,23 @@
     CHECK(rows.size() == 2);
 }
 
+TEST_CASE("GroupScheduler, replaces a connection before it forgets an answer")
+{
+    // Guards against the repetition of an answer that is too old to be remembered.
+    AnswersFixture fixture;
+    const auto first = fixture.sendStatement(SchedulerFixture::read(true));
+    fixture.succeed(first);
+    std::size_t answers = 1;
+    while (!fixture.isClosed(first.connection) && answers < 2 * AnswerHistory::maxAnswers) {
+        fixture.succeed(fixture.sendStatement(SchedulerFixture::read(true)));
+        ++answers;
+    }
+    CHECK(fixture.isClosed(first.connection));
+    CHECK(answers <= AnswerHistory::maxAnswers);
+    CHECK(fixture.sentAfter(50ms).empty());
+    CHECK(fixture.sendStatement(SchedulerFixture::read(true)).connection != first.connection);
+}
+
 TEST_CASE("GroupScheduler, learns no position from an answer that an endpoint repeats")
 {
     // Guards against a read at a replica that lacks commits, behind an old position that passes for the present one.
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -12,7 +12,8 @@
 // others only if it is known that no transaction is open on it, and which session state it holds.
 void GroupScheduler::settle(EndpointConnection& connection, SessionPhase phase, Time now)
 {
-    if (phase == SessionPhase::Idle && connection.sessionState.isKnown()) {
+    const bool stateKnown = phase == SessionPhase::Idle && connection.sessionState.isKnown();
+    if (stateKnown && !connection.answers.isFull()) {
         this->release(connection, now);
         return;
     }
