Drop the second answer to a session start

An endpoint that answers a session start twice cost the first statement on each connection: its write was in doubt, because a READY without a result counted as a truncated answer. Change: the parser knows the line that answered the start and reports its repetition, unless rows have come. Any other READY without a result still breaks the connection.

Evidence: the parser returned Broken for the repeated line before.

--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -49,6 +49,10 @@
             this->input.closed(id);
         return false;
     }
+    case platform::AnswerParser::Result::Repeated:
+        logEvent(LogLevel::Warning, "session_start_answered_again",
+            { { "endpoint", link.endpoint.value }, { "connection", id } });
+        return true;
     case platform::AnswerParser::Result::Broken:
         logEvent(LogLevel::Warning, "endpoint_answer_unreadable",
             { { "endpoint", link.endpoint.value }, { "connection", id }, { "bytes", line.size() },
