Hold an error that may be a repetition, and tell errors apart by position

On an overloaded group the same BUSY comes again and again on a connection. Change: errors are told apart by code, text and position, as other answers are. One that may still be a repetition is held for four times the endpoint's latency (10 to 200 ms): if it was one, the statement's own answer comes and ends it. Otherwise the connection is closed as before; a read takes the refusal for its own, which does no harm, except inside a transaction. A refusal that SET, RESET and PREPARE never get is proven although their answers are not. Endpoints of a group share the memory of repetitions. Commands that are sent again behind NOSTMT keep their order.

The new tests of held errors fail without the hold.

--- a/src/connection/answer_history.cc
+++ b/src/connection/answer_history.cc
@@ -38,6 +38,13 @@
     return answer.phase == phaseAfter(command, inTransaction) && (!hasRow || command.kind == CommandKind::Demote);
 }
 
+// Whether SET, RESET or PREPARE can fail with the code. They need no free slot, read no log and change no data.
+bool isGivenToSessionCommands(ReplyCode code)
+{
+    return code != ReplyCode::Busy && code != ReplyCode::Lagging && code != ReplyCode::ReadOnly
+        && code != ReplyCode::NoStatement;
+}
+
 // Bit of a success without a signature: those of one bit can be told apart only by position and row.
 unsigned kindOf(const EndpointAnswer& answer)
 {
@@ -46,17 +53,16 @@
     return 1U << (phase + (answer.firstRow.empty() ? 0 : withRow));
 }
 
+// What an answer has in common with its repetitions only, as far as the endpoint makes that so.
 std::string identityOf(const EndpointAnswer& answer)
 {
-    if (!answer.succeeded)
-        return "error " + std::to_string(static_cast<int>(answer.code));
     if (!answer.signature.empty())
         return "run " + answer.signature;
-    std::string identity = "done ";
-    identity += std::to_string(kindOf(answer)) + ' ';
+    std::string identity = answer.succeeded ? "done " : "error ";
+    identity += std::to_string(answer.succeeded ? kindOf(answer) : static_cast<unsigned>(answer.code)) + ' ';
     identity += answer.position ? toString(*answer.position) : "-";
     identity += ' ';
-    return identity += answer.firstRow;
+    return identity += answer.succeeded ? answer.firstRow : answer.errorText;
 }
 
 } // namespace
@@ -82,7 +88,8 @@
         return AnswerMatch::Proven;
     }
     const unsigned kind = answer.succeeded ? kindOf(answer) : this->unproven;
-    if (isNew && (this->unproven & kind) == 0) {
+    const bool awaited = (this->unproven & kind) != 0 && (answer.succeeded || isGivenToSessionCommands(answer.code));
+    if (isNew && !awaited) {
         this->unproven = 0;
         return AnswerMatch::Proven;
     }
--- a/src/connection/answer_history.h
+++ b/src/connection/answer_history.h
@@ -51,8 +51,9 @@
 // - The other successes are alike but for the transaction state, the position and the row of a status. Once one of them
 //   may have been a repetition, the answer that belongs to its command is still to come, so later ones that look like
 //   it prove nothing either.
-// - Of two errors with the same code the second one may be a repetition, and so may any error as long as an answer is
-//   still to come.
+// - Errors are alike but for code, text and position. As long as an answer is still to come, an error may be that
+// answer,
+//   but for the codes that session commands never get.
 //
 // An endpoint answers the commands of a connection in order. A proven answer therefore proves those before it.
 class AnswerHistory {
--- a/src/connection/answer_history_test.cc
+++ b/src/connection/answer_history_test.cc
@@ -119,11 +119,25 @@
     CHECK(matchOf(history, readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Proven);
     CHECK(matchOf(history, readItem, false, error(ReplyCode::Busy)) == AnswerMatch::Possible);
     CHECK(matchOf(history, readItem, false, error(ReplyCode::Lagging)) == AnswerMatch::Proven);
+    auto later = error(ReplyCode::Busy);
+    later.position = Position { 1, 11 };
+    CHECK(matchOf(history, readItem, false, later) == AnswerMatch::Proven);
     CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
     CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
     CHECK(matchOf(history, readItem, false, error(ReplyCode::Failed)) == AnswerMatch::Possible);
 }
 
+TEST_CASE("AnswerHistory, proves a refusal that no session command gets, even if an answer is still to come")
+{
+    // Guards against a write in doubt for each refusal behind session commands, at endpoints that repeat nothing.
+    const auto code = GENERATE(ReplyCode::Busy, ReplyCode::Lagging, ReplyCode::ReadOnly, ReplyCode::NoStatement);
+    AnswerHistory history;
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
+    CHECK(matchOf(history, readItem, false, error(code)) == AnswerMatch::Proven);
+    CHECK_FALSE(history.hasUnproven());
+}
+
 TEST_CASE("AnswerHistory, is full after a bounded number of answers")
 {
     AnswerHistory history;
--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 
 namespace endivetrestle {
 
@@ -41,6 +42,8 @@
     AnswerHistory answers;
     // Whether values were set or reset by answers that are not proven yet.
     bool valuesUnproven = false;
+    // Error to the statement that runs, which may repeat an earlier one.
+    std::optional<EndpointAnswer> heldError;
     // Whether the endpoint has repeated an answer on it.
     bool repeats = false;
     // Commands that are not answered yet. Only the first one has been sent; the last one is the statement itself.
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -70,8 +70,6 @@
     Time lastAnswerAt;
     // Whether the endpoint has left outstanding statements unanswered for too long.
     bool silent = false;
-    // Time until which the endpoint counts as one that repeats answers.
-    Time repeatsUntil;
     // Failed attempts to open a connection since the last success.
     int openFailures = 0;
     Time openNotBefore;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -175,7 +175,8 @@
     void sendNext(EndpointConnection& connection, Time now);
     MatchedAnswer matchAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     [[nodiscard]] static bool canProveLater(const EndpointCommand& command, const EndpointAnswer& answer);
-    void onUncertainAnswer(EndpointConnection& connection, Time now);
+    void onUncertainAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
+    void holdError(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void moveControlTask(EndpointConnection& connection, Time now);
     void onControlAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now);
     void onCommandAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now);
@@ -185,6 +186,7 @@
         const std::optional<Position>& position, Time now);
     [[nodiscard]] bool isPrimarySinceStart(const EndpointConnection& connection) const;
     [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
+    void noteRefusal(const EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
     void refuse(const ExecutionPtr& execution, ReplyCode code, const std::string& text, const std::string& reason);
@@ -236,6 +238,8 @@
     Time startedAt;
     // Start of the present suspension.
     Time suspendedAt;
+    // Time until which endpoints of the group are expected to repeat answers.
+    Time repeatsUntil;
     // Whether the endpoint in use as primary has refused a statement because it is read-only.
     bool primaryReportedReadOnly = false;
     int connectionShare = 4;
--- a/src/process/group_scheduler_answers_test.cc
+++ b/src/process/group_scheduler_answers_test.cc
@@ -112,13 +112,29 @@
     const auto write = fixture.sendStatement(SchedulerFixture::write());
     REQUIRE(write.connection == first.connection);
     fixture.answerAgain(write, refusal);
-    for (const auto& sent : fixture.sentAfter(50ms))
+    for (const auto& sent : fixture.sentAfter(250ms))
         CHECK(sent.command.text != write.command.text);
     REQUIRE(fixture.results.size() == 1);
     CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
     CHECK(fixture.isClosed(write.connection));
 }
 
+TEST_CASE("GroupScheduler, ends a write by its own answer behind a refusal that an endpoint repeats")
+{
+    // Guards against a write in doubt although its answer comes in time.
+    AnswersFixture fixture;
+    const auto refusal = fixture.fail(fixture.sendStatement(SchedulerFixture::read(true)), ReplyCode::Busy);
+    const auto write = fixture.sendStatement(SchedulerFixture::write());
+    fixture.answerAgain(write, refusal);
+    CHECK(fixture.results.empty());
+    fixture.advance(1ms);
+    const auto own = fixture.succeed(write);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.signature == own.signature);
+    fixture.advance(250ms);
+    CHECK_FALSE(fixture.isClosed(write.connection));
+}
+
 TEST_CASE("GroupScheduler, runs a read elsewhere on a refusal that an endpoint repeats")
 {
     // Guards against the answer of a read that is still to come and meets the next statement on the connection.
@@ -129,6 +145,7 @@
     const auto again = fixture.take();
     REQUIRE(again.connection == first.connection);
     fixture.answerAgain(again, refusal);
+    fixture.advance(250ms);
     CHECK(fixture.isClosed(first.connection));
     const auto sent = fixture.sentAfter(50ms);
     REQUIRE(sent.size() == 1);
@@ -136,6 +153,29 @@
     CHECK(fixture.results.size() == 1);
 }
 
+TEST_CASE("GroupScheduler, runs no read of a transaction elsewhere on a refusal that an endpoint repeats")
+{
+    // Guards against a statement that runs outside its transaction.
+    AnswersFixture fixture;
+    auto work = SchedulerFixture::read(true);
+    work.start = TransactionStart::Plain;
+    const auto refusal = fixture.fail(fixture.sendStatement(SchedulerFixture::read(true)), ReplyCode::Busy);
+    fixture.succeed(fixture.sendStatement(SchedulerFixture::read(true)));
+    fixture.submit(work);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    fixture.succeed(fixture.take(), SessionPhase::Transaction);
+    REQUIRE(fixture.results.back().connection);
+    auto next = SchedulerFixture::read(true);
+    next.statement.id = "next";
+    fixture.scheduler->continueTransaction(
+        *fixture.results.back().connection, fixture.makeExecution(next), fixture.now);
+    fixture.answerAgain(fixture.take(), refusal);
+    fixture.advance(250ms);
+    CHECK(fixture.results.back().answer.code == ReplyCode::Aborted);
+    for (const auto& sent : fixture.sentAfter(50ms))
+        CHECK(sent.command.id != "next");
+}
+
 TEST_CASE("GroupScheduler, sends no statement in a transaction that an endpoint has not begun")
 {
     // Guards against a write of a transaction that runs by itself, behind the second answer to an earlier BEGIN.
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -3,6 +3,8 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace endivetrestle {
@@ -14,8 +16,12 @@
 // Delay before a statement is sent again after the primary refused it as read-only. The new primary has to become known
 // first.
 constexpr Duration readOnlyRetryDelay = std::chrono::milliseconds(50);
-// Time for which an endpoint that has repeated an answer is expected to do so again.
+// Time for which endpoints are expected to repeat answers after one of the group has done so.
 constexpr Duration repetitionMemory = std::chrono::minutes(5);
+// Time for which an error that may be a repetition is held, as a multiple of the endpoint's usual latency.
+constexpr int ownAnswerLatencyFactor = 4;
+constexpr Duration minErrorHold = std::chrono::milliseconds(10);
+constexpr Duration maxErrorHold = std::chrono::milliseconds(200);
 
 // An error reported by the proxy itself instead of an endpoint.
 EndpointAnswer proxyError(ReplyCode code, const std::string& text, SessionPhase phase)
@@ -36,6 +42,12 @@
     return proxyError(ReplyCode::Busy, "the endpoint failed before the statement was sent", SessionPhase::Idle);
 }
 
+// Whether the answer is an error to a statement that was sent.
+bool isStatementError(const EndpointConnection& connection, const EndpointAnswer& answer)
+{
+    return !answer.succeeded && connection.execution && connection.pendingCommands.size() == 1;
+}
+
 // Logs an answer that the endpoint should not have sent, with the command that is outstanding.
 void logAnswer(
     std::string_view event, const DatabaseId& group, const EndpointConnection& connection, const EndpointAnswer& answer)
@@ -118,7 +130,7 @@
 bool GroupScheduler::needsProof(const EndpointConnection& connection, Time now) const
 {
     return connection.execution && connection.pendingCommands.size() == 1 && connection.valuesUnproven
-        && !connection.inTransaction && now < this->endpoints.at(connection.endpoint).repeatsUntil;
+        && !connection.inTransaction && now < this->repeatsUntil;
 }
 
 void GroupScheduler::sendNext(EndpointConnection& connection, Time now)
@@ -190,7 +202,7 @@
     if (matched.match == AnswerMatch::Possible)
         ++this->counts.uncertainAnswers;
     if (matched.match == AnswerMatch::Repeated) {
-        this->endpoints.at(connection.endpoint).repeatsUntil = now + repetitionMemory;
+        this->repeatsUntil = now + repetitionMemory;
         ++this->counts.repeatedAnswers;
         if (!std::exchange(connection.repeats, true))
             logAnswer("answer_repeated", this->group, connection, answer);
@@ -208,15 +220,20 @@
     endpoint.silent = false;
     if (connection->pendingCommands.empty()) {
         logAnswer("unexpected_answer", this->group, *connection, answer);
-        endpoint.repeatsUntil = now + repetitionMemory;
+        this->repeatsUntil = now + repetitionMemory;
         this->closeConnection(*connection);
         return;
     }
     const auto matched = this->matchAnswer(*connection, answer, now);
     if (matched.match == AnswerMatch::Repeated)
         return;
+    const bool held = connection->heldError.has_value();
+    connection->heldError.reset();
     if (!matched.proven && !canProveLater(connection->pendingCommands.front(), answer)) {
-        this->onUncertainAnswer(*connection, now);
+        if (!held && isStatementError(*connection, answer))
+            this->holdError(*connection, answer, now);
+        else
+            this->onUncertainAnswer(*connection, answer, now);
         return;
     }
     if (matched.proven)
@@ -245,18 +262,45 @@
             || command.kind == CommandKind::Prepare);
 }
 
+// Keeps an error that may be a repetition for the time in which the statement's own answer should come if it is one.
+void GroupScheduler::holdError(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    connection.heldError = answer;
+    const auto latency = this->endpoints.at(connection.endpoint).latency;
+    const auto until = now + std::clamp(latency * ownAnswerLatencyFactor, minErrorHold, maxErrorHold);
+    this->timers.subscribeAt(
+        until, [this, alive = this->alive, id = connection.id, sentAt = connection.sentAt](Time at) {
+            auto* held = *alive ? this->findConnection(id) : nullptr;
+            if (held != nullptr && held->heldError && held->sentAt == sentAt)
+                this->onUncertainAnswer(*held, EndpointAnswer(*held->heldError), at);
+        });
+}
+
 // The answer may be that of an earlier command, and the one that belongs to the outstanding command still to come.
-void GroupScheduler::onUncertainAnswer(EndpointConnection& connection, Time now)
+void GroupScheduler::onUncertainAnswer(EndpointConnection& connection, const EndpointAnswer& answer, Time now)
 {
     if (connection.control) {
         this->moveControlTask(connection, now);
         return;
     }
+    const auto id = connection.id;
+    const auto execution = connection.execution;
     const bool unsent = connection.pendingCommands.size() > 1;
-    if (unsent && connection.execution)
-        --connection.execution->attempts;
+    if (unsent && execution)
+        --execution->attempts;
+    const bool mayRepeat = execution && execution->work.isRepeatable() && !connection.inTransaction;
+    if (!unsent && mayRepeat && provesNotRun(answer.code)) {
+        // Running a read again does no harm, so it may take the refusal for its own.
+        this->noteRefusal(connection, answer, now);
+        connection.execution.reset();
+        --this->endpoints.at(connection.endpoint).running;
+        this->closeConnection(connection);
+        this->requeueOrFail(execution, answer, now);
+        return;
+    }
     this->failExecution(connection, false, "the answer may be that of an earlier statement");
-    this->closeConnection(connection);
+    if (auto* left = this->findConnection(id))
+        this->closeConnection(*left);
     this->checkDrained(false);
     this->dispatch(now);
 }
@@ -329,8 +373,9 @@
         return false;
     ++connection.execution->attempts;
     connection.sessionState.forgetPrepared(work.prepared->sharedName());
-    for (auto& command : connection.sessionState.commandsFor(*work.session, work.prepared))
-        connection.pendingCommands.push_front(std::move(command));
+    auto commands = connection.sessionState.commandsFor(*work.session, work.prepared);
+    connection.pendingCommands.insert(connection.pendingCommands.begin(), std::make_move_iterator(commands.begin()),
+        std::make_move_iterator(commands.end()));
     this->sendNext(connection, now);
     return true;
 }
@@ -363,6 +408,8 @@
     const bool successInDoubt = answer.succeeded && mustBePrimary && !this->mayAcknowledge(connection, now);
     // A read at the primary that was answered after the lease expired may miss commits of a newer primary.
     const bool readOutlivedLease = !mustBePrimary && work.needsPrimary && !this->hooks.leaseValid(now);
+    if (!answer.succeeded)
+        this->noteRefusal(connection, answer, now);
     connection.pendingCommands.clear();
     connection.execution.reset();
     --endpoint.running;
@@ -372,14 +419,7 @@
             endpoint.limit.onAnswer(now - connection.sentAt, endpoint.running + 1, now);
         if (minimum)
             endpoint.onCaughtUp(this->positionAge(*minimum, connection.sentAt));
-    } else if (answer.code == ReplyCode::Busy) {
-        ++this->counts.busyAnswers;
-        endpoint.limit.onBusy(now);
-    } else if (answer.code == ReplyCode::Lagging && minimum) {
-        ++this->counts.laggingAnswers;
-        endpoint.onLagging(this->positionAge(*minimum, now), now);
-    } else if (answer.code == ReplyCode::ReadOnly && this->primaryId == connection.endpoint)
-        this->primaryReportedReadOnly = true;
+    }
 
     StatementResult result;
     result.answer = answer;
@@ -422,6 +462,21 @@
     this->dispatch(now);
 }
 
+// Learns from an error with which the endpoint answered the outstanding statement.
+void GroupScheduler::noteRefusal(const EndpointConnection& connection, const EndpointAnswer& answer, Time now)
+{
+    auto& endpoint = this->endpoints.at(connection.endpoint);
+    const auto& minimum = connection.pendingCommands.front().minimum;
+    if (answer.code == ReplyCode::Busy) {
+        ++this->counts.busyAnswers;
+        endpoint.limit.onBusy(now);
+    } else if (answer.code == ReplyCode::Lagging && minimum) {
+        ++this->counts.laggingAnswers;
+        endpoint.onLagging(this->positionAge(*minimum, now), now);
+    } else if (answer.code == ReplyCode::ReadOnly && this->primaryId == connection.endpoint)
+        this->primaryReportedReadOnly = true;
+}
+
 void GroupScheduler::requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now)
 {
     if (execution->finished)
