Acknowledge no statement that ran in another transaction

A write inside a transaction that nobody commits was acknowledged and then rolled back, and one of a transaction that was not open was acknowledged although it had committed by itself. Cause: the transaction state in a statement's own answer was not compared with that of its connection. Change: if they differ, a write is in doubt, a transaction is aborted, a single read runs again, and the connection is closed.

--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -186,6 +186,7 @@
         const std::optional<Position>& position, Time now);
     [[nodiscard]] bool isPrimarySinceStart(const EndpointConnection& connection) const;
     [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
+    void onWrongTransaction(EndpointConnection& connection, Time now);
     void noteRefusal(const EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
     void finish(const ExecutionPtr& execution, const StatementResult& result);
--- a/src/process/group_scheduler_answers_test.cc
+++ b/src/process/group_scheduler_answers_test.cc
@@ -201,6 +201,26 @@
     CHECK(sent[0].connection != begin.connection);
 }
 
+TEST_CASE("GroupScheduler, acknowledges no statement that ran in another transaction")
+{
+    // Guards against a write that is acknowledged and rolled back, or committed outside its transaction.
+    AnswersFixture fixture;
+    SECTION("a single write inside a transaction")
+    {
+        fixture.succeed(fixture.sendStatement(SchedulerFixture::write()), SessionPhase::Transaction);
+    }
+    SECTION("a write of a transaction outside of it")
+    {
+        fixture.submit(AnswersFixture::startTransaction());
+        fixture.succeed(fixture.take(), SessionPhase::Transaction);
+        fixture.succeed(fixture.take(), SessionPhase::Idle);
+    }
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].answer.code == ReplyCode::InDoubt);
+    CHECK_FALSE(fixture.results[0].connection);
+    CHECK(fixture.closed.size() == 1);
+}
+
 TEST_CASE("GroupScheduler, gives a connection to nobody else before its rollback is proven")
 {
     // Guards against a statement that runs inside the transaction of the client before.
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -401,6 +401,10 @@
     const bool isCommit = work.statement.kind == StatementKind::Commit;
     if (answer.code == ReplyCode::NoStatement && !answer.succeeded && this->prepareAgain(connection, now))
         return;
+    if (answer.succeeded && !isCommit && (answer.phase != SessionPhase::Idle) != connection.inTransaction) {
+        this->onWrongTransaction(connection, now);
+        return;
+    }
     const auto minimum = connection.pendingCommands.front().minimum;
     const bool inTransaction = connection.inTransaction;
     const bool plain = connection.writableTransaction;
@@ -462,6 +466,27 @@
     this->dispatch(now);
 }
 
+// The statement ran outside its transaction or inside another one, so what it did is not what its client asked for.
+void GroupScheduler::onWrongTransaction(EndpointConnection& connection, Time now)
+{
+    logEvent(LogLevel::Warning, "wrong_transaction",
+        { { "group", this->group.value }, { "endpoint", connection.endpoint.value }, { "connection", connection.id },
+            { "request", connection.execution->work.statement.id } });
+    const auto execution = std::exchange(connection.execution, nullptr);
+    const bool inTransaction = connection.inTransaction;
+    const bool mayHaveWritten = execution->work.changesData() || connection.transactionWrote;
+    --this->endpoints.at(connection.endpoint).running;
+    this->closeConnection(connection);
+    if (mayHaveWritten)
+        this->refuse(execution, ReplyCode::InDoubt, "the statement ran in another transaction", "wrong_transaction");
+    else if (inTransaction)
+        this->refuse(execution, ReplyCode::Aborted, "the transaction was not open", "wrong_transaction");
+    else
+        this->requeueOrFail(execution, proxyError(ReplyCode::Busy, "", SessionPhase::Idle), now);
+    this->checkDrained(false);
+    this->dispatch(now);
+}
+
 // Learns from an error with which the endpoint answered the outstanding statement.
 void GroupScheduler::noteRefusal(const EndpointConnection& connection, const EndpointAnswer& answer, Time now)
 {
