Vary how simulated endpoints take a BEGIN inside a transaction

Where it succeeds, a COMMIT that meets another client's transaction commits it. Change: half of the simulations accept it; a lost answer may still arrive the second time; a violation of UNASKED says what committed the write.

--- a/src/process/repeated_answers_simulation_test.h
+++ b/src/process/repeated_answers_simulation_test.h
@@ -15,9 +15,10 @@
 // simulated.
 class RepeatedAnswersSimulation {
 public:
-    RepeatedAnswersSimulation(std::uint64_t seed, const EndpointBehaviour& behaviour)
+    RepeatedAnswersSimulation(std::uint64_t seed, EndpointBehaviour behaviour)
         : random(seed)
     {
+        behaviour.acceptsNestedBegin = this->random.chance(50);
         this->addEndpoint("e1", Duration::zero(), behaviour);
         this->addEndpoint("e2", shortLag, behaviour);
         this->addEndpoint("e3", longLag, behaviour);
--- a/src/process/repeating_endpoint_test.h
+++ b/src/process/repeating_endpoint_test.h
@@ -29,8 +29,10 @@
     int errors = 0;
     // SET, RESET and PREPARE that are answered with FAILED; half of them take effect.
     int failedSessionCommands = 0;
-    // Statements that are not answered at all.
+    // Answers that do not arrive; a second one may.
     int lost = 0;
+    // Whether a BEGIN inside a transaction succeeds and changes nothing. Otherwise it is an error.
+    bool acceptsNestedBegin = false;
 };
 
 // One run of a forwarded statement at an endpoint.
@@ -200,8 +202,7 @@
             this->connections.erase(found);
             return;
         }
-        if (!this->random.chance(this->behaviour.lost))
-            this->sendAnswer(id, command, answer, now);
+        this->sendAnswer(id, command, answer, now);
     }
 
     void sendAnswer(ConnectionId id, const EndpointCommand& command, const EndpointAnswer& answer, Time now)
@@ -213,7 +214,8 @@
             this->timers.subscribeAt(
                 now + this->repeatDelay(), [this, id, answer](Time at) { this->deliver(id, answer, at); });
         }
-        this->deliver(id, answer, now);
+        if (!this->random.chance(this->behaviour.lost))
+            this->deliver(id, answer, now);
     }
 
     // Time after which an answer is sent again: at once, soon, or long after the connection serves other statements.
@@ -286,7 +288,7 @@
     EndpointAnswer begin(Connection& connection, bool readOnly)
     {
         if (connection.phase != SessionPhase::Idle)
-            return error(ReplyCode::Malformed);
+            return this->behaviour.acceptsNestedBegin ? success() : error(ReplyCode::Malformed);
         connection.phase = SessionPhase::Transaction;
         connection.transaction = ++this->lastTransaction;
         connection.readOnly = readOnly;
--- a/src/process/statement_audit_test.h
+++ b/src/process/statement_audit_test.h
@@ -75,10 +75,12 @@
             auto& statement = found->second;
             const auto transaction = statement.sent.transaction;
             auto& attempt = this->transactions[transaction];
-            if (transaction != 0 && !attempt.commitSent)
-                this->report(Rule::Unasked, id + " was committed before its client sent COMMIT");
-            else if (commit != this->statements.end() && commit->second.sent.transaction != transaction)
-                this->report(Rule::Unasked, id + " was committed by " + committed.commitId);
+            const bool ownCommit = commit != this->statements.end() && commit->second.sent.transaction == transaction;
+            const bool asked = transaction == 0 ? committed.commitId.empty() : attempt.commitSent && ownCommit;
+            if (!asked) {
+                const auto by = committed.commitId.empty() ? "a run outside its transaction" : committed.commitId;
+                this->report(Rule::Unasked, id + " was committed by " + by);
+            }
             if (++statement.effects > 1)
                 this->report(Rule::Twice, id + " took effect twice");
             if (statement.refused || (transaction != 0 && attempt.refused))
