Soak: endpoints answer twice, and the audit compares answers with runs

Cause: the soak's endpoints never sent an answer again, so that the soak could not see a proxy that takes such an answer for another statement's. Its audit compared the id in signature and row only.

Clients prepare colliding names, some with blanks in the shape. The audit compares each success with the run of its signature, and each run with what its client sent: text, shape, values, transaction, and the writes that a COMMIT commits. It counts violations by kind.

--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -28,10 +28,12 @@
         "connections that an endpoint accepts (1 to 1000); below twice the number of daemons, statements are forwarded "
         "to owners. 0: by seed, 32 if it is even and one less than that bound if it is odd",
         false, 0, "N", line };
-    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists", "restored" };
+    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists", "restored", "repeated-answers" };
     TCLAP::ValuesConstraint<std::string> scenarioNames { scenarios };
     TCLAP::ValueArg<std::string> scenario { "", "scenario", "which faults are injected", false, "mixed", &scenarioNames,
         line };
+    TCLAP::ValueArg<std::string> daemon { "", "daemon",
+        "program that is started as daemon, for example an older build; left out: this one", false, "", "PATH", line };
     TCLAP::SwitchArg json { "j", "json", "prints JSON", line };
 };
 
@@ -58,6 +60,8 @@
         return soak::SoakScenario::CutDaemon;
     if (name == "restored")
         return soak::SoakScenario::Restored;
+    if (name == "repeated-answers")
+        return soak::SoakScenario::RepeatedAnswers;
     return name == "old-lists" ? soak::SoakScenario::OldLists : soak::SoakScenario::Mixed;
 }
 
@@ -88,6 +92,7 @@
         settings.daemons = parsed.daemons.getValue();
         settings.clients = parsed.clients.getValue();
         settings.connections = connectionsOf(parsed, settings.seed);
+        settings.daemonProgram = parsed.daemon.getValue();
         settings.directory = makeDirectory();
         if (settings.directory.empty()) {
             std::cerr << "no directory for settings and logs can be made\n";
--- a/src/soak/audit.cc
+++ b/src/soak/audit.cc
@@ -2,12 +2,35 @@
 
 namespace endivetrestle::soak {
 
-void Audit::violate(const std::string& what)
+std::string violationKindName(ViolationKind kind)
 {
-    // One fault causes many violations; the first ones are enough to trace it.
-    constexpr std::size_t maxViolations = 20;
-    if (this->found.size() < maxViolations)
-        this->found.push_back(what);
+    switch (kind) {
+    case ViolationKind::WrongAnswer:
+        return "wrong answer";
+    case ViolationKind::WrongSession:
+        return "wrong session";
+    case ViolationKind::NotSent:
+        return "not sent";
+    case ViolationKind::WrongEffect:
+        return "wrong effect";
+    case ViolationKind::StaleRead:
+        return "stale read";
+    case ViolationKind::Promotion:
+        return "promotion";
+    case ViolationKind::UnexpectedMessage:
+        return "unexpected message";
+    case ViolationKind::Service:
+        break;
+    }
+    return "service";
+}
+
+void Audit::violate(ViolationKind kind, const std::string& what)
+{
+    // One fault causes many violations; the first ones of each kind are enough to trace it.
+    constexpr std::uint64_t maxPrinted = 10;
+    if (++this->foundCounts[kind] <= maxPrinted)
+        this->found.push_back(violationKindName(kind) + ": " + what);
 }
 
 bool Audit::isRolledBack(const std::string& group, const Position& position) const
@@ -45,11 +68,11 @@
 {
     auto& commit = this->commits[id];
     if (++commit.count > 1 && !this->isRolledBack(group, commit.position))
-        this->violate("write " + id + " took effect twice");
+        this->violate(ViolationKind::WrongEffect, "write " + id + " took effect twice");
     commit.position = position;
     commit.superseded = superseded;
     if (this->refused.count(id) != 0)
-        this->violate("write " + id + " took effect after a refusal");
+        this->violate(ViolationKind::WrongEffect, "write " + id + " took effect after a refusal");
 }
 
 void Audit::onRolledBack(const std::string& group, const Position& after, std::uint64_t newTerm)
@@ -63,11 +86,11 @@
     for (const auto& id : writes) {
         const auto commit = this->commits.find(id);
         if (commit == this->commits.end()) {
-            this->violate("write " + id + " was acknowledged and never took effect");
+            this->violate(ViolationKind::WrongEffect, "write " + id + " was acknowledged and never took effect");
             continue;
         }
         if (commit->second.superseded)
-            this->violate("write " + id + " was acknowledged by a replaced primary");
+            this->violate(ViolationKind::WrongEffect, "write " + id + " was acknowledged by a replaced primary");
         auto& known = this->acknowledgements[group];
         // Replies overtake each other; the list keeps rising positions only.
         if (known.empty() || known.back().second < commit->second.position)
@@ -81,7 +104,7 @@
         this->refused[id] = true;
         const auto commit = this->commits.find(id);
         if (commit != this->commits.end())
-            this->violate("write " + id + " was refused although it had taken effect");
+            this->violate(ViolationKind::WrongEffect, "write " + id + " was refused although it had taken effect");
     }
 }
 
@@ -96,11 +119,12 @@
     if (!this->promoted.empty()) {
         const auto& latest = this->promoted.back().order;
         if (order.token < latest.token)
-            this->violate(
+            this->violate(ViolationKind::Promotion,
                 "promotion with token " + std::to_string(order.token) + " after " + std::to_string(latest.token));
         if (order.token == latest.token && order.holder != latest.holder)
-            this->violate("promotions of " + latest.holder + " and " + order.holder + " with token "
-                + std::to_string(order.token));
+            this->violate(ViolationKind::Promotion,
+                "promotions of " + latest.holder + " and " + order.holder + " with token "
+                    + std::to_string(order.token));
         // One holder may order several promotions with its token.
         if (order.token <= latest.token)
             return;
@@ -121,8 +145,9 @@
     const bool turns = first.order.holder == third.order.holder && first.order.holder != second.order.holder;
     const auto name = [](const Promoted& promotion) { return promotion.order.group + "/" + promotion.order.endpoint; };
     if (turns && first.inTouch && second.inTouch && third.inTouch && third.at - first.at < leaseTime)
-        this->violate("daemons " + first.order.holder + " and " + second.order.holder
-            + " order promotions in turn: " + name(first) + ", " + name(second) + ", " + name(third));
+        this->violate(ViolationKind::Promotion,
+            "daemons " + first.order.holder + " and " + second.order.holder
+                + " order promotions in turn: " + name(first) + ", " + name(second) + ", " + name(third));
 }
 
 } // namespace endivetrestle::soak
--- a/src/soak/audit.h
+++ b/src/soak/audit.h
@@ -12,10 +12,45 @@
 
 namespace endivetrestle::soak {
 
+// Kinds of broken promises.
+enum class ViolationKind {
+    // A client got a success that is not the answer to a run of its statement.
+    WrongAnswer,
+    // A statement ran in another transaction, with other session values or with another prepared shape than its
+    // client's.
+    WrongSession,
+    // An endpoint ran or committed what no client had sent.
+    NotSent,
+    // A write took effect twice, after a refusal, or not at all.
+    WrongEffect,
+    // A read missed a write.
+    StaleRead,
+    // Promotions contradict each other.
+    Promotion,
+    // A client got a message that is no part of an answer.
+    UnexpectedMessage,
+    // A daemon ended by itself, or statements do not succeed after the faults.
+    Service,
+};
+
+std::string violationKindName(ViolationKind kind);
+
+// Shape that a client prepares under a name.
+struct PreparedShape {
+    bool writes = false;
+    std::string text;
+
+    bool operator==(const PreparedShape&) const = default;
+};
+
 // What a client promises itself of a statement when it sends it.
 struct SentStatement {
     std::string group;
-    std::string session;
+    std::string text;
+    // Shape that the client prepared under the name that an EXECUTE gives.
+    std::optional<PreparedShape> shape;
+    // Transaction of the client, unique among all clients; empty outside of one.
+    std::string transaction;
     bool reads = false;
     // Largest age of the data, or none if the read must see everything that was acknowledged before.
     std::optional<Duration> maxStaleness;
@@ -25,6 +60,23 @@
     std::map<std::string, std::string> values;
 };
 
+// One run of a statement at an endpoint, and what the endpoint answers to it.
+struct StatementRun {
+    std::string id;
+    // Text as it arrived, without a position to wait for.
+    std::string text;
+    std::map<std::string, std::string> values;
+    // Shape that an EXECUTE ran.
+    std::optional<PreparedShape> shape;
+    // Transaction of one connection of one endpoint, unique among all endpoints; empty outside of one.
+    std::string transaction;
+    // Writes that a COMMIT commits.
+    std::vector<std::string> committed;
+    std::vector<std::string> rows;
+    // Unique among all runs.
+    std::string signature;
+};
+
 // Order to promote an endpoint, as the platform receives it.
 struct PromotionOrderSeen {
     std::string group;
@@ -38,25 +90,19 @@
 class Audit {
 public:
     void onSent(const std::string& id, const SentStatement& statement, Time now);
-    // An endpoint runs a statement. `log` is the endpoint's applied position; `contains` tells whether its log holds a
-    // position.
-    template <typename Contains>
-    void onRun(const std::string& id, const std::map<std::string, std::string>& values, const Contains& contains)
+    // An endpoint runs a statement. `contains` tells whether the log of the endpoint holds a position.
+    template <typename Contains> void onRun(const StatementRun& run, const Contains& contains)
     {
-        const auto found = this->sent.find(id);
-        if (found == this->sent.end()) {
-            this->violate("endpoint ran statement " + id + " that no client sent");
+        const auto* entry = this->checkRun(run);
+        if (entry == nullptr || !entry->statement.reads)
             return;
-        }
-        if (found->second.statement.values != values)
-            this->violate("statement " + id + " ran with other session values");
-        if (!found->second.statement.reads)
-            return;
-        for (const auto& required : found->second.required) {
-            if (!this->isRolledBack(found->second.statement.group, required) && !contains(required))
-                this->violate("read " + id + " missed " + toString(required));
+        for (const auto& required : entry->required) {
+            if (!this->isRolledBack(entry->statement.group, required) && !contains(required))
+                this->violate(ViolationKind::StaleRead, "read " + run.id + " missed " + toString(required));
         }
     }
+    // A client got a success for a read, a write or a commit.
+    void onSuccess(const std::string& id, const std::vector<std::string>& rows, const std::string& signature);
     // A write took effect. `superseded`: at an endpoint that had been replaced already.
     void onCommitted(const std::string& id, const std::string& group, const Position& position, bool superseded);
     // A promotion dropped all positions of the group after the given one.
@@ -70,9 +116,12 @@
     // A daemon orders a promotion. Tokens never decrease, no two daemons use the same one, and two daemons do not
     // replace the primary of a group in turn while all daemons are in touch with the store.
     void onPromotion(const PromotionOrderSeen& order, bool inTouch, Time now);
-    void violate(const std::string& what);
+    void violate(ViolationKind kind, const std::string& what);
 
+    // The first violations of each kind.
     [[nodiscard]] const std::vector<std::string>& violations() const { return this->found; }
+    // Number of all violations of each kind that occurred.
+    [[nodiscard]] const std::map<ViolationKind, std::uint64_t>& violationCounts() const { return this->foundCounts; }
     [[nodiscard]] std::uint64_t acknowledged() const { return this->acknowledgedCount; }
     [[nodiscard]] std::uint64_t checkedReads() const { return this->readCount; }
 
@@ -81,6 +130,11 @@
         SentStatement statement;
         std::vector<Position> required;
     };
+    // What an endpoint answered to one run.
+    struct RunAnswer {
+        std::string id;
+        std::vector<std::string> rows;
+    };
     struct Commit {
         Position position;
         int count = 0;
@@ -96,10 +150,19 @@
         std::uint64_t newTerm = 0;
     };
 
+    // Compares a run with what its client sent. Returns null if no client sent it.
+    const Sent* checkRun(const StatementRun& run);
+    void checkTransaction(const SentStatement& statement, const StatementRun& run);
+    void checkCommitted(const SentStatement& statement, const StatementRun& run);
     void checkTurns();
     [[nodiscard]] bool isRolledBack(const std::string& group, const Position& position) const;
 
     std::map<std::string, Sent> sent;
+    // Answers of endpoints by their signature.
+    std::map<std::string, RunAnswer> answers;
+    // Transactions of clients by those of endpoints, and the other way round, as their first statement bound them.
+    std::map<std::string, std::string> clientTransactions;
+    std::map<std::string, std::string> endpointTransactions;
     std::map<std::string, Commit> commits;
     std::map<std::string, bool> refused;
     std::map<std::string, std::vector<RollBack>> rollBacks;
@@ -110,6 +173,7 @@
     std::uint64_t acknowledgedCount = 0;
     std::uint64_t readCount = 0;
     std::vector<std::string> found;
+    std::map<ViolationKind, std::uint64_t> foundCounts;
 };
 
 } // namespace endivetrestle::soak
--- a/src/soak/audit_test.cc
+++ b/src/soak/audit_test.cc
@@ -27,6 +27,14 @@
     return statement;
 }
 
+StatementRun runOf(const std::string& id)
+{
+    StatementRun run;
+    run.id = id;
+    run.signature = "e1.1." + id;
+    return run;
+}
+
 // Acknowledges one write at position 1:1.
 void acknowledgeWrite(Audit& audit)
 {
@@ -42,7 +50,7 @@
     Audit audit;
     acknowledgeWrite(audit);
     audit.onSent("r", readOf(std::nullopt), start + 20ms);
-    audit.onRun("r", {}, logOf({}));
+    audit.onRun(runOf("r"), logOf({}));
     CHECK(audit.violations().size() == 1);
 }
 
@@ -52,11 +60,11 @@
     audit.onSent("before", readOf(std::nullopt), start + 5ms);
     acknowledgeWrite(audit);
     audit.onSent("old", readOf(600ms), start + 20ms);
-    audit.onRun("before", {}, logOf({}));
-    audit.onRun("old", {}, logOf({}));
+    audit.onRun(runOf("before"), logOf({}));
+    audit.onRun(runOf("old"), logOf({}));
     CHECK(audit.violations().empty());
     audit.onSent("late", readOf(600ms), start + 2s);
-    audit.onRun("late", {}, logOf({}));
+    audit.onRun(runOf("late"), logOf({}));
     CHECK(audit.violations().size() == 1);
 }
 
@@ -66,7 +74,7 @@
     acknowledgeWrite(audit);
     audit.onRolledBack("g", { 1, 0 }, 2);
     audit.onSent("r", readOf(std::nullopt), start + 20ms);
-    audit.onRun("r", {}, logOf({}));
+    audit.onRun(runOf("r"), logOf({}));
     CHECK(audit.violations().empty());
 }
 
@@ -97,11 +105,13 @@
 TEST_CASE("Audit, finds statements of nobody, with other session values, and tokens that decrease")
 {
     Audit audit;
-    audit.onRun("unknown", {}, logOf({}));
+    audit.onRun(runOf("unknown"), logOf({}));
     SentStatement statement;
     statement.values = { { "zone", "a" } };
     audit.onSent("s", statement, start);
-    audit.onRun("s", { { "zone", "b" } }, logOf({}));
+    auto run = runOf("s");
+    run.values = { { "zone", "b" } };
+    audit.onRun(run, logOf({}));
     audit.onPromotion({ "g", "e1", "a", 2 }, false, start);
     audit.onPromotion({ "g", "e1", "a", 2 }, false, start);
     CHECK(audit.violations().size() == 2);
--- a/src/soak/daemon_process.cc
+++ b/src/soak/daemon_process.cc
@@ -8,8 +8,9 @@
 
 namespace endivetrestle::soak {
 
-DaemonProcess::DaemonProcess(std::string settings, std::string log)
-    : settings(std::move(settings))
+DaemonProcess::DaemonProcess(std::string program, std::string settings, std::string log)
+    : program(program.empty() ? "/proc/self/exe" : std::move(program))
+    , settings(std::move(settings))
     , log(std::move(log))
 {
 }
@@ -33,7 +34,7 @@
         dup2(output, STDERR_FILENO);
         // Descriptors of the soak must not stay open in the daemon.
         close_range(STDERR_FILENO + 1, ~0U, 0);
-        execl("/proc/self/exe", "endivetrestle", "proxy", this->settings.c_str(), static_cast<char*>(nullptr));
+        execl(this->program.c_str(), "endivetrestle", "proxy", this->settings.c_str(), static_cast<char*>(nullptr));
         _exit(127);
     }
     this->pid = child;
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -9,6 +9,21 @@
 
 using nlohmann::json;
 
+namespace {
+
+std::string formatViolationCounts(const std::map<std::string, std::uint64_t>& counts)
+{
+    std::uint64_t total = 0;
+    std::string kinds;
+    for (const auto& [kind, count] : counts) {
+        total += count;
+        kinds += (kinds.empty() ? "" : ", ") + kind + " " + std::to_string(count);
+    }
+    return std::to_string(total) + " violations" + (kinds.empty() ? "" : " (" + kinds + ")");
+}
+
+} // namespace
+
 SoakReport runSoak(const SoakSettings& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -23,7 +38,7 @@
         + std::to_string(report.counts.succeeded) + ", refused " + std::to_string(report.counts.refused) + ", unknown "
         + std::to_string(report.counts.unknown) + ", sessions lost " + std::to_string(report.counts.lost)
         + ", writes checked " + std::to_string(report.acknowledgedWrites) + ", reads checked "
-        + std::to_string(report.checkedReads) + ", " + std::to_string(report.violations.size()) + " violations\n";
+        + std::to_string(report.checkedReads) + ", " + formatViolationCounts(report.violationCounts) + "\n";
     for (const auto& violation : report.violations)
         text += "  VIOLATION " + violation + "\n";
     if (!report.violations.empty()) {
@@ -40,7 +55,7 @@
         { "succeeded", report.counts.succeeded }, { "refused", report.counts.refused },
         { "unknown", report.counts.unknown }, { "sessionsLost", report.counts.lost },
         { "writesChecked", report.acknowledgedWrites }, { "readsChecked", report.checkedReads },
-        { "violations", report.violations }
+        { "violations", report.violations }, { "violationCounts", report.violationCounts }
     }.dump(2)
         + "\n";
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -3,6 +3,7 @@
 #include "soak/soak_client.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
     OldLists,
     // Primaries are replaced while the store loses what it has acknowledged and comes back from a copy.
     Restored,
+    // Endpoints send a share of their answers twice all the while; all other kinds of faults occur less often.
+    RepeatedAnswers,
 };
 
 struct SoakSettings {
@@ -32,6 +35,8 @@
     int connections = 32;
     // Directory for settings files and logs of the daemons. It must exist.
     std::string directory;
+    // Program that is started as daemon; this one if empty.
+    std::string daemonProgram;
 };
 
 // What a soak found. It passed if there are no violations.
@@ -43,16 +48,18 @@
     std::uint64_t promotions = 0;
     // Faults that were injected, in order, with their second.
     std::vector<std::string> faults;
+    // The first violations of each kind, and the number of all by kind.
     std::vector<std::string> violations;
+    std::map<std::string, std::uint64_t> violationCounts;
 };
 
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
 // and continue), harmed connections to the store, to endpoints and between daemons, endpoints that crash, lag, drain,
-// leave or lose answers, and a store that is down, loses answers, forgets its history or comes back from an older copy.
-// Every daemon has connections of its own to the store, to each endpoint and to each other daemon, so that a fault may
-// concern some daemons only. At the end everything is healed, and most statements must succeed again, in each group and
-// for writes and reads apart, and every daemon must stop within its grace period.
+// leave, lose answers or send them twice, and a store that is down, loses answers, forgets its history or comes back
+// from an older copy. Every daemon has connections of its own to the store, to each endpoint and to each other daemon,
+// so that a fault may concern some daemons only. At the end everything is healed, and most statements must succeed
+// again, in each group and for writes and reads apart, and every daemon must stop within its grace period.
 SoakReport runSoak(const SoakSettings& settings);
 
 std::string formatReport(const SoakReport& report);
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -2,8 +2,8 @@
 
 #include "base/boot_clock.h"
 #include "platform/line_codec.h"
-#include "soak/standin_group.h"
 
+#include <iterator>
 #include <utility>
 
 namespace endivetrestle::soak {
@@ -13,6 +13,10 @@
 // Longest wait for an answer, longer than any statement time of the routes.
 constexpr std::chrono::seconds answerLimit { 4 };
 
+// Shapes that clients prepare. Some contain blanks, as if they were statements, and one does not fit into a name.
+const std::string preparedShapes[] = { "q13", "q 13", "WRITE q13", "uc WRITE q13 WRITE uc",
+    "a shape of more than sixty-four bytes, which is too long to be a part of a name" };
+
 bool promisesNothingKept(const std::string& word)
 {
     const auto code = platform::parseReplyCode(word);
@@ -53,6 +57,7 @@
     this->inTransaction = false;
     this->transactionWrites.clear();
     this->values.clear();
+    this->prepared.clear();
     this->ownWrite.reset();
     this->expected = Expect::Startup;
     this->outstanding = true;
@@ -98,32 +103,32 @@
     if (!this->outstanding) {
         // An error that answers nothing ends the session; the client closes it.
         if (word != "ERROR")
-            this->audit.violate("client without a statement got the line " + text);
+            this->audit.violate(ViolationKind::UnexpectedMessage, "client without a statement got the line " + text);
         this->reconnectLater();
         return false;
     }
     if (word == "DATAROW")
-        this->row = rest;
+        this->rows.push_back(rest);
     else if (word == "COMPLETE")
         this->signature = rest;
     else if (word == "ERROR") {
-        this->errorCode = rest.substr(0, rest.find(' '));
+        this->onError(rest.substr(0, rest.find(' ')));
         // The session is closed after a refused start.
         return this->expected != Expect::Startup;
     } else if (word == "READY")
         this->onReady(rest.substr(0, 1));
     else
-        this->audit.violate("client got the line " + text);
+        this->audit.violate(ViolationKind::UnexpectedMessage, "client got the line " + text);
     return !this->stopped;
 }
 
-void SoakClient::checkAnswer()
+void SoakClient::onError(const std::string& code)
 {
-    const bool data = this->expected == Expect::Read || this->expected == Expect::Write;
-    if (data && this->row != rowOf(this->currentId))
-        this->audit.violate("statement " + this->currentId + " got the row " + this->row);
-    if ((data || this->expected == Expect::Commit) && this->signature != "sig-" + this->currentId)
-        this->audit.violate("statement " + this->currentId + " got the signature " + this->signature);
+    this->errorCode = code;
+    // The client sends an EXECUTE only once the preparing has been acknowledged.
+    if (platform::parseReplyCode(code) == ReplyCode::NoStatement)
+        this->audit.violate(
+            ViolationKind::WrongSession, "prepared name of statement " + this->currentId + " is unknown");
 }
 
 void SoakClient::onReady(const std::string& state)
@@ -134,17 +139,32 @@
         this->onFailure(state);
         return;
     }
-    this->checkAnswer();
-    if (this->expected != Expect::Startup) {
-        ++this->counts.succeeded;
-        ++this->presentCounts().succeeded;
-    }
+    this->onSuccess();
+    this->timer.expires_after(std::chrono::milliseconds(1 + this->random() % 30));
+    this->timer.async_wait([this](const asio::error_code& error) {
+        if (!error && !this->stopped)
+            this->nextOperation();
+    });
+}
+
+void SoakClient::onSuccess()
+{
+    if (this->expected == Expect::Startup)
+        return;
+    ++this->counts.succeeded;
+    ++this->presentCounts().succeeded;
+    if (this->expected == Expect::Read || this->expected == Expect::Write || this->expected == Expect::Commit)
+        this->audit.onSuccess(this->currentId, this->rows, this->signature);
     switch (this->expected) {
     case Expect::SetValue:
         this->values[this->pendingValue.first] = this->pendingValue.second;
         break;
+    case Expect::Prepare:
+        this->prepared[this->pendingPrepare.first] = this->pendingPrepare.second;
+        break;
     case Expect::Begin:
         this->inTransaction = true;
+        ++this->transactions;
         this->transactionLeft = 1 + static_cast<int>(this->random() % 3);
         break;
     case Expect::Write:
@@ -168,11 +188,6 @@
         this->inTransaction = false;
         this->transactionWrites.clear();
     }
-    this->timer.expires_after(std::chrono::milliseconds(1 + this->random() % 30));
-    this->timer.async_wait([this](const asio::error_code& error) {
-        if (!error && !this->stopped)
-            this->nextOperation();
-    });
 }
 
 void SoakClient::onFailure(const std::string& state)
@@ -204,41 +219,74 @@
 
 void SoakClient::nextOperation()
 {
-    if (this->inTransaction) {
-        if (this->transactionLeft-- > 0) {
-            this->sendData(this->random() % 2 == 0);
-            return;
-        }
-        const bool commit = this->random() % 5 != 0;
-        this->send(commit ? Expect::Commit : Expect::Rollback, commit ? "COMMIT" : "ROLLBACK");
-        return;
-    }
     const auto choice = this->random() % 100;
-    if (choice < 10) {
-        this->pendingValue = { "v" + std::to_string(this->random() % 2), std::to_string(this->random() % 3) };
-        this->send(Expect::SetValue, "SET " + this->pendingValue.first + " " + this->pendingValue.second);
-    } else if (choice < 30)
+    if (this->inTransaction && this->transactionLeft-- <= 0) {
+        const bool commit = choice >= 20;
+        this->send(commit ? Expect::Commit : Expect::Rollback, commit ? "COMMIT" : "ROLLBACK");
+    } else if (choice < 10)
+        this->sendSetValue();
+    else if (choice < 15)
+        this->sendPrepare();
+    else if (this->inTransaction)
+        this->sendData(choice < 58);
+    else if (choice < 35)
         this->send(Expect::Begin, "BEGIN");
     else
-        this->sendData(choice < 55);
+        this->sendData(choice < 58);
+}
+
+void SoakClient::sendSetValue()
+{
+    this->pendingValue = { "v" + std::to_string(this->random() % 2), std::to_string(this->random() % 3) };
+    this->send(Expect::SetValue, "SET " + this->pendingValue.first + " " + this->pendingValue.second);
+}
+
+// Names are few, so that clients prepare different shapes under one name, and one client may do so again.
+void SoakClient::sendPrepare()
+{
+    const bool writes = this->random() % 2 == 0;
+    const auto& shape = preparedShapes[this->random() % std::size(preparedShapes)];
+    this->pendingPrepare = { "p" + std::to_string(this->random() % 3), { writes, shape } };
+    this->send(Expect::Prepare, "PREPARE " + this->pendingPrepare.first + (writes ? " WRITE " : " READ ") + shape);
+}
+
+std::optional<std::string> SoakClient::preparedName(bool writes) const
+{
+    for (const auto& [preparedAs, shape] : this->prepared) {
+        if (shape.writes == writes)
+            return preparedAs;
+    }
+    return std::nullopt;
 }
 
 void SoakClient::sendData(bool write)
 {
-    // The data of a write would be another write if a line feed ended the statement.
-    this->send(write ? Expect::Write : Expect::Read, write ? "WRITE 1 x\nQUERY unsent WRITE 1 y" : "READ 1");
+    // Each statement has a text of its own. The data of a write would be another write if a line feed ended the
+    // statement.
+    const auto item = std::to_string(this->statements);
+    const auto arguments = write ? item + " " + this->name + "\nQUERY unsent WRITE 1 y" : item;
+    const auto kind = write ? Expect::Write : Expect::Read;
+    const auto preparedAs = this->preparedName(write);
+    if (preparedAs && this->random() % 2 == 0)
+        this->send(kind, "EXECUTE " + *preparedAs + " " + arguments, this->prepared.at(*preparedAs));
+    else
+        this->send(kind, (write ? "WRITE " : "READ ") + arguments);
 }
 
-void SoakClient::send(Expect kind, const std::string& text)
+void SoakClient::send(Expect kind, const std::string& text, const std::optional<PreparedShape>& shape)
 {
     this->expected = kind;
     this->outstanding = true;
     this->currentId = this->name + "." + std::to_string(++this->statements);
-    this->row.clear();
+    this->rows.clear();
     this->signature.clear();
     this->errorCode.clear();
     SentStatement statement;
     statement.group = this->route.group;
+    statement.text = text;
+    statement.shape = shape;
+    if (this->inTransaction)
+        statement.transaction = this->name + "/" + std::to_string(this->transactions);
     statement.reads = kind == Expect::Read && !this->inTransaction;
     statement.maxStaleness = this->route.maxStaleness;
     statement.values = this->values;
--- a/src/soak/soak_client.h
+++ b/src/soak/soak_client.h
@@ -48,17 +48,23 @@
     [[nodiscard]] const ClientCounts& readCounts() const { return this->reads; }
 
 private:
-    enum class Expect { Startup, Begin, Read, Write, Commit, Rollback, SetValue };
+    enum class Expect { Startup, Begin, Read, Write, Commit, Rollback, SetValue, Prepare };
 
     void connect();
     void reconnectLater();
     bool onLine(std::string_view line);
     void onReady(const std::string& state);
     void nextOperation();
-    void send(Expect expected, const std::string& text);
+    // Sends a statement; an EXECUTE with the shape that was prepared under its name.
+    void send(Expect expected, const std::string& text, const std::optional<PreparedShape>& shape = std::nullopt);
     void sendData(bool write);
+    void sendSetValue();
+    void sendPrepare();
+    // Name under which a statement that writes, or one that reads, is prepared, if there is one.
+    [[nodiscard]] std::optional<std::string> preparedName(bool writes) const;
     void onFailure(const std::string& state);
-    void checkAnswer();
+    void onError(const std::string& code);
+    void onSuccess();
     void armTimeout();
     // Counts of the kind to which the present statement belongs.
     [[nodiscard]] ClientCounts& presentCounts();
@@ -83,14 +89,18 @@
     std::string currentId;
     std::uint64_t statements = 0;
     // Parts of the answer that have arrived.
-    std::string row;
+    std::vector<std::string> rows;
     std::string signature;
     std::string errorCode;
     bool inTransaction = false;
+    // Number of the latest transaction.
+    std::uint64_t transactions = 0;
     int transactionLeft = 0;
     std::vector<std::string> transactionWrites;
     std::map<std::string, std::string> values;
     std::pair<std::string, std::string> pendingValue;
+    std::map<std::string, PreparedShape> prepared;
+    std::pair<std::string, PreparedShape> pendingPrepare;
     std::optional<Position> ownWrite;
 };
 
--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -26,6 +26,8 @@
         return std::chrono::milliseconds(22000 + this->random() % 4000);
     case SoakScenario::Restored:
         return std::chrono::milliseconds(9000 + this->random() % 5000);
+    case SoakScenario::RepeatedAnswers:
+        return std::chrono::milliseconds(1500 + this->random() % 3500);
     case SoakScenario::Mixed:
         break;
     }
@@ -56,8 +58,10 @@
         this->restoreStore();
         return;
     }
-    const auto kind = this->random() % 25;
-    if (kind == 24)
+    const auto kind = this->random() % 26;
+    if (kind == 25)
+        this->repeatAnswers();
+    else if (kind == 24)
         this->restoreStore();
     else if (kind < 5)
         this->harmDaemon(kind);
@@ -203,6 +207,23 @@
     }
 }
 
+double SoakRun::usualRepeatShare() const
+{
+    constexpr double share = 0.1;
+    return this->settings.scenario == SoakScenario::RepeatedAnswers && !this->healed ? share : 0;
+}
+
+// One member sends many answers twice for some seconds.
+void SoakRun::repeatAnswers()
+{
+    constexpr double share = 0.3;
+    auto* endpoint = this->members.at(this->random() % this->members.size()).endpoint;
+    const auto duration = this->upTo(5000);
+    this->note("answers of " + endpoint->id + " sent twice for " + std::to_string(duration.count()) + " ms");
+    endpoint->answerTwice = share;
+    this->later(duration, [this, endpoint] { endpoint->answerTwice = this->usualRepeatShare(); });
+}
+
 void SoakRun::harmStore(std::uint64_t kind)
 {
     const auto duration = this->upTo(6000);
@@ -295,6 +316,7 @@
     for (auto& member : this->members) {
         for (const auto& link : member.links)
             link->cut(LinkCut::None);
+        member.endpoint->answerTwice = 0;
     }
     this->store.down = false;
     this->store.loseAnswers = 0;
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -66,6 +66,8 @@
     this->checkRecovery();
     this->stopAll();
     this->report.violations = this->audit.violations();
+    for (const auto& [kind, count] : this->audit.violationCounts())
+        this->report.violationCounts[violationKindName(kind)] = count;
     this->report.acknowledgedWrites = this->audit.acknowledged();
     this->report.checkedReads = this->audit.checkedReads();
     return this->report;
@@ -86,6 +88,7 @@
 {
     auto& member = this->members.emplace_back();
     member.endpoint = &endpoint;
+    endpoint.answerTwice = this->usualRepeatShare();
     for (int i = 0; i < this->settings.daemons; ++i)
         member.links.push_back(std::make_unique<FaultLink>(
             this->context, this->random, [&endpoint] { return loopback(endpoint.port()); }));
@@ -213,7 +216,8 @@
                         << ":18785\"\n[platform]\nAddress = \"127.0.0.1:" << daemon.storeLink->port()
                         << "\"\n[Cloud]\nAddress = \"127.0.0.1:" << daemon.promotionLink->port()
                         << "\"\n[Bounds]\nGraceS = 6\n";
-    daemon.process = std::make_unique<DaemonProcess>(file, this->settings.directory + "/" + name + ".log");
+    daemon.process = std::make_unique<DaemonProcess>(
+        this->settings.daemonProgram, file, this->settings.directory + "/" + name + ".log");
     daemon.process->start();
 }
 
@@ -254,8 +258,9 @@
     if (daemon.stopped || daemon.process->poll())
         return;
     if (!daemon.endExpected)
-        this->audit.violate("daemon " + std::to_string(index + 1) + " ended by itself with status "
-            + std::to_string(daemon.process->lastStatus()));
+        this->audit.violate(ViolationKind::Service,
+            "daemon " + std::to_string(index + 1) + " ended by itself with status "
+                + std::to_string(daemon.process->lastStatus()));
     daemon.endExpected = false;
     daemon.stopped = true;
     this->later(std::chrono::milliseconds(100 + this->random() % 900), [this, index] {
@@ -311,8 +316,9 @@
         const auto good = now.succeeded - earlier.succeeded;
         const auto bad = now.refused - earlier.refused + now.unknown - earlier.unknown + now.lost - earlier.lost;
         if (static_cast<double>(good) < recoveredShare * static_cast<double>(good + bad) || good == 0)
-            this->audit.violate("after healing only " + std::to_string(good) + " of " + std::to_string(good + bad) + " "
-                + kind + " succeeded");
+            this->audit.violate(ViolationKind::Service,
+                "after healing only " + std::to_string(good) + " of " + std::to_string(good + bad) + " " + kind
+                    + " succeeded");
     }
 }
 
@@ -356,9 +362,10 @@
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
         const auto& process = *this->daemons.at(i).process;
         if (this->daemons.at(i).process->poll())
-            this->audit.violate("daemon " + std::to_string(i + 1) + " did not stop within its grace period");
-        else if (process.lastStatus() != 0)
             this->audit.violate(
+                ViolationKind::Service, "daemon " + std::to_string(i + 1) + " did not stop within its grace period");
+        else if (process.lastStatus() != 0)
+            this->audit.violate(ViolationKind::Service,
                 "daemon " + std::to_string(i + 1) + " stopped with status " + std::to_string(process.lastStatus()));
     }
 }
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -87,6 +87,9 @@
     void pause(std::size_t index, std::chrono::milliseconds duration, const std::string& name);
     void harmMember(std::uint64_t kind);
     void harmStore(std::uint64_t kind);
+    void repeatAnswers();
+    // Share of answers that members send twice when no fault says otherwise.
+    [[nodiscard]] double usualRepeatShare() const;
     void restoreStore();
     void writeAgain();
     void harmed(std::size_t daemon, std::chrono::milliseconds duration);
