Soak: check unknown prepared names in the audit

Cause: the client itself reported NOSTMT, so that no test could show that this check can fail; and of the other checks of runs, the one of a transaction's owner could be left out without a failing test.

Change: Audit::onError takes the check, with a test; a test of a first statement inside another client's transaction.

--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <unistd.h>
 #include <vector>
 
 namespace endivetrestle {
@@ -82,6 +83,10 @@
         std::cerr << "a value is out of its range; see --help\n";
         return ExitUsage;
     }
+    if (!parsed.daemon.getValue().empty() && access(parsed.daemon.getValue().c_str(), X_OK) != 0) {
+        std::cerr << "the program of --daemon cannot be run\n";
+        return ExitUsage;
+    }
     configureLogging("error");
     bool passed = true;
     for (int i = 0; i < parsed.runs.getValue(); ++i) {
--- a/src/soak/audit.h
+++ b/src/soak/audit.h
@@ -103,6 +103,8 @@
     }
     // A client got a success for a read, a write or a commit.
     void onSuccess(const std::string& id, const std::vector<std::string>& rows, const std::string& signature);
+    // A client got an error for a statement.
+    void onError(const std::string& id, ReplyCode code);
     // A write took effect. `superseded`: at an endpoint that had been replaced already.
     void onCommitted(const std::string& id, const std::string& group, const Position& position, bool superseded);
     // A promotion dropped all positions of the group after the given one.
--- a/src/soak/audit_runs.cc
+++ b/src/soak/audit_runs.cc
@@ -78,6 +78,14 @@
     }
 }
 
+void Audit::onError(const std::string& id, ReplyCode code)
+{
+    const auto found = this->sent.find(id);
+    // A client executes a name only after its preparing was acknowledged.
+    if (code == ReplyCode::NoStatement && found != this->sent.end() && found->second.statement.shape)
+        this->violate(ViolationKind::WrongSession, "the prepared name of statement " + id + " is unknown");
+}
+
 void Audit::onSuccess(const std::string& id, const std::vector<std::string>& rows, const std::string& signature)
 {
     const auto found = this->answers.find(signature);
--- a/src/soak/audit_runs_test.cc
+++ b/src/soak/audit_runs_test.cc
@@ -159,6 +159,17 @@
     CHECK(runs.found(ViolationKind::WrongSession) == 3);
 }
 
+// Guards against names that are lost when a connection is reset or given to another client.
+TEST_CASE("Audit, finds a prepared name that is unknown to its client")
+{
+    Runs runs;
+    runs.sendExecute("a", { false, "q13" });
+    runs.audit.onError("a", ReplyCode::Busy);
+    CHECK(runs.audit.violations().empty());
+    runs.audit.onError("a", ReplyCode::NoStatement);
+    CHECK(runs.found(ViolationKind::WrongSession) == 1);
+}
+
 // Guards against a connection that serves a client before the one before has ended its transaction.
 TEST_CASE("Audit, finds a statement outside of its transaction and one inside of a transaction that is not its own")
 {
@@ -176,6 +187,10 @@
     CHECK(runs.found(ViolationKind::WrongSession) == 2);
     runs.run(runs.runOf("other", "e1/1"));
     CHECK(runs.found(ViolationKind::WrongSession) == 3);
+    // The first statement of its transaction.
+    runs.send("first", "READ 1", "c3/1");
+    runs.run(runs.runOf("first", "e1/1"));
+    CHECK(runs.found(ViolationKind::WrongSession) == 4);
 }
 
 TEST_CASE("Audit, finds a statement of a transaction on another connection than the first one")
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -112,7 +112,8 @@
     else if (word == "COMPLETE")
         this->signature = rest;
     else if (word == "ERROR") {
-        this->onError(rest.substr(0, rest.find(' ')));
+        this->errorCode = rest.substr(0, rest.find(' '));
+        this->audit.onError(this->currentId, platform::parseReplyCode(this->errorCode));
         // The session is closed after a refused start.
         return this->expected != Expect::Startup;
     } else if (word == "READY")
@@ -122,15 +123,6 @@
     return !this->stopped;
 }
 
-void SoakClient::onError(const std::string& code)
-{
-    this->errorCode = code;
-    // The client sends an EXECUTE only once the preparing has been acknowledged.
-    if (platform::parseReplyCode(code) == ReplyCode::NoStatement)
-        this->audit.violate(
-            ViolationKind::WrongSession, "prepared name of statement " + this->currentId + " is unknown");
-}
-
 void SoakClient::onReady(const std::string& state)
 {
     this->timeout.cancel();
--- a/src/soak/soak_client.h
+++ b/src/soak/soak_client.h
@@ -63,7 +63,6 @@
     // Name under which a statement that writes, or one that reads, is prepared, if there is one.
     [[nodiscard]] std::optional<std::string> preparedName(bool writes) const;
     void onFailure(const std::string& state);
-    void onError(const std::string& code);
     void onSuccess();
     void armTimeout();
     // Counts of the kind to which the present statement belongs.
