--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -219,9 +219,7 @@
         this->sendSetValue();
     else if (choice < 15)
         this->sendPrepare();
-    else if (this->inTransaction)
-        this->sendData(choice < 58);
-    else if (choice < 35)
+    else if (!this->inTransaction && choice < 35)
         this->send(Expect::Begin, "BEGIN");
     else
         this->sendData(choice < 58);
