Hand out no part of an HTTP answer that was cut off

Callers saw: a lease renewal through another daemon, a witness or an opinion could be read from the part of an answer that had arrived before its connection broke; they look at the body alone. Cause: a call without a complete answer had status 0 and kept the body. The fix: such a call hands out an empty answer.

--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -221,8 +221,10 @@
 
     void fail()
     {
-        this->answer.status = 0;
-        this->answer.mayHaveRun = this->written;
+        HttpAnswer none;
+        none.mayHaveRun = this->written;
+        none.sentAt = this->answer.sentAt;
+        this->answer = std::move(none);
         this->finish(false);
     }
 
--- a/src/edge/loop_http_client_test.cc
+++ b/src/edge/loop_http_client_test.cc
@@ -1,10 +1,12 @@
 #include "edge/loop_http_client.h"
 
 #include "edge/http_server.h"
+#include "edge/scripted_http_server_test.h"
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 
 using namespace endivetrestle;
 using namespace std::chrono_literals;
@@ -49,3 +51,41 @@
         CHECK_FALSE(answer.header("Store"));
     }
 }
+
+namespace {
+
+// A client with a server that sends what a script says.
+struct ScriptedFixture {
+    explicit ScriptedFixture(ScriptedHttpServer::Script script)
+        : server(context, std::move(script))
+        , client(context, server.address())
+    {
+    }
+
+    // Runs a call to its end.
+    HttpAnswer call()
+    {
+        std::optional<HttpAnswer> result;
+        this->client.send({ "GET", "/", {}, "", std::nullopt }, 300ms, [&](const HttpAnswer& answer) { result = answer; });
+        while (!result)
+            this->context.run_one();
+        return *result;
+    }
+
+    asio::io_context context;
+    ScriptedHttpServer server;
+    LoopHttpClient client;
+};
+
+} // namespace
+
+// Guards against half an answer that is read as a whole one by callers that look at the body alone.
+TEST_CASE("LoopHttpClient, reports no body when the answer is cut off before its end")
+{
+    ScriptedFixture fixture([](int, const std::string&) -> std::vector<ScriptedBytes> {
+        return { { "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n{\"done\":true}" } };
+    });
+    const auto answer = fixture.call();
+    CHECK(answer.status == 0);
+    CHECK(answer.body.empty());
+}
