Take no HTTP answer for that of another call to the store or platform

Callers saw, from a store or platform that answers a call twice: a change (lease, claim, promotion lock) counted as done or as refused by the answer to the change before, a read or watch got the rows of before, and a promotion counted as accepted that the platform had not seen. Cause: HTTP/1.1 numbers nothing, and a kept connection took the next response for the answer, whatever it was.

A call on a connection that the server had closed had no answer as well.

The fix: a connection is kept only after an answer that a later call cannot take for its own, and only if nothing has arrived when the next request is written.

--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -1,6 +1,7 @@
 #include "edge/loop_http_client.h"
 
 #include "base/boot_clock.h"
+#include "base/log.h"
 #include "edge/keep_alive.h"
 
 #include <algorithm>
@@ -119,6 +120,7 @@
         this->answer = {};
         auto& pending = this->queue.front();
         const auto left = pending.queuedAt + pending.timeout - bootNow();
+        this->closeIfNotQuiet();
         const auto sequence = ++this->callSequence;
         if (this->socket.is_open()) {
             this->failAfter(left, sequence);
@@ -129,6 +131,28 @@
         this->connect(sequence);
     }
 
+    // Closes a kept connection that the server has closed, or on which it has sent what no request asked for.
+    void closeIfNotQuiet()
+    {
+        if (!this->socket.is_open())
+            return;
+        char next = 0;
+        asio::error_code error;
+        this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+        if (error == asio::error::would_block)
+            return;
+        if (!error)
+            this->logForeignBytes("bytes_before_request");
+        this->closeSocket();
+    }
+
+    void logForeignBytes(const char* reason)
+    {
+        logEvent(LogLevel::Warning, "http_answer_of_no_call",
+            { { "server", toString(this->server) }, { "reason", reason }, { "connection", this->connectionCount },
+                { "target", this->queue.front().call.target } });
+    }
+
     void failAfter(Duration delay, std::uint64_t sequence)
     {
         constexpr Duration shortest = std::chrono::milliseconds(1);
@@ -165,6 +189,7 @@
     void write(std::uint64_t sequence)
     {
         this->answer.sentAt = bootNow();
+        this->answer.connection = this->connectionCount;
         this->written = true;
         this->outgoing = encodeRequest(this->queue.front().call, this->server);
         http_parser_init(&this->parser, HTTP_RESPONSE);
@@ -208,8 +233,7 @@
         }
         const auto parsed = http_parser_execute(&this->parser, &this->parserSettings, bytes.data(), bytes.size());
         if (this->complete) {
-            this->answer.status = static_cast<int>(this->parser.status_code);
-            this->finish(this->keepAlive && parsed == bytes.size());
+            this->onComplete(parsed < bytes.size());
             return;
         }
         if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
@@ -219,11 +243,28 @@
         this->read(sequence);
     }
 
+    void onComplete(bool bytesFollow)
+    {
+        this->answer.status = static_cast<int>(this->parser.status_code);
+        this->answer.answeredAt = bootNow();
+        const auto& call = this->queue.front().call;
+        const auto match = call.match ? call.match(this->answer) : AnswerMatch::Possible;
+        if (match == AnswerMatch::Impossible) {
+            this->logForeignBytes("answer_of_another_call");
+            this->fail();
+            return;
+        }
+        if (bytesFollow)
+            this->logForeignBytes("bytes_after_answer");
+        this->finish(this->keepAlive && !bytesFollow && match == AnswerMatch::Proven);
+    }
+
     void fail()
     {
         HttpAnswer none;
         none.mayHaveRun = this->written;
         none.sentAt = this->answer.sentAt;
+        none.connection = this->answer.connection;
         this->answer = std::move(none);
         this->finish(false);
     }
--- a/src/edge/loop_http_client_test.cc
+++ b/src/edge/loop_http_client_test.cc
@@ -63,10 +63,13 @@
     }
 
     // Runs a call to its end.
-    HttpAnswer call()
+    HttpAnswer call(AnswerMatch match = AnswerMatch::Proven)
     {
+        HttpCall call;
+        call.target = "/";
+        call.match = [match](const HttpAnswer&) { return match; };
         std::optional<HttpAnswer> result;
-        this->client.send({ "GET", "/", {}, "", std::nullopt }, 300ms, [&](const HttpAnswer& answer) { result = answer; });
+        this->client.send(call, 300ms, [&](const HttpAnswer& answer) { result = answer; });
         while (!result)
             this->context.run_one();
         return *result;
@@ -79,6 +82,71 @@
 
 } // namespace
 
+// Guards against a call that gets the answer of the call before, because that one was answered twice.
+TEST_CASE("LoopHttpClient, uses another connection when a second answer has arrived before the next call")
+{
+    ScriptedFixture fixture([](int number, const std::string&) -> std::vector<ScriptedBytes> {
+        if (number > 1)
+            return { { httpResponse(200, "second") } };
+        const auto answer = httpResponse(200, "first");
+        return { { answer }, { answer, 10ms } };
+    });
+    CHECK(fixture.call().body == "first");
+    fixture.context.run_for(50ms);
+    const auto second = fixture.call();
+    CHECK(second.body == "second");
+    CHECK(fixture.server.connections() == 2);
+}
+
+// Guards against a change that counts as possibly done although its connection had been closed long before.
+TEST_CASE("LoopHttpClient, uses another connection when the server has closed the one that was kept")
+{
+    asio::io_context context;
+    HttpServerSettings settings;
+    settings.idleTimeout = 20ms;
+    HttpServer server(context, settings, [](const HttpRequest&, const HttpServer::Answer& answer) { answer({ 200 }); });
+    LoopHttpClient client(context, SocketAddress { "127.0.0.1", server.port() });
+    for (std::uint64_t round = 1; round <= 2; ++round) {
+        std::optional<HttpAnswer> answer;
+        HttpCall call;
+        call.target = "/";
+        call.match = [](const HttpAnswer&) { return AnswerMatch::Proven; };
+        client.send(call, 1s, [&](const HttpAnswer& received) { answer = received; });
+        while (!answer)
+            context.run_one();
+        CHECK(answer->status == 200);
+        CHECK(client.connectionsOpened() == round);
+        context.run_for(1500ms);
+    }
+}
+
+// Guards against a copy of an answer that arrives while the next call is outstanding.
+TEST_CASE("LoopHttpClient, keeps a connection only when the answer is proven to belong to its call")
+{
+    const auto match = GENERATE(AnswerMatch::Possible, AnswerMatch::Proven);
+    ScriptedFixture fixture([](int number, const std::string&) -> std::vector<ScriptedBytes> {
+        const auto answer = httpResponse(200, std::to_string(number));
+        return { { answer }, { answer, 20ms } };
+    });
+    CHECK(fixture.call(match).body == "1");
+    CHECK(fixture.call(match).body == "2");
+    CHECK(fixture.server.connections() == (match == AnswerMatch::Proven ? 1 : 2));
+}
+
+TEST_CASE("LoopHttpClient, reports no answer when the answer cannot belong to the call")
+{
+    ScriptedFixture fixture([](int, const std::string&) -> std::vector<ScriptedBytes> {
+        return { { httpResponse(200, "of another call", "Store-Era: 3\r\n") } };
+    });
+    const auto answer = fixture.call(AnswerMatch::Impossible);
+    CHECK(answer.status == 0);
+    CHECK(answer.mayHaveRun);
+    CHECK(answer.body.empty());
+    CHECK(answer.headers.empty());
+    CHECK(fixture.call().body == "of another call");
+    CHECK(fixture.server.connections() == 2);
+}
+
 // Guards against half an answer that is read as a whole one by callers that look at the body alone.
 TEST_CASE("LoopHttpClient, reports no body when the answer is cut off before its end")
 {
