Number the calls between daemons, and check the number in the answer

Callers saw, from a daemon that answers a call twice: a claim went on because the answer to another question counted as that daemon's word that it no longer uses the old primary. Cause: suspend, announce, renew, witness, bootstrap and reachable share one kept connection, and no answer says what it answers. Evidence: with the match switched off, suspend was Done on the second answer of a question for an endpoint.

The fix: a call has a number in Endivetrestle-Call that the answer repeats; another number counts as no answer. An answer without a number is that of an earlier release: it is believed, and its connection carries no other call.

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -8,16 +8,6 @@
 
 using nlohmann::json;
 
-HttpCall makeCall(const char* path, std::string body)
-{
-    HttpCall call;
-    call.method = "POST";
-    call.target = path;
-    call.headers = { { "Content-Type", "application/json" } };
-    call.body = std::move(body);
-    return call;
-}
-
 // Text field of a decoded body, or an empty text.
 std::string text(const json& body, const char* name)
 {
@@ -222,6 +212,25 @@
     return result;
 }
 
+HttpServer::Answer withCallNumber(const HttpRequest& request, HttpServer::Answer answer)
+{
+    const auto found = request.headers.find(peerCallHeader);
+    if (found == request.headers.end())
+        return answer;
+    return [answer = std::move(answer), number = found->second](HttpResponse response) {
+        response.headers.emplace_back(peerCallHeader, number);
+        answer(std::move(response));
+    };
+}
+
+AnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer)
+{
+    const auto answered = answer.header(peerCallHeader);
+    if (!answered)
+        return AnswerMatch::Possible;
+    return *answered == number ? AnswerMatch::Proven : AnswerMatch::Impossible;
+}
+
 PeerCalls::PeerCalls(asio::io_context& context)
     : context(context)
 {
@@ -235,6 +244,18 @@
     return *client;
 }
 
+HttpCall PeerCalls::makeCall(const char* path, std::string body)
+{
+    const auto number = std::to_string(++this->lastCall);
+    HttpCall call;
+    call.method = "POST";
+    call.target = path;
+    call.headers = { { "Content-Type", "application/json" }, { peerCallHeader, number } };
+    call.body = std::move(body);
+    call.match = [number](const HttpAnswer& answer) { return matchCallNumber(number, answer); };
+    return call;
+}
+
 void PeerCalls::suspend(const SocketAddress& address, const Claim& claim, std::function<void(PeerStatus)> callback)
 {
     constexpr int ok = 200;
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/http_server.h"
 #include "edge/loop_http_client.h"
 #include "process/fleet_hooks.h"
 #include "process/seed_bootstrap.h"
@@ -19,6 +20,16 @@
 inline constexpr const char* peerReachablePath = "/peer/reachable";
 inline constexpr const char* peerRenewPath = "/peer/renew";
 
+// Header field with the number of a call between daemons. The answer repeats it, so that a copy of it that arrives late
+// is not taken for the answer to another call.
+inline constexpr const char* peerCallHeader = "Endivetrestle-Call";
+
+// Returns an answer function that repeats the number of the call in the answer.
+HttpServer::Answer withCallNumber(const HttpRequest& request, HttpServer::Answer answer);
+
+// Whether an answer belongs to the call of a number. An answer without a number comes from an earlier release.
+AnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer);
+
 // Asks a daemon whether it reaches an endpoint.
 struct ReachableQuestion {
     DatabaseId group;
@@ -75,8 +86,10 @@
     static constexpr Duration reachableTimeout = std::chrono::milliseconds(500);
 
     LoopHttpClient& clientFor(const SocketAddress& address);
+    HttpCall makeCall(const char* path, std::string body);
 
     asio::io_context& context;
+    std::uint64_t lastCall = 0;
     std::map<SocketAddress, std::unique_ptr<LoopHttpClient>> clients;
 };
 
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -1,10 +1,15 @@
 #include "edge/peer_calls.h"
 
+#include "edge/scripted_http_server_test.h"
+
+#include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
 using namespace endivetrestle;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -143,3 +148,79 @@
         return true;
     });
 }
+
+namespace {
+
+// Calls to a daemon that sends what a script says.
+struct ScriptedPeer {
+    explicit ScriptedPeer(ScriptedHttpServer::Script script)
+        : server(context, std::move(script))
+        , calls(context)
+    {
+    }
+
+    std::optional<bool> askReachable(const std::string& endpoint)
+    {
+        std::optional<std::optional<bool>> result;
+        this->calls.askReachable(this->server.address(), { DatabaseId("g"), EndpointId(endpoint) },
+            [&](std::optional<bool> reachable) { result = reachable; });
+        while (!result)
+            this->context.run_one();
+        return *result;
+    }
+
+    PeerStatus suspend()
+    {
+        std::optional<PeerStatus> result;
+        this->calls.suspend(this->server.address(), { DatabaseId("g"), { 4, 9 }, { 4, 8 } },
+            [&](PeerStatus status) { result = status; });
+        while (!result)
+            this->context.run_one();
+        return *result;
+    }
+
+    asio::io_context context;
+    ScriptedHttpServer server;
+    PeerCalls calls;
+};
+
+std::string callHeader(int number) { return std::string(peerCallHeader) + ": " + std::to_string(number) + "\r\n"; }
+
+} // namespace
+
+// Guards against a claim that goes on although a daemon still uses the old primary: it answered another call twice.
+TEST_CASE("PeerCalls, does not take the second answer of a call for that of the next call")
+{
+    const auto header = GENERATE(std::string(), callHeader(1));
+    CAPTURE(header);
+    ScriptedPeer peer([&](int number, const std::string&) -> std::vector<ScriptedBytes> {
+        const auto answer = httpResponse(200, R"({"reachable":true})", header);
+        if (number > 1)
+            return {};
+        return { { answer }, { answer, 20ms } };
+    });
+    CHECK(peer.askReachable("e1") == true);
+    CHECK(peer.suspend() == PeerStatus::Unanswered);
+    CHECK_FALSE(peer.askReachable("e2"));
+}
+
+TEST_CASE("PeerCalls, keeps the connection when the answers repeat the numbers of their calls")
+{
+    asio::io_context context;
+    HttpServer server(context, {}, [](const HttpRequest& request, const HttpServer::Answer& answer) {
+        withCallNumber(request, answer)({ 200, "application/json", R"({"reachable":true})" });
+    });
+    LoopHttpClient client(context, { "127.0.0.1", server.port() });
+    for (const std::string number : { "7", "8" }) {
+        HttpCall call;
+        call.target = "/";
+        call.headers = { { peerCallHeader, number } };
+        call.match = [number](const HttpAnswer& answer) { return matchCallNumber(number, answer); };
+        std::optional<HttpAnswer> answer;
+        client.send(call, 1s, [&](const HttpAnswer& received) { answer = received; });
+        while (!answer)
+            context.run_one();
+        CHECK(answer->status == 200);
+    }
+    CHECK(client.connectionsOpened() == 1);
+}
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -188,8 +188,9 @@
         this->onConfigurationRows({ *answer.configuration });
 }
 
-void SessionProxy::handlePeer(const HttpRequest& request, HttpServer::Answer answer)
+void SessionProxy::handlePeer(const HttpRequest& request, HttpServer::Answer send)
 {
+    auto answer = withCallNumber(request, std::move(send));
     constexpr int badRequest = 400;
     constexpr int notFound = 404;
     constexpr int conflict = 409;
