Name a forwarded transaction by a number that its link never repeats

Cause: the forwarding daemon named the transaction by the owner's connection, which the owner may give to another transaction of the same link before the first one's daemon, say after a freeze, has noticed.

The fix: the owner numbers the transactions of a link, so a number that has ended is unknown: its statements are declined and its rollback does nothing.

Two tests compared the number with the connection of the ROLLBACK; they now compare the connection of BEGIN with it.

--- a/src/edge/forward.capnp
+++ b/src/edge/forward.capnp
@@ -17,7 +17,7 @@
 struct Statement {
   number @0 :UInt64;
   group @1 :Text;
-  # Connection of the open transaction; 0 if there is none.
+  # Number that the owner gave to the open transaction; 0 if there is none.
   connection @2 :UInt64;
   kind @3 :UInt8;
   id @4 :Text;
@@ -51,7 +51,7 @@
   position @7 :LogPosition;
   reason @8 :Text;
   endpoint @9 :Text;
-  # Connection of the transaction that is open; 0 if there is none.
+  # Number that the owner gives to the transaction that is open; 0 if there is none.
   connection @10 :UInt64;
   fromEndpoint @11 :Bool;
   attempts @12 :Int32;
--- a/src/edge/forward_codec.cc
+++ b/src/edge/forward_codec.cc
@@ -46,7 +46,7 @@
     const auto& work = message.work;
     builder.setNumber(message.number);
     builder.setGroup(textOf(message.group.value));
-    builder.setConnection(message.connection.value_or(0));
+    builder.setConnection(message.transaction.value_or(0));
     builder.setKind(static_cast<std::uint8_t>(work.statement.kind));
     builder.setId(textOf(work.statement.id));
     builder.setText(textOf(work.statement.text));
@@ -83,7 +83,7 @@
     message.number = reader.getNumber();
     message.group = DatabaseId(stringOf(reader.getGroup()));
     if (reader.getConnection() != 0)
-        message.connection = reader.getConnection();
+        message.transaction = reader.getConnection();
     auto& work = message.work;
     work.statement.kind = *kind;
     work.statement.id = stringOf(reader.getId());
@@ -185,7 +185,7 @@
     {
         auto end = this->builder.initEnd();
         end.setGroup(textOf(message.group.value));
-        end.setConnection(message.connection);
+        end.setConnection(message.transaction);
     }
     void operator()(const ForwardedAbandon& message) { this->builder.setAbandon(message.number); }
     void operator()(const OwnerLeaving&) { this->builder.setOwnerLeaving(); }
--- a/src/edge/forward_codec_test.cc
+++ b/src/edge/forward_codec_test.cc
@@ -17,7 +17,7 @@
     ForwardedStatement message;
     message.number = 9;
     message.group = DatabaseId("shop");
-    message.connection = 12;
+    message.transaction = 12;
     auto& work = message.work;
     work.statement = { StatementKind::Execute, "id1", "EXECUTE s1 1 x", "s1", "1 x", false };
     work.prepared = PreparedStatement { true, "q2c" };
@@ -45,7 +45,7 @@
     const auto expected = sample();
     CHECK(message.number == expected.number);
     CHECK(message.group == expected.group);
-    CHECK(message.connection == expected.connection);
+    CHECK(message.transaction == expected.transaction);
     CHECK(message.work.statement == expected.work.statement);
     CHECK(message.work.prepared == expected.work.prepared);
     CHECK(message.work.session->values == expected.work.session->values);
@@ -96,7 +96,7 @@
     CHECK(std::holds_alternative<OwnerLeaving>(*decodeForward(encodeForward(OwnerLeaving {}, sender), receiver)));
     CHECK(std::holds_alternative<LinkProbe>(*decodeForward(encodeForward(LinkProbe {}, sender), receiver)));
     const auto end = decodeForward(encodeForward(ForwardedRollback { DatabaseId("shop"), 3 }, sender), receiver);
-    CHECK(std::get<ForwardedRollback>(*end).connection == 3);
+    CHECK(std::get<ForwardedRollback>(*end).transaction == 3);
 }
 
 // Guards against a crash or a huge allocation on bytes that are no message.
--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -53,7 +53,7 @@
     if (!link.established && this->reopenAt.count(owner) != 0)
         return false;
     const auto* statement = std::get_if<ForwardedStatement>(&message);
-    if (link.leaving && statement != nullptr && !statement->connection)
+    if (link.leaving && statement != nullptr && !statement->transaction)
         return false;
     trackStatement(link, message);
     auto frame = encodeForward(message, now);
--- a/src/process/forwarded_statements.cc
+++ b/src/process/forwarded_statements.cc
@@ -1,5 +1,6 @@
 #include "process/forwarded_statements.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -22,9 +23,9 @@
 {
     const auto number = message.number;
     auto* runner = this->hooks.runner(message.group);
-    // A transaction that was not opened over this link belongs to another daemon.
-    const bool foreign = message.connection && this->transactions.count(*message.connection) == 0;
-    const bool accepted = message.connection ? !foreign : this->hooks.accepts(message, now);
+    // A transaction that is not known here has ended, or belongs to another daemon.
+    const bool known = message.transaction && this->transactions.count(*message.transaction) != 0;
+    const bool accepted = message.transaction ? known : this->hooks.accepts(message, now);
     if (runner == nullptr || !accepted || this->running.count(number) != 0) {
         this->decline(number);
         return;
@@ -32,9 +33,9 @@
     auto execution = std::make_shared<Execution>();
     execution->work = std::move(message.work);
     execution->callback = [this, number](const StatementResult& result) { this->onResult(number, result); };
-    this->running[number] = { execution, message.group, message.connection };
-    if (message.connection)
-        runner->continueTransaction(*message.connection, execution, now);
+    this->running[number] = { execution, message.group, message.transaction };
+    if (message.transaction)
+        runner->continueTransaction(this->transactions.at(*message.transaction).connection, execution, now);
     else
         runner->submit(execution, now);
 }
@@ -46,28 +47,40 @@
         return;
     const auto entry = std::move(found->second);
     this->running.erase(found);
-    if (entry.connection && result.connection != entry.connection)
-        this->transactions.erase(*entry.connection);
-    if (result.connection)
-        this->transactions[*result.connection] = { entry.group, this->hooks.now() };
     ForwardedOutcome outcome;
     outcome.number = number;
     outcome.result = result;
+    outcome.result.connection = this->updateTransaction(entry, result);
     outcome.attempts = entry.execution->attempts;
     this->hooks.reply(outcome);
 }
 
-void ForwardedStatements::endTransaction(ConnectionId connection, const DatabaseId& group, Time now)
+// Remembers the transaction that a statement has left open and returns its number; no value if there is none.
+std::optional<std::uint64_t> ForwardedStatements::updateTransaction(const Running& entry, const StatementResult& result)
 {
-    this->transactions.erase(connection);
-    if (auto* runner = this->hooks.runner(group))
-        runner->endTransaction(connection, now);
+    if (!result.connection) {
+        if (entry.transaction)
+            this->transactions.erase(*entry.transaction);
+        return std::nullopt;
+    }
+    const auto transaction = entry.transaction.value_or(this->lastTransaction + 1);
+    this->lastTransaction = std::max(this->lastTransaction, transaction);
+    this->transactions[transaction] = { entry.group, *result.connection, this->hooks.now() };
+    return transaction;
+}
+
+void ForwardedStatements::endTransaction(std::uint64_t transaction, Time now)
+{
+    const auto ended = this->transactions.extract(transaction);
+    if (ended.empty())
+        return;
+    if (auto* runner = this->hooks.runner(ended.mapped().group))
+        runner->endTransaction(ended.mapped().connection, now);
 }
 
 void ForwardedStatements::onEnd(const ForwardedRollback& message, Time now)
 {
-    if (this->transactions.count(message.connection) != 0)
-        this->endTransaction(message.connection, message.group, now);
+    this->endTransaction(message.transaction, now);
 }
 
 void ForwardedStatements::onAbandon(const ForwardedAbandon& message, Time now)
@@ -78,8 +91,8 @@
     const auto entry = std::move(found->second);
     this->running.erase(found);
     // The runner rolls the transaction back once the statement has ended.
-    if (entry.connection)
-        this->transactions.erase(*entry.connection);
+    if (entry.transaction)
+        this->transactions.erase(*entry.transaction);
     if (auto* runner = this->hooks.runner(entry.group))
         runner->abandon(entry.execution, now);
 }
@@ -91,10 +104,8 @@
         numbers.push_back(number);
     for (const auto number : numbers)
         this->onAbandon({ number }, now);
-    while (!this->transactions.empty()) {
-        const auto [connection, transaction] = *this->transactions.begin();
-        this->endTransaction(connection, transaction.group, now);
-    }
+    while (!this->transactions.empty())
+        this->endTransaction(this->transactions.begin()->first, now);
 }
 
 void ForwardedStatements::expireAll(Time now)
@@ -109,16 +120,15 @@
 
 void ForwardedStatements::rollBackIdleSince(Time limit, Time now)
 {
-    std::vector<std::pair<ConnectionId, DatabaseId>> idle;
-    for (const auto& [connection, transaction] : this->transactions) {
-        bool busy = false;
-        for (const auto& [number, entry] : this->running)
-            busy = busy || entry.connection == connection;
+    std::vector<std::uint64_t> idle;
+    for (const auto& [number, transaction] : this->transactions) {
+        const bool busy = std::any_of(this->running.begin(), this->running.end(),
+            [number = number](const auto& entry) { return entry.second.transaction == number; });
         if (!busy && transaction.idleSince < limit)
-            idle.emplace_back(connection, transaction.group);
+            idle.push_back(number);
     }
-    for (const auto& [connection, group] : idle)
-        this->endTransaction(connection, group, now);
+    for (const auto number : idle)
+        this->endTransaction(number, now);
 }
 
 } // namespace endivetrestle
--- a/src/process/forwarded_statements.h
+++ b/src/process/forwarded_statements.h
@@ -22,6 +22,9 @@
 
 // Receiving side of a link: runs the statements that another daemon forwards to this one, and tracks the transactions
 // that they open. When the link closes, running statements are abandoned and open transactions are rolled back.
+//
+// The other daemon names a transaction by a number that is given out once on the link, not by the connection on which
+// it is open: the connection may carry another transaction before the other daemon knows that the first one has ended.
 class ForwardedStatements {
 public:
     explicit ForwardedStatements(ForwardedHooks hooks);
@@ -46,21 +49,24 @@
     struct Running {
         ExecutionPtr execution;
         DatabaseId group;
-        // Connection of the transaction in which the statement runs.
-        std::optional<ConnectionId> connection;
+        // Number of the transaction in which the statement runs.
+        std::optional<std::uint64_t> transaction;
     };
     struct Transaction {
         DatabaseId group;
+        ConnectionId connection = 0;
         Time idleSince;
     };
 
     void onResult(std::uint64_t number, const StatementResult& result);
+    std::optional<std::uint64_t> updateTransaction(const Running& entry, const StatementResult& result);
     void decline(std::uint64_t number);
-    void endTransaction(ConnectionId connection, const DatabaseId& group, Time now);
+    void endTransaction(std::uint64_t transaction, Time now);
 
     ForwardedHooks hooks;
     std::map<std::uint64_t, Running> running;
-    std::map<ConnectionId, Transaction> transactions;
+    std::map<std::uint64_t, Transaction> transactions;
+    std::uint64_t lastTransaction = 0;
 };
 
 } // namespace endivetrestle
--- a/src/process/forwarded_statements_test.cc
+++ b/src/process/forwarded_statements_test.cc
@@ -24,27 +24,43 @@
         this->statements = std::make_unique<ForwardedStatements>(std::move(hooks));
     }
 
-    void forward(std::uint64_t number, ScheduledStatement work, std::optional<ConnectionId> connection = std::nullopt,
+    void forward(std::uint64_t number, ScheduledStatement work, std::optional<std::uint64_t> transaction = std::nullopt,
         const std::string& group = "shop")
     {
         work.session = std::make_shared<SessionState>();
         work.arrivedAt = this->schedulerFixture.now;
         work.expiresAt = this->schedulerFixture.now + 800ms;
         this->statements->onStatement(
-            { number, DatabaseId(group), connection, std::move(work) }, this->schedulerFixture.now);
+            { number, DatabaseId(group), transaction, std::move(work) }, this->schedulerFixture.now);
     }
 
-    // Opens a transaction with a write and returns the connection on which it is open.
-    ConnectionId openTransaction()
+    struct OpenTransaction {
+        // Number by which the other daemon names it.
+        std::uint64_t number = 0;
+        ConnectionId connection = 0;
+    };
+
+    // Opens a transaction with a write.
+    OpenTransaction openTransaction(std::uint64_t statement = 1)
     {
         auto work = SchedulerFixture::write();
         work.start = TransactionStart::Plain;
-        this->forward(1, work);
-        this->schedulerFixture.succeed(this->schedulerFixture.take(), SessionPhase::Transaction);
+        this->forward(statement, work);
+        const auto begin = this->schedulerFixture.take();
+        this->schedulerFixture.succeed(begin, SessionPhase::Transaction);
         this->schedulerFixture.succeed(this->schedulerFixture.take(), SessionPhase::Transaction);
-        const auto connection = *this->outcomes.back().result.connection;
+        const OpenTransaction opened { *this->outcomes.back().result.connection, begin.connection };
         this->outcomes.clear();
-        return connection;
+        return opened;
+    }
+
+    // Checks that the scheduler rolls a transaction back, and lets it do so.
+    void expectRollback(const OpenTransaction& transaction)
+    {
+        const auto command = this->schedulerFixture.take();
+        CHECK(command.connection == transaction.connection);
+        CHECK(command.command.kind == CommandKind::Rollback);
+        this->schedulerFixture.succeed(command);
     }
 
     SchedulerFixture schedulerFixture;
@@ -89,9 +105,9 @@
 TEST_CASE("ForwardedStatements, continues an open transaction when new statements are not accepted")
 {
     Fixture fixture;
-    const auto connection = fixture.openTransaction();
+    const auto transaction = fixture.openTransaction();
     fixture.accepting = false;
-    fixture.forward(2, SchedulerFixture::commit(), connection);
+    fixture.forward(2, SchedulerFixture::commit(), transaction.number);
     fixture.schedulerFixture.succeed(fixture.schedulerFixture.take());
     REQUIRE(fixture.outcomes.size() == 1);
     CHECK(fixture.outcomes.front().result.answer.succeeded);
@@ -102,11 +118,9 @@
 TEST_CASE("ForwardedStatements, rolls back open transactions when the link is closed")
 {
     Fixture fixture;
-    const auto connection = fixture.openTransaction();
+    const auto transaction = fixture.openTransaction();
     fixture.statements->onClosed(fixture.schedulerFixture.now);
-    const auto command = fixture.schedulerFixture.take();
-    CHECK(command.connection == connection);
-    CHECK(command.command.kind == CommandKind::Rollback);
+    fixture.expectRollback(transaction);
     CHECK(fixture.statements->empty());
 }
 
@@ -125,14 +139,30 @@
 TEST_CASE("ForwardedStatements, rolls back a transaction when it is idle for too long")
 {
     Fixture fixture;
-    const auto connection = fixture.openTransaction();
+    const auto transaction = fixture.openTransaction();
     fixture.statements->rollBackIdleSince(fixture.schedulerFixture.now, fixture.schedulerFixture.now);
     CHECK(fixture.schedulerFixture.sent.empty());
     fixture.schedulerFixture.advance(1s);
     fixture.statements->rollBackIdleSince(fixture.schedulerFixture.now, fixture.schedulerFixture.now);
-    const auto command = fixture.schedulerFixture.take();
-    CHECK(command.connection == connection);
-    CHECK(command.command.kind == CommandKind::Rollback);
+    fixture.expectRollback(transaction);
+}
+
+// Guards against a statement that runs in another client's transaction, or rolls it back, on a connection that has
+// changed hands.
+TEST_CASE("ForwardedStatements, does not take a transaction for an earlier one on the same connection")
+{
+    Fixture fixture;
+    const auto first = fixture.openTransaction(1);
+    fixture.schedulerFixture.advance(1s);
+    fixture.statements->rollBackIdleSince(fixture.schedulerFixture.now, fixture.schedulerFixture.now);
+    fixture.expectRollback(first);
+    const auto second = fixture.openTransaction(2);
+    REQUIRE(second.connection == first.connection);
+    fixture.forward(3, SchedulerFixture::write(), first.number);
+    REQUIRE(fixture.outcomes.size() == 1);
+    CHECK(fixture.outcomes.front().declined);
+    fixture.statements->onEnd({ DatabaseId("shop"), first.number }, fixture.schedulerFixture.now);
+    CHECK(fixture.schedulerFixture.sent.empty());
 }
 
 // Guards against statements of other daemons that an owner has taken and cuts because its process ends.
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -91,7 +91,7 @@
     auto& transaction = found->second;
     transaction.wrote = transaction.wrote || execution->work.changesData();
     const auto owner = transaction.owner;
-    if (this->sendTo(owner, Pending { execution, owner, connection, { owner } }, transaction.connection))
+    if (this->sendTo(owner, Pending { execution, owner, connection, { owner } }, transaction.number))
         return;
     this->transactions.erase(found);
     finish(execution, proxyError(owner, ReplyCode::Aborted, "the transaction was rolled back", "owner_lost"));
@@ -105,7 +105,7 @@
         return;
     }
     // A failure to send is ignored: an owner that loses the link rolls the transaction back.
-    this->hooks.send(found->second.owner, ForwardedRollback { this->group, found->second.connection });
+    this->hooks.send(found->second.owner, ForwardedRollback { this->group, found->second.number });
     this->transactions.erase(found);
 }
 
@@ -175,7 +175,8 @@
     return true;
 }
 
-// Reports the outcome to the session, with the owner's connection replaced by an identifier of this process.
+// Reports the outcome to the session, with the owner's number of the transaction replaced by an identifier of this
+// process.
 void StatementForwarder::deliverOutcome(const Pending& entry, const ForwardedOutcome& outcome)
 {
     auto result = outcome.result;
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -64,10 +64,10 @@
     static constexpr Duration answerSlack = std::chrono::milliseconds(30);
 
 private:
-    // A transaction that is open on a connection of an owner.
+    // A transaction that is open at an owner, which has numbered it.
     struct RemoteTransaction {
         DaemonId owner;
-        ConnectionId connection = 0;
+        std::uint64_t number = 0;
         bool wrote = false;
     };
     // A statement that was sent to an owner and is not answered yet.
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -200,7 +200,7 @@
     fixture.owners = { ownerB };
     fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Read), fixture.now);
     CHECK(fixture.sent.back().first == ownerA);
-    CHECK(fixture.lastSent().connection == 77);
+    CHECK(fixture.lastSent().transaction == 77);
     fixture.answer(77);
     CHECK(fixture.results.back().connection == transaction);
 }
@@ -258,7 +258,7 @@
     Fixture fixture;
     const auto transaction = fixture.openTransaction();
     fixture.forwarder->endTransaction(transaction, fixture.now);
-    CHECK(std::get<ForwardedRollback>(fixture.sent.back().second).connection == 77);
+    CHECK(std::get<ForwardedRollback>(fixture.sent.back().second).transaction == 77);
     CHECK(fixture.local.ended.empty());
 }
 
--- a/src/request/forward_message.h
+++ b/src/request/forward_message.h
@@ -16,8 +16,8 @@
     // Chosen by the sender; unique on the link.
     std::uint64_t number = 0;
     DatabaseId group;
-    // The owner's connection on which the transaction of the statement is open.
-    std::optional<ConnectionId> connection;
+    // Number that the owner gave to the transaction of the statement.
+    std::optional<std::uint64_t> transaction;
     ScheduledStatement work;
 };
 
@@ -26,15 +26,16 @@
     std::uint64_t number = 0;
     // The owner did not accept the statement, so it did not run and may be run elsewhere.
     bool declined = false;
+    // Its connection is the number that the owner gave to the open transaction, which no other one on the link gets.
     StatementResult result;
     // Number of sends to endpoints.
     int attempts = 0;
 };
 
-// Asks the owner to roll back the transaction on one of its connections.
+// Asks the owner to roll back a transaction, which it has numbered.
 struct ForwardedRollback {
     DatabaseId group;
-    ConnectionId connection = 0;
+    std::uint64_t transaction = 0;
 };
 
 // The client of the statement has disconnected; the result is no longer needed.
