Roll back what an abandoned statement has left open at its owner

Callers saw: a transaction, its locks and its connection stayed open at the owner until the idle time had passed, after a client had left or a statement had timed out just as its answer was on the way. Cause: the owner ignored the abandonment of a statement that it had answered, and the forwarding daemon dropped the answer, so nobody ended the transaction. Evidence: without the change the new test finds no ROLLBACK.

The fix: a transaction remembers its last answered statement; the abandonment of that statement ends it. The forwarding daemon abandons only what it has not seen an answer to, so no transaction in use is meant.

--- a/src/process/forwarded_statements.cc
+++ b/src/process/forwarded_statements.cc
@@ -50,13 +50,14 @@
     ForwardedOutcome outcome;
     outcome.number = number;
     outcome.result = result;
-    outcome.result.connection = this->updateTransaction(entry, result);
+    outcome.result.connection = this->updateTransaction(number, entry, result);
     outcome.attempts = entry.execution->attempts;
     this->hooks.reply(outcome);
 }
 
 // Remembers the transaction that a statement has left open and returns its number; no value if there is none.
-std::optional<std::uint64_t> ForwardedStatements::updateTransaction(const Running& entry, const StatementResult& result)
+std::optional<std::uint64_t> ForwardedStatements::updateTransaction(
+    std::uint64_t number, const Running& entry, const StatementResult& result)
 {
     if (!result.connection) {
         if (entry.transaction)
@@ -65,7 +66,7 @@
     }
     const auto transaction = entry.transaction.value_or(this->lastTransaction + 1);
     this->lastTransaction = std::max(this->lastTransaction, transaction);
-    this->transactions[transaction] = { entry.group, *result.connection, this->hooks.now() };
+    this->transactions[transaction] = { entry.group, *result.connection, this->hooks.now(), number };
     return transaction;
 }
 
@@ -86,8 +87,10 @@
 void ForwardedStatements::onAbandon(const ForwardedAbandon& message, Time now)
 {
     const auto found = this->running.find(message.number);
-    if (found == this->running.end())
+    if (found == this->running.end()) {
+        this->endTransactionAfter(message.number, now);
         return;
+    }
     const auto entry = std::move(found->second);
     this->running.erase(found);
     // The runner rolls the transaction back once the statement has ended.
@@ -97,6 +100,16 @@
         runner->abandon(entry.execution, now);
 }
 
+// Rolls back the transaction that an abandoned statement has left open. Its answer was under way when it was abandoned,
+// and the other daemon drops it.
+void ForwardedStatements::endTransactionAfter(std::uint64_t statement, Time now)
+{
+    const auto found = std::find_if(this->transactions.begin(), this->transactions.end(),
+        [statement](const auto& entry) { return entry.second.lastStatement == statement; });
+    if (found != this->transactions.end())
+        this->endTransaction(found->first, now);
+}
+
 void ForwardedStatements::onClosed(Time now)
 {
     std::vector<std::uint64_t> numbers;
--- a/src/process/forwarded_statements.h
+++ b/src/process/forwarded_statements.h
@@ -56,12 +56,16 @@
         DatabaseId group;
         ConnectionId connection = 0;
         Time idleSince;
+        // The last statement that was answered in the transaction.
+        std::uint64_t lastStatement = 0;
     };
 
     void onResult(std::uint64_t number, const StatementResult& result);
-    std::optional<std::uint64_t> updateTransaction(const Running& entry, const StatementResult& result);
+    std::optional<std::uint64_t> updateTransaction(
+        std::uint64_t number, const Running& entry, const StatementResult& result);
     void decline(std::uint64_t number);
     void endTransaction(std::uint64_t transaction, Time now);
+    void endTransactionAfter(std::uint64_t statement, Time now);
 
     ForwardedHooks hooks;
     std::map<std::uint64_t, Running> running;
--- a/src/process/forwarded_statements_test.cc
+++ b/src/process/forwarded_statements_test.cc
@@ -165,6 +165,18 @@
     CHECK(fixture.schedulerFixture.sent.empty());
 }
 
+// Guards against a transaction that stays open because its answer and its abandonment crossed on the link.
+TEST_CASE("ForwardedStatements, rolls back a transaction when its last statement is abandoned after the answer")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction(1);
+    fixture.statements->onAbandon({ 7 }, fixture.schedulerFixture.now);
+    CHECK(fixture.schedulerFixture.sent.empty());
+    fixture.statements->onAbandon({ 1 }, fixture.schedulerFixture.now);
+    fixture.expectRollback(transaction);
+    CHECK(fixture.statements->empty());
+}
+
 // Guards against statements of other daemons that an owner has taken and cuts because its process ends.
 TEST_CASE("ForwardedStatements, answers all running statements when they are expired")
 {
--- a/src/request/forward_message.h
+++ b/src/request/forward_message.h
@@ -38,7 +38,8 @@
     std::uint64_t transaction = 0;
 };
 
-// The client of the statement has disconnected; the result is no longer needed.
+// The client of the statement has disconnected or was told that it timed out. The result is no longer needed, and a
+// transaction that the statement has left open ends.
 struct ForwardedAbandon {
     std::uint64_t number = 0;
 };
