Test that an outcome that comes twice or late reaches nobody else

Callers saw: nothing; the tests held at once. They cover the outcomes of forwarded statements (by number on their link) and those of a client's session (by the statement under way), reported twice, late, or for nothing that was sent.

--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -1,5 +1,7 @@
 #include "edge/forward_links.h"
 
+#include "edge/forward_codec.h"
+#include "edge/framing.h"
 #include "process/scheduler_fixture_test.h"
 
 #include <asio.hpp>
@@ -188,3 +190,27 @@
     REQUIRE(fixture.send(1));
     fixture.runUntil([&] { return !fixture.world.sent.empty(); });
 }
+
+// Guards against an outcome that is sent twice, or that an owner made up, and reaches another statement.
+TEST_CASE("ForwardLinks, passes on one outcome for each statement that was sent on the link")
+{
+    Fixture fixture;
+    asio::ip::tcp::acceptor acceptor(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
+    fixture.sender->setDaemons({ { owner, { "127.0.0.1", acceptor.local_endpoint().port() } } });
+    REQUIRE(fixture.send(1));
+    std::optional<asio::ip::tcp::socket> peer;
+    acceptor.async_accept(
+        [&](const asio::error_code&, asio::ip::tcp::socket accepted) { peer.emplace(std::move(accepted)); });
+    fixture.runUntil([&] { return peer.has_value(); });
+    REQUIRE(fixture.send(2));
+    const auto answer = [&](std::uint64_t number) {
+        ForwardedOutcome outcome;
+        outcome.number = number;
+        asio::write(*peer, asio::buffer(encodeFrame(encodeForward(outcome, fixture.world.now))));
+    };
+    for (const std::uint64_t number : { 1, 1, 3, 2 })
+        answer(number);
+    fixture.runUntil([&] { return !fixture.outcomes.empty() && fixture.outcomes.back().number == 2; });
+    REQUIRE(fixture.outcomes.size() == 2);
+    CHECK(fixture.outcomes.front().number == 1);
+}
--- a/src/edge/session_server_test.cc
+++ b/src/edge/session_server_test.cc
@@ -313,3 +313,39 @@
     CHECK(client.received() == "COMPLETE sig\r\nREADY I -\r\n");
     CHECK(fixture.runner.held.empty());
 }
+
+// Guards against an outcome that a runner reports twice, or too late, and that a client takes for its next answer.
+TEST_CASE("SessionServer, gives an outcome to the statement that it belongs to and to nobody else")
+{
+    Fixture fixture;
+    Client first(fixture);
+    Client second(fixture);
+    first.start();
+    second.start();
+    first.send("QUERY 1 READ a");
+    second.send("QUERY 2 READ b");
+    fixture.poll();
+    REQUIRE(fixture.runner.held.size() == 2);
+    const auto answered = fixture.runner.held.front();
+    std::string expected;
+    SECTION("when it is reported twice")
+    {
+        fixture.runner.answerOne();
+        expected = "COMPLETE sig\r\nREADY I -\r\n";
+    }
+    SECTION("when it is reported after the time-out of the statement")
+    {
+        fixture.runner.expire(answered, fixture.clock);
+        expected = "ERROR INDOUBT no answer in time\r\nREADY I -\r\n";
+    }
+    REQUIRE(first.received() == expected);
+    first.send("QUERY 3 READ a");
+    fixture.poll();
+    REQUIRE(fixture.runner.held.size() == 2);
+    StatementResult late;
+    late.answer.succeeded = true;
+    late.answer.payload = "COMPLETE late\r\n";
+    answered->callback(late);
+    CHECK(first.received() == expected);
+    CHECK(second.received().empty());
+}
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -272,3 +272,34 @@
     CHECK(fixture.results.empty());
     CHECK(fixture.forwarder->statistics().inFlight == 0);
 }
+
+// Guards against an outcome that is reported twice and ends another statement, or opens a second transaction.
+TEST_CASE("StatementForwarder, reports one result when the outcome arrives twice")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write, TransactionStart::Plain);
+    ForwardedOutcome outcome;
+    outcome.number = fixture.lastSent().number;
+    outcome.result.answer.succeeded = true;
+    outcome.result.connection = 77;
+    CHECK(fixture.forwarder->onOutcome(ownerA, outcome, fixture.now));
+    fixture.submit(StatementKind::Read);
+    CHECK_FALSE(fixture.forwarder->onOutcome(ownerA, outcome, fixture.now));
+    CHECK(fixture.results.size() == 1);
+    CHECK(fixture.forwarder->statistics().inFlight == 1);
+}
+
+// Guards against an outcome that arrives after the client was told that its statement timed out.
+TEST_CASE("StatementForwarder, drops an outcome when its statement has timed out")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Write);
+    ForwardedOutcome outcome;
+    outcome.number = fixture.lastSent().number;
+    outcome.result.answer.succeeded = true;
+    fixture.advance(800ms + StatementForwarder::answerSlack);
+    fixture.submit(StatementKind::Write);
+    CHECK_FALSE(fixture.forwarder->onOutcome(ownerA, outcome, fixture.now));
+    CHECK(fixture.results.size() == 1);
+    CHECK(fixture.forwarder->statistics().inFlight == 1);
+}
