--- a/src/edge/loop_http_client.cc
+++ b/src/edge/loop_http_client.cc
@@ -248,15 +248,15 @@
         this->answer.status = static_cast<int>(this->parser.status_code);
         this->answer.answeredAt = bootNow();
         const auto& call = this->queue.front().call;
-        const auto match = call.match ? call.match(this->answer) : AnswerMatch::Possible;
-        if (match == AnswerMatch::Impossible) {
+        const auto match = call.match ? call.match(this->answer) : HttpAnswerMatch::Possible;
+        if (match == HttpAnswerMatch::Impossible) {
             this->logForeignBytes("answer_of_another_call");
             this->fail();
             return;
         }
         if (bytesFollow)
             this->logForeignBytes("bytes_after_answer");
-        this->finish(this->keepAlive && !bytesFollow && match == AnswerMatch::Proven);
+        this->finish(this->keepAlive && !bytesFollow && match == HttpAnswerMatch::Proven);
     }
 
     void fail()
--- a/src/edge/loop_http_client.h
+++ b/src/edge/loop_http_client.h
@@ -19,7 +19,7 @@
 
 // What an answer tells about the call that it belongs to. HTTP/1.1 numbers neither requests nor responses: a response
 // that is sent twice, the second time while the next request is outstanding, looks like the answer to that request.
-enum class AnswerMatch {
+enum class HttpAnswerMatch {
     // The answer belongs to the call, and no later call on the connection will take a copy of it for its own.
     Proven,
     // The answer may belong to the call, but a copy of it could be taken for the answer to a later call.
@@ -38,7 +38,7 @@
     // Longest wait for the connection, if it is shorter than usual.
     std::optional<Duration> connectLimit;
     // Judges a complete answer. Without this hook, each answer counts as Possible.
-    std::function<AnswerMatch(const HttpAnswer&)> match;
+    std::function<HttpAnswerMatch(const HttpAnswer&)> match;
 };
 
 // Answer to an outgoing request.
--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -223,12 +223,12 @@
     };
 }
 
-AnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer)
+HttpAnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer)
 {
     const auto answered = answer.header(peerCallHeader);
     if (!answered)
-        return AnswerMatch::Possible;
-    return *answered == number ? AnswerMatch::Proven : AnswerMatch::Impossible;
+        return HttpAnswerMatch::Possible;
+    return *answered == number ? HttpAnswerMatch::Proven : HttpAnswerMatch::Impossible;
 }
 
 PeerCalls::PeerCalls(asio::io_context& context)
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -28,7 +28,7 @@
 HttpServer::Answer withCallNumber(const HttpRequest& request, HttpServer::Answer answer);
 
 // Whether an answer belongs to the call of a number. An answer without a number comes from an earlier release.
-AnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer);
+HttpAnswerMatch matchCallNumber(const std::string& number, const HttpAnswer& answer);
 
 // Asks a daemon whether it reaches an endpoint.
 struct ReachableQuestion {
