Remember also an answer that the outstanding command cannot have

The repetition of such an answer passed for that to a later command of its kind: a SET or BEGIN that had failed counted as done, so statements ran with other values or outside their transaction (PINNED, REFUSED, TWICE). Cause: it was dropped before it was remembered. The test of AnswerHistory that asserted the fault asks for a later position now, and a new test asks that the same position proves nothing.

Evidence: the new test fails with the old order.

--- a/src/connection/answer_history.cc
+++ b/src/connection/answer_history.cc
@@ -78,9 +78,9 @@
 
 AnswerMatch AnswerHistory::judge(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer)
 {
+    const bool isNew = this->remember(answer);
     if (!fits(outstanding, inTransaction, answer))
         return AnswerMatch::Repeated;
-    const bool isNew = this->remember(answer);
     if (!answer.signature.empty()) {
         if (!isNew)
             return AnswerMatch::Repeated;
@@ -97,6 +97,12 @@
     return AnswerMatch::Possible;
 }
 
+ProvenAnswer AnswerHistory::accept(const EndpointAnswer& error)
+{
+    this->unproven = 0;
+    return ProvenAnswer(error);
+}
+
 bool AnswerHistory::remember(const EndpointAnswer& answer)
 {
     const std::uint64_t hash = std::hash<std::string>()(identityOf(answer));
--- a/src/connection/answer_history_test.cc
+++ b/src/connection/answer_history_test.cc
@@ -75,7 +75,16 @@
     CHECK(matchOf(history, setValue, false, done(10, SessionPhase::Idle, "primary 1")) == AnswerMatch::Repeated);
     CHECK(matchOf(history, begin, false, done(10)) == AnswerMatch::Repeated);
     CHECK(matchOf(history, status, false, done(10)) == AnswerMatch::Repeated);
-    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(11)) == AnswerMatch::Proven);
+}
+
+TEST_CASE("AnswerHistory, remembers an answer that the outstanding command cannot have")
+{
+    // Guards against the late answer to a SET that is dropped, and whose repetition passes for that to the next SET.
+    AnswerHistory history;
+    CHECK(matchOf(history, readItem, false, done(10)) == AnswerMatch::Repeated);
+    CHECK(matchOf(history, readItem, false, run("s1")) == AnswerMatch::Proven);
+    CHECK(matchOf(history, setValue, false, done(10)) == AnswerMatch::Possible);
 }
 
 TEST_CASE("AnswerHistory, proves a success without a signature by a position or row that was not there before")
