Take no error for a statement's own that may be a session command's, and part the matching of answers from execution

After the hold, FAILED counted as a read's own although a SET, whose success was not proven, may have given it: the client got a failure that was not its statement's, and the statement's own answer could meet the next one. Change: such an error leaves the outcome unknown, as one at an endpoint that repeats answers does.

--- a/src/connection/answer_history.cc
+++ b/src/connection/answer_history.cc
@@ -97,8 +97,10 @@
     return AnswerMatch::Possible;
 }
 
-ProvenAnswer AnswerHistory::accept(const EndpointAnswer& error)
+std::optional<ProvenAnswer> AnswerHistory::accept(const EndpointAnswer& error)
 {
+    if (this->unproven != 0 && isGivenToSessionCommands(error.code))
+        return std::nullopt;
     this->unproven = 0;
     return ProvenAnswer(error);
 }
--- a/src/connection/answer_history.h
+++ b/src/connection/answer_history.h
@@ -65,9 +65,10 @@
     // transaction is open on the connection.
     MatchedAnswer match(const EndpointCommand& outstanding, bool inTransaction, const EndpointAnswer& answer);
 
-    // Takes an error that was Possible for the outstanding command's, because no other answer has come in time and the
-    // endpoint is not known to repeat any.
-    ProvenAnswer accept(const EndpointAnswer& error);
+    // Takes an error that was Possible for the outstanding statement's, because no other answer has come in time and
+    // the endpoint is not known to repeat any. No value if it may be that of a session command whose answer is still to
+    // come.
+    std::optional<ProvenAnswer> accept(const EndpointAnswer& error);
 
     // Whether a success that may have been a repetition was followed by no proven answer yet.
     [[nodiscard]] bool hasUnproven() const { return this->unproven != 0; }
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -169,7 +169,7 @@
     void openConnection(EndpointState& endpoint, Time now);
     void dispatch(Time now);
 
-    // group_scheduler_execution.cc
+    // group_scheduler_execution.cc and group_scheduler_answers.cc
     void start(EndpointConnection& connection, const Target& target, const ExecutionPtr& execution, Time now);
     [[nodiscard]] bool needsProof(const EndpointConnection& connection, Time now) const;
     void sendNext(EndpointConnection& connection, Time now);
--- a/src/process/group_scheduler_answers_test.cc
+++ b/src/process/group_scheduler_answers_test.cc
@@ -161,6 +161,23 @@
     CHECK(fixture.closed.empty());
 }
 
+TEST_CASE("GroupScheduler, takes no error for a statement's own that may be a session command's")
+{
+    // Guards against a read that ends with the failure of a SET, and whose own answer meets the next statement.
+    AnswersFixture fixture;
+    fixture.submit(AnswersFixture::readWith("noi"));
+    const auto answer = fixture.succeed(fixture.take());
+    fixture.succeed(fixture.take());
+    fixture.results.clear();
+    fixture.submit(AnswersFixture::readWith("mali"));
+    const auto set = fixture.take();
+    fixture.answerAgain(set, answer);
+    fixture.fail(fixture.take(), ReplyCode::Failed);
+    fixture.advance(250ms);
+    CHECK(fixture.isClosed(set.connection));
+    CHECK(fixture.results.empty());
+}
+
 TEST_CASE("GroupScheduler, gives no connection on behind an error that may be a session command's own")
 {
     // Guards against a value that was never set and that later statements on the connection rely on.
