--- a/src/connection/answer_history.h
+++ b/src/connection/answer_history.h
@@ -19,8 +19,9 @@
     Repeated,
 };
 
-// An answer that is proven to be the one to the command which was outstanding. Only AnswerHistory makes one, so that no
-// other answer ends a statement.
+// An answer that is proven to be the one to the command which was outstanding, or that AnswerHistory accepts as such.
+// Only AnswerHistory makes one, so that no other answer ends a statement. It refers to the answer, which must outlive
+// it.
 class ProvenAnswer {
 public:
     const EndpointAnswer& operator*() const { return *this->answer; }
@@ -51,11 +52,11 @@
 // - The other successes are alike but for the transaction state, the position and the row of a status. Once one of them
 //   may have been a repetition, the answer that belongs to its command is still to come, so later ones that look like
 //   it prove nothing either.
-// - Errors are alike but for code, text and position. As long as an answer is still to come, an error may be that
-// answer,
+// - Errors are alike but for code, text and position. As long as an answer is still to come, an error may be that one,
 //   but for the codes that session commands never get.
 //
-// An endpoint answers the commands of a connection in order. A proven answer therefore proves those before it.
+// An endpoint answers the commands of a connection in order. A proven answer therefore proves those before it, unless
+// an answer was lost and a repetition stands in its place.
 class AnswerHistory {
 public:
     // A connection that has received this many answers is replaced, which bounds the memory of the history.
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -69,6 +69,7 @@
         this->closeConnection(*connection);
         return;
     }
+    // Asked before the answer is matched, as a proven one ends all doubts.
     const bool sessionCommandAwaited = connection->answers.hasUnproven();
     const auto matched = this->matchAnswer(*connection, answer, now);
     if (matched.match == AnswerMatch::Repeated)
