--- a/src/base/identifier.h
+++ b/src/base/identifier.h
@@ -42,6 +42,8 @@
 using TransactionId = Identifier<struct TransactionTag>;
 // A data centre.
 using DataCentre = Identifier<struct DataCentreTag>;
+// A customer of the operators, whose clients share endpoints with those of other customers. Empty: none.
+using WorkspaceId = Identifier<struct WorkspaceTag>;
 // A region, made up of data centres.
 using Region = Identifier<struct RegionTag>;
 // A plan made from an operator's intent.
--- a/src/edge/forward.capnp
+++ b/src/edge/forward.capnp
@@ -37,6 +37,8 @@
   # Absent if reads need not see a write of the session.
   lastWrite @16 :LogPosition;
   priority @17 :Int32;
+  # Empty if the endpoint runs the statement in no workspace's name.
+  workspace @18 :Text;
 }
 
 struct Outcome {
--- a/src/edge/forward.capnp.h
+++ b/src/edge/forward.capnp.h
@@ -67,7 +67,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(e30e2cb69d26b0be, 6, 8)
+        CAPNP_DECLARE_STRUCT_HEADER(e30e2cb69d26b0be, 6, 9)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif // !CAPNP_LITE
@@ -364,6 +364,9 @@
 
     inline ::int32_t getPriority() const;
 
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -480,6 +483,13 @@
     inline ::int32_t getPriority();
     inline void setPriority(::int32_t value);
 
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -1471,6 +1481,45 @@
     _builder.setDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Statement::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t Outcome::Reader::getNumber() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/edge/forward_codec.cc
+++ b/src/edge/forward_codec.cc
@@ -71,6 +71,8 @@
     if (work.lastWrite)
         writePosition(builder.initLastWrite(), *work.lastWrite);
     builder.setPriority(work.priority);
+    if (!work.workspace.empty())
+        builder.setWorkspace(textOf(work.workspace.value));
 }
 
 std::optional<ForwardMessage> read(wire::Statement::Reader reader, Time now)
@@ -105,6 +107,7 @@
     if (reader.hasLastWrite())
         work.lastWrite = readPosition(reader.getLastWrite());
     work.priority = reader.getPriority();
+    work.workspace = WorkspaceId(stringOf(reader.getWorkspace()));
     return message;
 }
 
--- a/src/process/proxy_settings.h
+++ b/src/process/proxy_settings.h
@@ -10,6 +10,16 @@
 
 namespace endivetrestle {
 
+// Bounds that the quota of each workspace keeps over all daemons: in any window, at most
+// (rate * window + burst) * (1 + overage) + slack operations run.
+struct QuotaBounds {
+    Duration window = std::chrono::seconds(5);
+    double overage = 0;
+    double slack = 0;
+
+    bool operator==(const QuotaBounds&) const = default;
+};
+
 // Settings of a session proxy: its addresses, those of the services it uses, and its resource limits. Filled by the
 // parser of the settings file format in use.
 struct ProxySettings {
@@ -39,6 +49,17 @@
     // Maximum number of open file descriptors of the process.
     int descriptorLimit = 4096;
     int memoryLimitMb = 256;
+    // Processor share of the host in cores, and bandwidth of its network link.
+    double processorShare = 1;
+    double linkMbps = 1000;
+    // Whether clients need a key although the configuration declares no workspaces.
+    bool requiresWorkspaces = false;
+    // Whether nothing that needs a key may run while the configuration is not known to be recent.
+    bool failClosed = false;
+    // Time after its acknowledgement from which a configuration that takes keys away must be obeyed, if failClosed is
+    // set.
+    Duration revocationLimit = std::chrono::seconds(5);
+    QuotaBounds quotaBounds;
     // Port on the daemon's address that serves the metrics.
     std::uint16_t metricsPort = 9464;
 
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -23,6 +23,8 @@
 // One statement to be run at an endpoint, with its constraints.
 struct ScheduledStatement {
     Statement statement;
+    // Workspace in whose name the endpoint runs it; empty if the route needs no key.
+    WorkspaceId workspace;
     // Prepared statement that an Execute refers to.
     std::optional<PreparedStatement> prepared;
     // State of the client session. It does not change while the statement is in progress.
--- a/src/request/statement.cc
+++ b/src/request/statement.cc
@@ -27,6 +27,8 @@
         return "in_doubt";
     case ReplyCode::UnknownDatabase:
         return "unknown_database";
+    case ReplyCode::NotAuthorized:
+        return "not_authorized";
     case ReplyCode::Malformed:
         return "malformed";
     case ReplyCode::TooLarge:
--- a/src/request/statement.h
+++ b/src/request/statement.h
@@ -56,6 +56,7 @@
     InDoubt,
     // Codes for requests that are invalid or not understood.
     UnknownDatabase,
+    NotAuthorized,
     Malformed,
     TooLarge,
     Unknown,
--- a/src/version/route_table.cc
+++ b/src/version/route_table.cc
@@ -21,4 +21,10 @@
     return found == this->routes.end() ? nullptr : &found->second;
 }
 
+std::optional<WorkspaceId> RouteTable::workspaceOfKey(const std::string& key) const
+{
+    const auto found = this->keyIndex.find(key);
+    return found == this->keyIndex.end() ? std::nullopt : std::optional(found->second);
+}
+
 } // namespace endivetrestle
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -2,12 +2,14 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
+#include "version/workspace.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace endivetrestle {
@@ -33,6 +35,8 @@
     int priority = 0;
     // Largest age of data that a read may return; unused for Primary.
     Duration maxStaleness {};
+    // Whether clients need no key.
+    bool isPublic = false;
 
     bool operator==(const Route&) const = default;
 };
@@ -55,11 +59,18 @@
     std::map<DatabaseId, GroupDeclaration> groups;
     // Time after which a transaction without a statement is rolled back.
     Duration transactionIdleLimit = std::chrono::seconds(3);
+    // Whether clients need a key on all routes that are not public.
+    bool workspacesInUse = false;
+    std::map<WorkspaceId, Workspace> workspaces;
+    // Workspace of each key.
+    std::unordered_map<std::string, WorkspaceId> keyIndex;
 
     bool operator==(const RouteTable&) const = default;
 
     // Route of a database name, or nullptr.
     [[nodiscard]] const Route* find(const std::string& databaseName) const;
+    // Workspace that holds the key; no value if none does.
+    [[nodiscard]] std::optional<WorkspaceId> workspaceOfKey(const std::string& key) const;
 };
 
 } // namespace endivetrestle
