Let configurations declare workspaces, and check their keys with every statement

Sessions named no workspace, so every endpoint connection ran under one name and a key that was revoked went on working. The key of a session start is now resolved against the configuration in force, again with every statement; statements carry their workspace to the owner, and idle sessions of revoked keys are closed. Connections still belong to no workspace.

--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -4,14 +4,53 @@
 
 namespace endivetrestle {
 
-ClientSession::ClientSession(std::string databaseName, TimerService& timers, SessionHooks hooks)
-    : databaseName(std::move(databaseName))
+namespace {
+
+// Whether the statement needs an endpoint, now or with the next statement.
+bool needsEndpoint(StatementKind kind)
+{
+    switch (kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginRead:
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+    case StatementKind::Commit:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+SessionAccess checkAccess(const RouteTable& table, const Route* route, const std::string& key,
+    const OperationGate& gate, Time now, WorkspaceId& workspace)
+{
+    workspace = WorkspaceId();
+    if (!table.workspacesInUse || route == nullptr || route->isPublic)
+        return SessionAccess::Permitted;
+    if (gate.configurationIsRecent && !gate.configurationIsRecent(now))
+        return SessionAccess::NotRecent;
+    auto holder = table.workspaceOfKey(key);
+    if (!holder)
+        return SessionAccess::UnknownKey;
+    workspace = std::move(*holder);
+    return SessionAccess::Permitted;
+}
+
+ClientSession::ClientSession(SessionStart start, TimerService& timers, SessionHooks hooks)
+    : start(std::move(start))
     , timers(timers)
     , hooks(std::move(hooks))
 {
 }
 
-ClientSession::~ClientSession() { this->cancelIdleTimer(); }
+ClientSession::~ClientSession()
+{
+    this->cancelIdleTimer();
+    this->cancelQuota();
+}
 
 SessionPhase ClientSession::phase() const
 {
@@ -52,6 +91,101 @@
         this->refuse(now);
         return;
     }
+    if (!this->hasAccess(statement, now))
+        return;
+    if (this->needsQuota(statement))
+        this->takeQuota(now);
+    else
+        this->run(statement, now);
+}
+
+// Checks the key with every statement, because the configuration may have changed since the session started. Replies
+// and returns false if the statement may not run.
+bool ClientSession::hasAccess(const Statement& statement, Time now)
+{
+    const auto table = needsEndpoint(statement.kind) ? this->hooks.routes() : nullptr;
+    if (!table)
+        return true;
+    const bool inTransaction = this->transaction != TransactionPhase::None;
+    // A change of the route applies from the next transaction on.
+    const auto* route = inTransaction ? &*this->transactionRoute : table->find(this->start.databaseName);
+    WorkspaceId present;
+    auto access = checkAccess(*table, route, this->start.key, this->hooks.gate, now, present);
+    // A transaction keeps the workspace in whose name it was started.
+    if (inTransaction && access == SessionAccess::Permitted && present != this->workspace)
+        access = SessionAccess::UnknownKey;
+    if (access == SessionAccess::Permitted) {
+        this->workspace = std::move(present);
+        return true;
+    }
+    this->refuseAccess(access, now);
+    return false;
+}
+
+void ClientSession::refuseAccess(SessionAccess access, Time now)
+{
+    const bool recent = access != SessionAccess::NotRecent;
+    const char* reason = recent ? "key_unknown" : "configuration_not_recent";
+    if (this->transaction != TransactionPhase::None) {
+        this->failTransaction(now);
+        this->replyError(
+            ReplyCode::Aborted, "the transaction is rolled back: the key is not known to be valid", reason);
+        return;
+    }
+    if (recent)
+        this->replyError(ReplyCode::NotAuthorized, "no workspace holds the key", reason);
+    else
+        this->replyError(ReplyCode::Busy, "the configuration is not known to be recent; connect elsewhere", reason);
+}
+
+// Whether the statement begins an operation of a workspace.
+bool ClientSession::needsQuota(const Statement& statement) const
+{
+    return !this->workspace.empty() && this->hooks.gate.takeQuota && this->transaction == TransactionPhase::None
+        && needsEndpoint(statement.kind) && statement.kind != StatementKind::Commit;
+}
+
+void ClientSession::takeQuota(Time now)
+{
+    this->awaitingQuota = true;
+    const auto request
+        = this->hooks.gate.takeQuota(this->workspace, now, [this](QuotaDecision decision) { this->onQuota(decision); });
+    // The answer may have come before the call returned, and the next statement may wait already.
+    if (request != 0)
+        this->quotaRequest = request;
+}
+
+void ClientSession::onQuota(QuotaDecision decision)
+{
+    this->awaitingQuota = false;
+    this->quotaRequest = 0;
+    const auto now = this->hooks.now();
+    if (decision == QuotaDecision::Exceeded) {
+        this->replyError(ReplyCode::TooManyConnections, "the workspace has used up its limit", "quota_exceeded");
+        return;
+    }
+    if (decision == QuotaDecision::Unanswered) {
+        this->replyError(
+            ReplyCode::TooManyConnections, "the limit of the workspace is not known at present", "quota_unanswered");
+        return;
+    }
+    // The daemon may have begun to stop, or the key may have been revoked, while the statement waited.
+    if (!this->isAccepted(this->current))
+        this->refuse(now);
+    else if (this->hasAccess(this->current, now))
+        this->run(this->current, now);
+}
+
+void ClientSession::cancelQuota()
+{
+    if (!std::exchange(this->awaitingQuota, false))
+        return;
+    if (this->quotaRequest != 0)
+        this->hooks.gate.cancelQuota(std::exchange(this->quotaRequest, 0));
+}
+
+void ClientSession::run(const Statement& statement, Time now)
+{
     switch (statement.kind) {
     case StatementKind::Unknown:
         this->replyError(ReplyCode::Malformed, "the statement is not recognised", "malformed");
@@ -150,7 +284,7 @@
         return;
     }
     const auto table = this->hooks.routes();
-    const auto* route = table ? table->find(this->databaseName) : nullptr;
+    const auto* route = table ? table->find(this->start.databaseName) : nullptr;
     if (route == nullptr) {
         this->replyError(ReplyCode::UnknownDatabase, "no such database", "no_route");
         return;
@@ -198,6 +332,7 @@
     auto execution = std::make_shared<Execution>();
     auto& work = execution->work;
     work.statement = statement;
+    work.workspace = this->workspace;
     work.prepared = std::move(prepared);
     work.session = this->state;
     if (this->transaction == TransactionPhase::Begun)
@@ -223,7 +358,7 @@
     const auto table = this->hooks.routes();
     if (this->transactionRoute)
         this->currentRoute = this->transactionRoute;
-    else if (const auto* route = table ? table->find(this->databaseName) : nullptr)
+    else if (const auto* route = table ? table->find(this->start.databaseName) : nullptr)
         this->currentRoute = *route;
     if (!this->currentRoute) {
         this->replyError(ReplyCode::UnknownDatabase, "no such database", "no_route");
@@ -315,7 +450,7 @@
 {
     const auto now = this->hooks.now();
     this->hooks.record({ this->current, this->currentRoute ? &*this->currentRoute : nullptr, reply, std::move(trace),
-        now - this->currentSince });
+        now - this->currentSince, this->workspace });
     this->hooks.reply(reply);
     this->busy = false;
     if (this->transaction == TransactionPhase::Begun || this->transaction == TransactionPhase::Open)
@@ -371,6 +506,11 @@
 
 void ClientSession::expireStatement(Time now)
 {
+    if (this->awaitingQuota) {
+        this->cancelQuota();
+        this->replyError(ReplyCode::Busy, "the statement has not been started in time", "timed_out");
+        return;
+    }
     auto* runner = this->currentRoute ? this->hooks.runner(this->currentRoute->group) : nullptr;
     if (this->execution && runner != nullptr)
         runner->expire(this->execution, now);
@@ -380,6 +520,7 @@
 {
     this->disconnected = true;
     this->cancelIdleTimer();
+    this->cancelQuota();
     this->waiting.clear();
     auto* runner = this->currentRoute ? this->hooks.runner(this->currentRoute->group) : nullptr;
     if (this->execution) {
@@ -392,6 +533,21 @@
     }
 }
 
+void ClientSession::checkKey(Time now)
+{
+    const auto table = this->hooks.routes();
+    if (!table || this->keyRevoked)
+        return;
+    const auto* route = this->transactionRoute ? &*this->transactionRoute : table->find(this->start.databaseName);
+    WorkspaceId present;
+    const OperationGate anyAge;
+    if (checkAccess(*table, route, this->start.key, anyAge, now, present) != SessionAccess::UnknownKey)
+        return;
+    this->keyRevoked = true;
+    this->abortTransaction(now, "the key was revoked");
+    this->closeWhenIdle();
+}
+
 void ClientSession::closeWhenIdle()
 {
     this->closing = true;
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -2,6 +2,7 @@
 
 #include "base/timer_service.h"
 #include "connection/session_state.h"
+#include "request/operation_gate.h"
 #include "request/statement_runner.h"
 #include "version/route_table.h"
 
@@ -43,6 +44,8 @@
     const SessionReply& reply;
     StatementTrace trace;
     Duration elapsed {};
+    // Workspace of the session; empty if it has none.
+    WorkspaceId workspace {};
 };
 
 // Statements that sessions still take, as their daemon stops.
@@ -70,8 +73,32 @@
     std::function<void(const StatementRecord&)> record;
     // What the daemon still takes. The rest is refused at once.
     std::function<StatementAcceptance()> acceptance;
+    OperationGate gate;
 };
 
+// What a client names when it starts a session.
+struct SessionStart {
+    std::string databaseName;
+    // Key of the client's workspace. Unused on a route that is public.
+    std::string key;
+
+    bool operator==(const SessionStart&) const = default;
+};
+
+// Result of checking the key of a session against the configuration in force.
+enum class SessionAccess {
+    Permitted,
+    // No workspace holds the key.
+    UnknownKey,
+    // The configuration may be too old to tell.
+    NotRecent,
+};
+
+// Checks whether the holder of a key may use a route, and tells in which workspace's name. Without a route no key is
+// needed, because the statement is refused for the lack of it.
+SessionAccess checkAccess(const RouteTable& table, const Route* route, const std::string& key,
+    const OperationGate& gate, Time now, WorkspaceId& workspace);
+
 // One client session: its values, prepared statements and transaction. It answers statements that need no endpoint and
 // passes the others to the runner of the route's group, one at a time and in order.
 //
@@ -81,7 +108,7 @@
 //                              \-------\--> Failed -> None    by ROLLBACK, or by COMMIT, which then rolls back
 class ClientSession {
 public:
-    ClientSession(std::string databaseName, TimerService& timers, SessionHooks hooks);
+    ClientSession(SessionStart start, TimerService& timers, SessionHooks hooks);
     ~ClientSession();
     ClientSession(const ClientSession&) = delete;
     ClientSession& operator=(const ClientSession&) = delete;
@@ -99,9 +126,14 @@
     // Rolls back an open transaction. The client gets the reason as the reply to its next statement.
     void abortTransaction(Time now, const std::string& reason);
 
+    // Ends the session if its key is revoked by the configuration in force: at once if it is idle, otherwise after the
+    // statement under way. An open transaction is rolled back.
+    void checkKey(Time now);
+    [[nodiscard]] bool isKeyRevoked() const { return this->keyRevoked; }
+
     [[nodiscard]] bool isIdle() const { return !this->busy && this->transaction == TransactionPhase::None; }
     [[nodiscard]] bool isBusy() const { return this->busy; }
-    [[nodiscard]] const std::string& database() const { return this->databaseName; }
+    [[nodiscard]] const std::string& database() const { return this->start.databaseName; }
     // Identifier of the statement under way; empty if there is none.
     [[nodiscard]] std::string requestUnderWay() const { return this->busy ? this->current.id : std::string(); }
 
@@ -112,6 +144,13 @@
     enum class TransactionPhase { None, Begun, Open, Failed };
 
     void process(const Statement& statement, Time now);
+    void run(const Statement& statement, Time now);
+    [[nodiscard]] bool hasAccess(const Statement& statement, Time now);
+    void refuseAccess(SessionAccess access, Time now);
+    [[nodiscard]] bool needsQuota(const Statement& statement) const;
+    void takeQuota(Time now);
+    void onQuota(QuotaDecision decision);
+    void cancelQuota();
     void processInFailedTransaction(const Statement& statement);
     [[nodiscard]] bool isAccepted(const Statement& statement) const;
     void refuse(Time now);
@@ -133,9 +172,15 @@
     void cancelIdleTimer();
     [[nodiscard]] SessionPhase phase() const;
 
-    std::string databaseName;
+    SessionStart start;
     TimerService& timers;
     SessionHooks hooks;
+    // Workspace in whose name the statement under way, or the open transaction, runs.
+    WorkspaceId workspace;
+    bool keyRevoked = false;
+    // Whether the statement under way waits for an answer about the quota, and the number of that request.
+    bool awaitingQuota = false;
+    std::uint64_t quotaRequest = 0;
     std::shared_ptr<SessionState> state = std::make_shared<SessionState>();
     std::deque<Statement> waiting;
     Statement current;
--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -35,7 +35,14 @@
         hooks.runner = [this](const DatabaseId&) { return this->world.scheduler.get(); };
         hooks.record = [](const StatementRecord&) {};
         hooks.acceptance = [this] { return this->acceptance; };
-        this->session = std::make_unique<ClientSession>(database, this->world.timers, std::move(hooks));
+        hooks.gate.configurationIsRecent = [this](Time) { return this->configurationIsRecent; };
+        hooks.gate.takeQuota = [this](const WorkspaceId&, Time, OperationGate::QuotaCallback callback) {
+            this->quotaRequests.push_back(std::move(callback));
+            return this->quotaRequests.size();
+        };
+        hooks.gate.cancelQuota = [this](std::uint64_t request) { this->quotaRequests.at(request - 1) = nullptr; };
+        this->session
+            = std::make_unique<ClientSession>(SessionStart { database, "k1" }, this->world.timers, std::move(hooks));
     }
 
     void send(StatementKind kind, const std::string& text = "", const std::string& name = "",
@@ -44,6 +51,30 @@
         this->session->onStatement({ kind, "id", text, name, argument }, this->world.now);
     }
 
+    // Declares the workspaces, each with one key of the same name, or with none if the key is empty.
+    void declareWorkspaces(const std::map<std::string, std::string>& keys)
+    {
+        auto table = std::make_shared<RouteTable>(*this->routes);
+        ++table->version;
+        table->workspacesInUse = true;
+        table->workspaces.clear();
+        table->keyIndex.clear();
+        for (const auto& [name, key] : keys) {
+            table->workspaces[WorkspaceId(name)] = { WorkspaceId(name), { key }, std::nullopt };
+            table->keyIndex[key] = WorkspaceId(name);
+        }
+        this->routes = table;
+    }
+
+    // Answers the newest request for quota.
+    void answerQuota(QuotaDecision decision)
+    {
+        REQUIRE_FALSE(this->quotaRequests.empty());
+        const auto callback = this->quotaRequests.back();
+        REQUIRE(callback);
+        callback(decision);
+    }
+
     const SessionReply& lastReply()
     {
         REQUIRE_FALSE(this->replies.empty());
@@ -55,6 +86,9 @@
     std::vector<SessionReply> replies;
     bool closed = false;
     StatementAcceptance acceptance = StatementAcceptance::All;
+    bool configurationIsRecent = true;
+    // Callback of each request for quota; null if it was cancelled.
+    std::vector<OperationGate::QuotaCallback> quotaRequests;
     std::unique_ptr<ClientSession> session;
 };
 
@@ -272,3 +306,142 @@
     CHECK(fixture.lastReply().succeeded);
     CHECK(fixture.lastReply().phase == SessionPhase::Idle);
 }
+
+// Guards against statements that reach an endpoint in another workspace's name or in none.
+TEST_CASE("ClientSession, runs statements in the name of the workspace that holds the key")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" }, { "riders", "k2" } });
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.world.sent.empty());
+    fixture.answerQuota(QuotaDecision::Granted);
+    fixture.world.succeed(fixture.world.take());
+    CHECK(fixture.lastReply().succeeded);
+}
+
+TEST_CASE("ClientSession, asks for no key and no quota on a public route")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({});
+    auto table = std::make_shared<RouteTable>(*fixture.routes);
+    table->routes.at("orders").isPublic = true;
+    fixture.routes = table;
+    fixture.configurationIsRecent = false;
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.quotaRequests.empty());
+    CHECK(fixture.world.sent.size() == 1);
+}
+
+// Guards against a key that still works after the configuration that revokes it is in force.
+TEST_CASE("ClientSession, refuses the statements of a key that was revoked")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    fixture.declareWorkspaces({ { "shops", "k2" } });
+    fixture.send(StatementKind::Read, "READ 1");
+    CHECK(fixture.lastReply().code == ReplyCode::NotAuthorized);
+    CHECK(fixture.world.sent.empty());
+    CHECK(fixture.quotaRequests.empty());
+    fixture.session->checkKey(fixture.world.now);
+    CHECK(fixture.closed);
+}
+
+TEST_CASE("ClientSession, rolls back the transaction of a key that was revoked")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.answerQuota(QuotaDecision::Granted);
+    fixture.declareWorkspaces({ { "riders", "k1" } });
+    SECTION("with the statement that follows")
+    {
+        fixture.send(StatementKind::Write, "WRITE 1 x");
+        CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+        CHECK(fixture.world.sent.empty());
+    }
+    SECTION("and ends the session after the client has ended the transaction")
+    {
+        fixture.declareWorkspaces({});
+        fixture.session->checkKey(fixture.world.now);
+        CHECK_FALSE(fixture.closed);
+        fixture.send(StatementKind::Commit, "COMMIT");
+        CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+        CHECK(fixture.closed);
+    }
+}
+
+// Guards against a daemon that is cut off and goes on to trust a key that was revoked meanwhile.
+TEST_CASE("ClientSession, runs nothing that needs a key while the configuration may be too old")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    SECTION("outside a transaction")
+    {
+        fixture.configurationIsRecent = false;
+        fixture.send(StatementKind::Read, "READ 1");
+        CHECK(fixture.lastReply().code == ReplyCode::Busy);
+    }
+    SECTION("in a transaction")
+    {
+        fixture.send(StatementKind::Begin, "BEGIN");
+        fixture.answerQuota(QuotaDecision::Granted);
+        fixture.configurationIsRecent = false;
+        fixture.send(StatementKind::Commit, "COMMIT");
+        CHECK(fixture.lastReply().code == ReplyCode::Aborted);
+    }
+    SECTION("if it became too old while the statement waited for quota")
+    {
+        fixture.send(StatementKind::Read, "READ 1");
+        fixture.configurationIsRecent = false;
+        fixture.answerQuota(QuotaDecision::Granted);
+        CHECK(fixture.lastReply().code == ReplyCode::Busy);
+    }
+    CHECK(fixture.world.sent.empty());
+}
+
+TEST_CASE("ClientSession, counts a transaction once against the quota")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    fixture.send(StatementKind::Begin, "BEGIN");
+    CHECK(fixture.replies.empty());
+    fixture.answerQuota(QuotaDecision::Granted);
+    CHECK(fixture.lastReply().succeeded);
+    fixture.send(StatementKind::Read, "READ 1");
+    fixture.send(StatementKind::Commit, "COMMIT");
+    CHECK(fixture.quotaRequests.size() == 1);
+}
+
+TEST_CASE("ClientSession, refuses an operation beyond the quota and goes on with the next one")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    fixture.send(StatementKind::Begin, "BEGIN");
+    fixture.send(StatementKind::Read, "READ 1");
+    fixture.answerQuota(QuotaDecision::Exceeded);
+    CHECK(fixture.lastReply().code == ReplyCode::TooManyConnections);
+    CHECK(fixture.lastReply().phase == SessionPhase::Idle);
+    CHECK(fixture.quotaRequests.size() == 2);
+    fixture.answerQuota(QuotaDecision::Granted);
+    CHECK(fixture.world.sent.size() == 1);
+}
+
+// Guards against a second reply to a statement that was answered while it waited for quota.
+TEST_CASE("ClientSession, gives up the wait for quota")
+{
+    SessionFixture fixture("orders");
+    fixture.declareWorkspaces({ { "shops", "k1" } });
+    fixture.send(StatementKind::Read, "READ 1");
+    SECTION("when the client leaves")
+    {
+        fixture.session->onDisconnected(fixture.world.now);
+        CHECK(fixture.replies.empty());
+    }
+    SECTION("when the statement expires")
+    {
+        fixture.session->expireStatement(fixture.world.now);
+        CHECK(fixture.lastReply().code == ReplyCode::Busy);
+    }
+    CHECK_FALSE(fixture.quotaRequests.back());
+    CHECK(fixture.world.sent.empty());
+}
--- a/src/connection/session_end.h
+++ b/src/connection/session_end.h
@@ -19,6 +19,8 @@
     SessionLimit,
     // The client sends statements faster than they are answered.
     TooManyWaiting,
+    // The key of the session was revoked.
+    KeyRevoked,
     // The first message of the client was not a valid session start.
     Unreadable,
 };
@@ -39,6 +41,8 @@
         return "session_limit";
     case SessionEndReason::TooManyWaiting:
         return "too_many_waiting";
+    case SessionEndReason::KeyRevoked:
+        return "key_revoked";
     case SessionEndReason::Unreadable:
         break;
     }
--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -16,7 +16,7 @@
         link.socket->close();
 }
 
-void EndpointTransport::open(ConnectionId id, const EndpointRecord& record)
+void EndpointTransport::open(ConnectionId id, const EndpointRecord& record, const WorkspaceId& workspace)
 {
     auto& link = this->links[id];
     link.endpoint = record.id;
@@ -25,7 +25,9 @@
     const auto address = asio::ip::make_address(record.address.ip, error);
     link.socket->connect(
         asio::ip::tcp::endpoint(address, record.address.port),
-        [this, id, greeting = platform::encodeStartup(record.group, record.id)] { this->write(id, greeting); },
+        [this, id, greeting = platform::encodeStartup(record.group, workspace, record.id)] {
+            this->write(id, greeting);
+        },
         [this, id](std::string_view line) { return this->onLine(id, line); }, [this, id] { this->onLost(id); });
 }
 
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -29,7 +29,7 @@
     EndpointTransport(const EndpointTransport&) = delete;
     EndpointTransport& operator=(const EndpointTransport&) = delete;
 
-    void open(ConnectionId id, const EndpointRecord& record);
+    void open(ConnectionId id, const EndpointRecord& record, const WorkspaceId& workspace);
     // Sends a command, which is answered or followed by the loss of the connection.
     void send(ConnectionId id, const EndpointCommand& command);
     void close(ConnectionId id);
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -180,11 +180,13 @@
         }
         logEvent(LogLevel::Info, "configuration_in_force",
             { { "version", table->version }, { "routes", table->routes.size() } });
+        table->workspacesInUse = table->workspacesInUse || this->settings.requiresWorkspaces;
         this->routes = std::make_shared<const RouteTable>(std::move(*table));
         this->configurationRow = row;
         this->syncRequirement.apply(*this->routes, bootNow());
         this->updateGroups();
         this->updatePlacements();
+        this->sessions->checkKeys();
         this->sessions->startHeldSessions();
     }
 }
@@ -232,8 +234,8 @@
     group.transport = std::make_unique<EndpointTransport>(this->context, std::move(input));
     SchedulerHooks hooks;
     hooks.nextConnectionId = [this] { return ++this->lastConnectionId; };
-    hooks.open = [transport = group.transport.get()](
-                     ConnectionId connection, const EndpointRecord& record) { transport->open(connection, record); };
+    hooks.open = [transport = group.transport.get()](ConnectionId connection, const EndpointRecord& record,
+                     const WorkspaceId& workspace) { transport->open(connection, record, workspace); };
     hooks.send = [transport = group.transport.get()](
                      ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
     hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
@@ -325,6 +327,7 @@
     logEvent(LogLevel::Info, succeeded ? "statement_sampled" : "statement_failed",
         { { "request", statement.statement.id }, { "code", code }, { "reason", statement.trace.reason },
             { "database", route == nullptr ? "" : route->databaseName }, { "group", group.value },
+            { "workspace", statement.workspace.value },
             { "consistency", route == nullptr ? "" : consistencyName(route->consistency) },
             { "endpoint", statement.trace.endpoint }, { "owner", statement.trace.owner.value },
             { "attempts", statement.trace.attempts }, { "elapsed_ms", toMilliseconds(statement.elapsed) },
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -74,7 +74,7 @@
         return false;
     case platform::ClientLineKind::Startup:
         if (!link.session)
-            return this->startSession(id, link, decoded.databaseName);
+            return this->startSession(id, link, { decoded.databaseName, decoded.key });
         break;
     case platform::ClientLineKind::Query:
         if (link.session) {
@@ -111,14 +111,34 @@
     return false;
 }
 
-bool SessionServer::startSession(std::uint64_t id, Link& link, const std::string& databaseName)
+// Refuses a session start that the configuration does not permit. Returns whether the session may start.
+bool SessionServer::checkStart(std::uint64_t id, Link& link, const RouteTable& table, const SessionStart& start)
 {
-    const auto table = this->hooks.routes();
-    if (!table)
-        return this->holdStart(id, link, databaseName);
-    if (table->find(databaseName) == nullptr)
+    const auto* route = table.find(start.databaseName);
+    if (route == nullptr)
         return this->refuseStart(
             id, link, ReplyCode::UnknownDatabase, "no such database", SessionEndReason::StartRefused);
+    WorkspaceId workspace;
+    switch (checkAccess(table, route, start.key, this->hooks.gate, this->hooks.now(), workspace)) {
+    case SessionAccess::Permitted:
+        return true;
+    case SessionAccess::UnknownKey:
+        return this->refuseStart(
+            id, link, ReplyCode::NotAuthorized, "no workspace holds the key", SessionEndReason::StartRefused);
+    case SessionAccess::NotRecent:
+        break;
+    }
+    return this->refuseStart(id, link, ReplyCode::Busy,
+        "the configuration is not known to be recent; connect elsewhere", SessionEndReason::StartRefused);
+}
+
+bool SessionServer::startSession(std::uint64_t id, Link& link, const SessionStart& start)
+{
+    const auto table = this->hooks.routes();
+    if (!table)
+        return this->holdStart(id, link, start);
+    if (!this->checkStart(id, link, *table, start))
+        return false;
     if (this->acceptance == StatementAcceptance::None)
         return this->refuseStart(id, link, ReplyCode::Busy, stoppingText, SessionEndReason::Stopping);
     if (this->links.size() > this->maxSessions)
@@ -135,14 +155,15 @@
     sessionHooks.runner = this->hooks.runner;
     sessionHooks.record = this->hooks.record;
     sessionHooks.acceptance = [this] { return this->acceptance; };
-    link.session = std::make_unique<ClientSession>(databaseName, this->timers, std::move(sessionHooks));
+    sessionHooks.gate = this->hooks.gate;
+    link.session = std::make_unique<ClientSession>(start, this->timers, std::move(sessionHooks));
     link.socket->write(platform::encodeReady(SessionPhase::Idle, std::nullopt));
     if (this->closing)
         link.session->closeAfterStatement();
     return true;
 }
 
-bool SessionServer::holdStart(std::uint64_t id, Link& link, const std::string& databaseName)
+bool SessionServer::holdStart(std::uint64_t id, Link& link, const SessionStart& start)
 {
     const auto refuse = [this, id](Link& held) {
         return this->refuseStart(
@@ -151,7 +172,7 @@
     const auto hold = this->hooks.startHold();
     if (hold <= Duration::zero() || link.heldStart)
         return refuse(link);
-    link.heldStart = databaseName;
+    link.heldStart = start;
     this->timers.subscribeAt(this->hooks.now() + hold, [this, id, refuse](Time) {
         const auto found = this->links.find(id);
         if (found != this->links.end() && found->second.heldStart)
@@ -170,8 +191,17 @@
     std::sort(held.begin(), held.end());
     for (const auto id : held) {
         auto& link = this->links.at(id);
-        const auto databaseName = *std::exchange(link.heldStart, std::nullopt);
-        this->startSession(id, link, databaseName);
+        const auto start = *std::exchange(link.heldStart, std::nullopt);
+        this->startSession(id, link, start);
+    }
+}
+
+void SessionServer::checkKeys()
+{
+    const auto now = this->hooks.now();
+    for (auto& [id, link] : this->links) {
+        if (link.session)
+            link.session->checkKey(now);
     }
 }
 
@@ -183,7 +213,9 @@
         return;
     auto& link = found->second;
     if (!this->closing) {
-        this->remove(id, SessionEndReason::TooManyWaiting, true);
+        const bool revoked = link.session->isKeyRevoked();
+        if (!revoked || link.session->isIdle())
+            this->remove(id, revoked ? SessionEndReason::KeyRevoked : SessionEndReason::TooManyWaiting, true);
         return;
     }
     if (!link.session->isIdle())
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -22,6 +22,7 @@
     std::function<void(const SessionEnd&)> ended;
     // How long a session start may wait for the first configuration.
     std::function<Duration()> startHold;
+    OperationGate gate;
 };
 
 // Accepts client connections and connects their lines to client sessions.
@@ -49,6 +50,8 @@
     void expireStatements();
     // Starts the sessions that wait for the first configuration, those that have waited longest first.
     void startHeldSessions();
+    // Ends the sessions whose keys the configuration in force has revoked.
+    void checkKeys();
     // Sets how many sessions may be open. Sessions beyond the limit go on.
     void setMaxSessions(std::size_t limit) { this->maxSessions = limit; }
     // Stops accepting connections.
@@ -71,17 +74,18 @@
         std::shared_ptr<LineSocket> socket;
         std::unique_ptr<ClientSession> session;
         std::string peer;
-        // Database whose session start waits for the first configuration.
-        std::optional<std::string> heldStart;
+        // Session start that waits for the first configuration.
+        std::optional<SessionStart> heldStart;
         // Whether the client has been told that the session ends.
         bool ending = false;
     };
 
     void add(asio::ip::tcp::socket socket);
     bool onLine(std::uint64_t id, std::string_view line);
-    bool startSession(std::uint64_t id, Link& link, const std::string& databaseName);
+    bool startSession(std::uint64_t id, Link& link, const SessionStart& start);
+    bool checkStart(std::uint64_t id, Link& link, const RouteTable& table, const SessionStart& start);
     bool onLineAfterEnd(std::uint64_t id, Link& link, const platform::ClientLine& line);
-    bool holdStart(std::uint64_t id, Link& link, const std::string& databaseName);
+    bool holdStart(std::uint64_t id, Link& link, const SessionStart& start);
     bool refuseStart(std::uint64_t id, Link& link, ReplyCode code, const std::string& text, SessionEndReason reason);
     void endSession(std::uint64_t id);
     void remove(std::uint64_t id, SessionEndReason reason, bool afterWrites);
--- a/src/edge/session_server_test.cc
+++ b/src/edge/session_server_test.cc
@@ -72,9 +72,19 @@
         hooks.record = [](const StatementRecord&) {};
         hooks.ended = [this](const SessionEnd& end) { this->ends.push_back(end); };
         hooks.startHold = [this] { return this->startHold; };
+        hooks.gate.configurationIsRecent = [this](Time) { return this->configurationIsRecent; };
         return hooks;
     }
 
+    // Declares one workspace with the given key.
+    void declareWorkspace(const std::string& key)
+    {
+        auto table = std::make_shared<RouteTable>(*this->routes);
+        table->workspacesInUse = true;
+        table->keyIndex = { { key, WorkspaceId("shops") } };
+        this->routes = table;
+    }
+
     void poll()
     {
         // Loopback delivers within the call, so that a few passes let everything settle.
@@ -93,6 +103,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::vector<SessionEnd> ends;
     Duration startHold = 1s;
+    bool configurationIsRecent = true;
     SessionServer server;
 };
 
@@ -349,3 +360,80 @@
     CHECK(first.received() == expected);
     CHECK(second.received().empty());
 }
+
+// Guards against sessions of clients whose key no configuration has held.
+TEST_CASE("SessionServer, refuses a session start whose key no workspace holds")
+{
+    Fixture fixture;
+    fixture.declareWorkspace("u1");
+    for (const char* line : { "STARTUP shop u2", "STARTUP shop", "STARTUP shop u1 ", "STARTUP shop u1 u1" }) {
+        CAPTURE(line);
+        Client client(fixture);
+        client.send(line);
+        CHECK(client.received().find("ERROR NOAUTH ") == 0);
+        CHECK(client.closed);
+    }
+    Client client(fixture);
+    client.start();
+}
+
+// Guards against clients with a new key that take a final refusal from a daemon that has not heard of the key yet.
+TEST_CASE("SessionServer, sends clients elsewhere while the configuration may be too old")
+{
+    Fixture fixture;
+    fixture.declareWorkspace("u2");
+    fixture.configurationIsRecent = false;
+    Client client(fixture);
+    client.send("STARTUP shop u1");
+    CHECK(client.received().find("ERROR BUSY ") == 0);
+    CHECK(client.closed);
+}
+
+TEST_CASE("SessionServer, closes idle sessions whose key is revoked and keeps the others")
+{
+    Fixture fixture;
+    fixture.declareWorkspace("u1");
+    Client client(fixture);
+    client.start();
+    fixture.server.checkKeys();
+    CHECK(client.received().empty());
+    CHECK_FALSE(client.closed);
+    fixture.declareWorkspace("u2");
+    fixture.server.checkKeys();
+    CHECK(client.received().empty());
+    CHECK(client.closed);
+    REQUIRE(fixture.ends.size() == 1);
+    CHECK(fixture.ends.front().reason == SessionEndReason::KeyRevoked);
+}
+
+TEST_CASE("SessionServer, answers the statement under way before it ends a session whose key is revoked")
+{
+    Fixture fixture;
+    fixture.declareWorkspace("u1");
+    Client client(fixture);
+    client.start();
+    client.send("QUERY 1 READ 5");
+    fixture.poll();
+    REQUIRE(fixture.runner.held.size() == 1);
+    CHECK(fixture.runner.held.front()->work.workspace == WorkspaceId("shops"));
+    fixture.declareWorkspace("u2");
+    fixture.server.checkKeys();
+    CHECK_FALSE(client.closed);
+    fixture.runner.answerOne();
+    CHECK(client.received() == "COMPLETE sig\r\nREADY I -\r\n");
+    CHECK(client.closed);
+}
+
+TEST_CASE("SessionServer, checks the key of a session start that waited for the configuration")
+{
+    Fixture fixture;
+    const auto known = fixture.routes;
+    fixture.routes = nullptr;
+    Client client(fixture);
+    client.send("STARTUP shop u1");
+    fixture.poll();
+    fixture.routes = known;
+    fixture.declareWorkspace("u2");
+    fixture.server.startHeldSessions();
+    CHECK(client.received().find("ERROR NOAUTH ") == 0);
+}
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -22,9 +22,9 @@
 struct SchedulerHooks {
     // Returns an identifier that no other connection of the process has.
     std::function<ConnectionId()> nextConnectionId;
-    // Opens a connection. The outcome is reported later through onOpened(), onClosed() or onConnectionLimit(), never
+    // Opens a connection in the name of a workspace, or of none. The outcome is reported later through onOpened(), onClosed() or onConnectionLimit(), never
     // from inside the call.
-    std::function<void(ConnectionId, const EndpointRecord&)> open;
+    std::function<void(ConnectionId, const EndpointRecord&, const WorkspaceId&)> open;
     std::function<void(ConnectionId, const EndpointCommand&)> send;
     // Closes a connection. No further events are reported for it.
     std::function<void(ConnectionId)> close;
--- a/src/process/group_scheduler_dispatch.cc
+++ b/src/process/group_scheduler_dispatch.cc
@@ -186,7 +186,7 @@
     ++endpoint.opening;
     ++this->counts.connectionsOpened;
     this->endpointByConnection[id] = endpoint.record.id;
-    this->hooks.open(id, endpoint.record);
+    this->hooks.open(id, endpoint.record, {});
 }
 
 StartResult GroupScheduler::tryStart(const ExecutionPtr& execution, Time now)
--- a/src/process/repeated_answers_simulation_test.h
+++ b/src/process/repeated_answers_simulation_test.h
@@ -101,7 +101,9 @@
     {
         SchedulerHooks hooks;
         hooks.nextConnectionId = [this] { return ++this->lastConnection; };
-        hooks.open = [this](ConnectionId id, const EndpointRecord& record) { this->open(id, record.id.value); };
+        hooks.open = [this](ConnectionId id, const EndpointRecord& record, const WorkspaceId&) {
+            this->open(id, record.id.value);
+        };
         hooks.send = [this](ConnectionId id, const EndpointCommand& command) {
             this->endpointOf(id).receive(id, command, this->now);
         };
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -22,8 +22,9 @@
     {
         SchedulerHooks hooks;
         hooks.nextConnectionId = [this] { return ++this->lastConnection; };
-        hooks.open
-            = [this](ConnectionId id, const EndpointRecord& record) { this->opening.emplace_back(id, record.id); };
+        hooks.open = [this](ConnectionId id, const EndpointRecord& record, const WorkspaceId&) {
+            this->opening.emplace_back(id, record.id);
+        };
         hooks.send = [this](ConnectionId id, const EndpointCommand& command) { this->sent.push_back({ id, command }); };
         hooks.close = [this](ConnectionId id) { this->closed.push_back(id); };
         hooks.leaseValid = [this](Time) { return this->lease; };
