--- a/src/edge/forward.capnp
+++ b/src/edge/forward.capnp
@@ -64,6 +64,42 @@
   connection @1 :UInt64;
 }
 
+struct QuotaAsk {
+  workspace @0 :Text;
+  waiting @1 :UInt32;
+  ahead @2 :UInt32;
+}
+
+struct QuotaRequest {
+  number @0 :UInt64;
+  daemon @1 :Text;
+  shards @2 :UInt32;
+  shard @3 :UInt32;
+  # Start and timestamp of the coordinator from its last answer; 0 if the sender does not support it.
+  incarnation @4 :UInt64;
+  stampUs @5 :Int64;
+  daemons @6 :UInt32;
+  asks @7 :List(QuotaAsk);
+}
+
+struct QuotaTokens {
+  workspace @0 :Text;
+  tokens @1 :UInt32;
+  empty @2 :Bool;
+}
+
+struct QuotaGrant {
+  number @0 :UInt64;
+  shards @1 :UInt32;
+  shard @2 :UInt32;
+  incarnation @3 :UInt64;
+  stampUs @4 :Int64;
+  active @5 :Bool;
+  # Empty if the sender knows no other coordinator that is active.
+  coordinator @6 :Text;
+  tokens @7 :List(QuotaTokens);
+}
+
 struct Message {
   union {
     statement @0 :Statement;
@@ -74,5 +110,7 @@
     ownerLeaving @4 :Void;
     probe @5 :Void;
     probeAnswer @6 :Void;
+    quotaRequest @7 :QuotaRequest;
+    quotaGrant @8 :QuotaGrant;
   }
 }
--- a/src/edge/forward.capnp.h
+++ b/src/edge/forward.capnp.h
@@ -21,6 +21,10 @@
 CAPNP_DECLARE_SCHEMA(e30e2cb69d26b0be);
 CAPNP_DECLARE_SCHEMA(cf3dc331d40ae81e);
 CAPNP_DECLARE_SCHEMA(b47f93f392c57f8e);
+CAPNP_DECLARE_SCHEMA(f28a4931ca187cb0);
+CAPNP_DECLARE_SCHEMA(f31329e94f842c8d);
+CAPNP_DECLARE_SCHEMA(d5d983689ea86783);
+CAPNP_DECLARE_SCHEMA(87ead1bb967ea368);
 CAPNP_DECLARE_SCHEMA(8f0c3118ca8730b6);
 
 } // namespace schemas
@@ -104,6 +108,66 @@
     };
 };
 
+struct QuotaAsk {
+    QuotaAsk() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(f28a4931ca187cb0, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct QuotaRequest {
+    QuotaRequest() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(f31329e94f842c8d, 5, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct QuotaTokens {
+    QuotaTokens() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(d5d983689ea86783, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct QuotaGrant {
+    QuotaGrant() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(87ead1bb967ea368, 5, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct Message {
     Message() = delete;
 
@@ -118,6 +182,8 @@
         OWNER_LEAVING,
         PROBE,
         PROBE_ANSWER,
+        QUOTA_REQUEST,
+        QUOTA_GRANT,
     };
 
     struct _capnpPrivate {
@@ -771,9 +837,9 @@
 };
 #endif // !CAPNP_LITE
 
-class Message::Reader {
+class QuotaAsk::Reader {
 public:
-    typedef Message Reads;
+    typedef QuotaAsk Reads;
 
     Reader() = default;
     inline explicit Reader(::capnp::_::StructReader base)
@@ -787,30 +853,115 @@
     inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
 #endif // !CAPNP_LITE
 
-    inline Which which() const;
-    inline bool isStatement() const;
-    inline bool hasStatement() const;
-    inline ::endivetrestle::wire::Statement::Reader getStatement() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-    inline bool isOutcome() const;
-    inline bool hasOutcome() const;
-    inline ::endivetrestle::wire::Outcome::Reader getOutcome() const;
+    inline ::uint32_t getWaiting() const;
 
-    inline bool isEnd() const;
-    inline bool hasEnd() const;
-    inline ::endivetrestle::wire::End::Reader getEnd() const;
+    inline ::uint32_t getAhead() const;
 
-    inline bool isAbandon() const;
-    inline ::uint64_t getAbandon() const;
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
 
-    inline bool isOwnerLeaving() const;
-    inline ::capnp::Void getOwnerLeaving() const;
+class QuotaAsk::Builder {
+public:
+    typedef QuotaAsk Builds;
 
-    inline bool isProbe() const;
-    inline ::capnp::Void getProbe() const;
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
 
-    inline bool isProbeAnswer() const;
-    inline ::capnp::Void getProbeAnswer() const;
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif // !CAPNP_LITE
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline ::uint32_t getWaiting();
+    inline void setWaiting(::uint32_t value);
+
+    inline ::uint32_t getAhead();
+    inline void setAhead(::uint32_t value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaAsk::Pipeline {
+public:
+    typedef QuotaAsk Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class QuotaRequest::Reader {
+public:
+    typedef QuotaRequest Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber() const;
+
+    inline bool hasDaemon() const;
+    inline ::capnp::Text::Reader getDaemon() const;
+
+    inline ::uint32_t getShards() const;
+
+    inline ::uint32_t getShard() const;
+
+    inline ::uint64_t getIncarnation() const;
+
+    inline ::int64_t getStampUs() const;
+
+    inline ::uint32_t getDaemons() const;
+
+    inline bool hasAsks() const;
+    inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Reader getAsks() const;
 
 private:
     ::capnp::_::StructReader _reader;
@@ -821,9 +972,9 @@
     friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class QuotaRequest::Builder {
 public:
-    typedef Message Builds;
+    typedef QuotaRequest Builds;
 
     Builder() = delete; // Deleted to discourage incorrect usage.
                         // You can explicitly initialize to nullptr instead.
@@ -840,46 +991,38 @@
     inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif // !CAPNP_LITE
 
-    inline Which which();
-    inline bool isStatement();
-    inline bool hasStatement();
-    inline ::endivetrestle::wire::Statement::Builder getStatement();
-    inline void setStatement(::endivetrestle::wire::Statement::Reader value);
-    inline ::endivetrestle::wire::Statement::Builder initStatement();
-    inline void adoptStatement(::capnp::Orphan<::endivetrestle::wire::Statement>&& value);
-    inline ::capnp::Orphan<::endivetrestle::wire::Statement> disownStatement();
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
 
-    inline bool isOutcome();
-    inline bool hasOutcome();
-    inline ::endivetrestle::wire::Outcome::Builder getOutcome();
-    inline void setOutcome(::endivetrestle::wire::Outcome::Reader value);
-    inline ::endivetrestle::wire::Outcome::Builder initOutcome();
-    inline void adoptOutcome(::capnp::Orphan<::endivetrestle::wire::Outcome>&& value);
-    inline ::capnp::Orphan<::endivetrestle::wire::Outcome> disownOutcome();
+    inline bool hasDaemon();
+    inline ::capnp::Text::Builder getDaemon();
+    inline void setDaemon(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initDaemon(unsigned int size);
+    inline void adoptDaemon(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownDaemon();
 
-    inline bool isEnd();
-    inline bool hasEnd();
-    inline ::endivetrestle::wire::End::Builder getEnd();
-    inline void setEnd(::endivetrestle::wire::End::Reader value);
-    inline ::endivetrestle::wire::End::Builder initEnd();
-    inline void adoptEnd(::capnp::Orphan<::endivetrestle::wire::End>&& value);
-    inline ::capnp::Orphan<::endivetrestle::wire::End> disownEnd();
+    inline ::uint32_t getShards();
+    inline void setShards(::uint32_t value);
 
-    inline bool isAbandon();
-    inline ::uint64_t getAbandon();
-    inline void setAbandon(::uint64_t value);
+    inline ::uint32_t getShard();
+    inline void setShard(::uint32_t value);
 
-    inline bool isOwnerLeaving();
-    inline ::capnp::Void getOwnerLeaving();
-    inline void setOwnerLeaving(::capnp::Void value = ::capnp::VOID);
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
 
-    inline bool isProbe();
-    inline ::capnp::Void getProbe();
-    inline void setProbe(::capnp::Void value = ::capnp::VOID);
+    inline ::int64_t getStampUs();
+    inline void setStampUs(::int64_t value);
 
-    inline bool isProbeAnswer();
-    inline ::capnp::Void getProbeAnswer();
-    inline void setProbeAnswer(::capnp::Void value = ::capnp::VOID);
+    inline ::uint32_t getDaemons();
+    inline void setDaemons(::uint32_t value);
+
+    inline bool hasAsks();
+    inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Builder getAsks();
+    inline void setAsks(::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
+    inline void adoptAsks(
+        ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>&& value);
+    inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>> disownAsks();
 
 private:
     ::capnp::_::StructBuilder _builder;
@@ -889,9 +1032,9 @@
 };
 
 #if !CAPNP_LITE
-class Message::Pipeline {
+class QuotaRequest::Pipeline {
 public:
-    typedef Message Pipelines;
+    typedef QuotaRequest Pipelines;
 
     inline Pipeline(decltype(nullptr))
         : _typeless(nullptr)
@@ -909,981 +1052,1828 @@
 };
 #endif // !CAPNP_LITE
 
-// =======================================================================================
+class QuotaTokens::Reader {
+public:
+    typedef QuotaTokens Reads;
 
-inline ::uint64_t LogPosition::Reader::getTerm() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-inline ::uint64_t LogPosition::Builder::getTerm()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LogPosition::Builder::setTerm(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
-inline ::uint64_t LogPosition::Reader::getIndex() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
+#endif // !CAPNP_LITE
 
-inline ::uint64_t LogPosition::Builder::getIndex()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LogPosition::Builder::setIndex(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-inline bool SessionValue::Reader::hasName() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SessionValue::Builder::hasName()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader SessionValue::Reader::getName() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder SessionValue::Builder::getName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SessionValue::Builder::setName(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder SessionValue::Builder::initName(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
+    inline ::uint32_t getTokens() const;
+
+    inline bool getEmpty() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class QuotaTokens::Builder {
+public:
+    typedef QuotaTokens Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif // !CAPNP_LITE
+
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+
+    inline ::uint32_t getTokens();
+    inline void setTokens(::uint32_t value);
+
+    inline bool getEmpty();
+    inline void setEmpty(bool value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaTokens::Pipeline {
+public:
+    typedef QuotaTokens Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class QuotaGrant::Reader {
+public:
+    typedef QuotaGrant Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber() const;
+
+    inline ::uint32_t getShards() const;
+
+    inline ::uint32_t getShard() const;
+
+    inline ::uint64_t getIncarnation() const;
+
+    inline ::int64_t getStampUs() const;
+
+    inline bool getActive() const;
+
+    inline bool hasCoordinator() const;
+    inline ::capnp::Text::Reader getCoordinator() const;
+
+    inline bool hasTokens() const;
+    inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Reader getTokens() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class QuotaGrant::Builder {
+public:
+    typedef QuotaGrant Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
+
+    inline ::uint32_t getShards();
+    inline void setShards(::uint32_t value);
+
+    inline ::uint32_t getShard();
+    inline void setShard(::uint32_t value);
+
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
+
+    inline ::int64_t getStampUs();
+    inline void setStampUs(::int64_t value);
+
+    inline bool getActive();
+    inline void setActive(bool value);
+
+    inline bool hasCoordinator();
+    inline ::capnp::Text::Builder getCoordinator();
+    inline void setCoordinator(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initCoordinator(unsigned int size);
+    inline void adoptCoordinator(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownCoordinator();
+
+    inline bool hasTokens();
+    inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Builder getTokens();
+    inline void setTokens(::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Builder initTokens(
+        unsigned int size);
+    inline void adoptTokens(
+        ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>&& value);
+    inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>> disownTokens();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaGrant::Pipeline {
+public:
+    typedef QuotaGrant Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Message::Reader {
+public:
+    typedef Message Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
+#endif // !CAPNP_LITE
+
+    inline Which which() const;
+    inline bool isStatement() const;
+    inline bool hasStatement() const;
+    inline ::endivetrestle::wire::Statement::Reader getStatement() const;
+
+    inline bool isOutcome() const;
+    inline bool hasOutcome() const;
+    inline ::endivetrestle::wire::Outcome::Reader getOutcome() const;
+
+    inline bool isEnd() const;
+    inline bool hasEnd() const;
+    inline ::endivetrestle::wire::End::Reader getEnd() const;
+
+    inline bool isAbandon() const;
+    inline ::uint64_t getAbandon() const;
+
+    inline bool isOwnerLeaving() const;
+    inline ::capnp::Void getOwnerLeaving() const;
+
+    inline bool isProbe() const;
+    inline ::capnp::Void getProbe() const;
+
+    inline bool isProbeAnswer() const;
+    inline ::capnp::Void getProbeAnswer() const;
+
+    inline bool isQuotaRequest() const;
+    inline bool hasQuotaRequest() const;
+    inline ::endivetrestle::wire::QuotaRequest::Reader getQuotaRequest() const;
+
+    inline bool isQuotaGrant() const;
+    inline bool hasQuotaGrant() const;
+    inline ::endivetrestle::wire::QuotaGrant::Reader getQuotaGrant() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Message::Builder {
+public:
+    typedef Message Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isStatement();
+    inline bool hasStatement();
+    inline ::endivetrestle::wire::Statement::Builder getStatement();
+    inline void setStatement(::endivetrestle::wire::Statement::Reader value);
+    inline ::endivetrestle::wire::Statement::Builder initStatement();
+    inline void adoptStatement(::capnp::Orphan<::endivetrestle::wire::Statement>&& value);
+    inline ::capnp::Orphan<::endivetrestle::wire::Statement> disownStatement();
+
+    inline bool isOutcome();
+    inline bool hasOutcome();
+    inline ::endivetrestle::wire::Outcome::Builder getOutcome();
+    inline void setOutcome(::endivetrestle::wire::Outcome::Reader value);
+    inline ::endivetrestle::wire::Outcome::Builder initOutcome();
+    inline void adoptOutcome(::capnp::Orphan<::endivetrestle::wire::Outcome>&& value);
+    inline ::capnp::Orphan<::endivetrestle::wire::Outcome> disownOutcome();
+
+    inline bool isEnd();
+    inline bool hasEnd();
+    inline ::endivetrestle::wire::End::Builder getEnd();
+    inline void setEnd(::endivetrestle::wire::End::Reader value);
+    inline ::endivetrestle::wire::End::Builder initEnd();
+    inline void adoptEnd(::capnp::Orphan<::endivetrestle::wire::End>&& value);
+    inline ::capnp::Orphan<::endivetrestle::wire::End> disownEnd();
+
+    inline bool isAbandon();
+    inline ::uint64_t getAbandon();
+    inline void setAbandon(::uint64_t value);
+
+    inline bool isOwnerLeaving();
+    inline ::capnp::Void getOwnerLeaving();
+    inline void setOwnerLeaving(::capnp::Void value = ::capnp::VOID);
+
+    inline bool isProbe();
+    inline ::capnp::Void getProbe();
+    inline void setProbe(::capnp::Void value = ::capnp::VOID);
+
+    inline bool isProbeAnswer();
+    inline ::capnp::Void getProbeAnswer();
+    inline void setProbeAnswer(::capnp::Void value = ::capnp::VOID);
+
+    inline bool isQuotaRequest();
+    inline bool hasQuotaRequest();
+    inline ::endivetrestle::wire::QuotaRequest::Builder getQuotaRequest();
+    inline void setQuotaRequest(::endivetrestle::wire::QuotaRequest::Reader value);
+    inline ::endivetrestle::wire::QuotaRequest::Builder initQuotaRequest();
+    inline void adoptQuotaRequest(::capnp::Orphan<::endivetrestle::wire::QuotaRequest>&& value);
+    inline ::capnp::Orphan<::endivetrestle::wire::QuotaRequest> disownQuotaRequest();
+
+    inline bool isQuotaGrant();
+    inline bool hasQuotaGrant();
+    inline ::endivetrestle::wire::QuotaGrant::Builder getQuotaGrant();
+    inline void setQuotaGrant(::endivetrestle::wire::QuotaGrant::Reader value);
+    inline ::endivetrestle::wire::QuotaGrant::Builder initQuotaGrant();
+    inline void adoptQuotaGrant(::capnp::Orphan<::endivetrestle::wire::QuotaGrant>&& value);
+    inline ::capnp::Orphan<::endivetrestle::wire::QuotaGrant> disownQuotaGrant();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Message::Pipeline {
+public:
+    typedef Message Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+// =======================================================================================
+
+inline ::uint64_t LogPosition::Reader::getTerm() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t LogPosition::Builder::getTerm()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LogPosition::Builder::setTerm(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t LogPosition::Reader::getIndex() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t LogPosition::Builder::getIndex()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LogPosition::Builder::setIndex(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SessionValue::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SessionValue::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SessionValue::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SessionValue::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SessionValue::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SessionValue::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
 inline void SessionValue::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SessionValue::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SessionValue::Reader::hasValue() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SessionValue::Builder::hasValue()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SessionValue::Reader::getValue() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SessionValue::Builder::getValue()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SessionValue::Builder::setValue(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SessionValue::Builder::initValue(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SessionValue::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SessionValue::Builder::disownValue()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Statement::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Statement::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasGroup() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasGroup()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getGroup() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getGroup()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setGroup(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initGroup(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptGroup(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownGroup()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Statement::Reader::getConnection() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Statement::Builder::getConnection()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setConnection(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint8_t Statement::Reader::getKind() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t Statement::Builder::getKind()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setKind(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasId()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptId(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Statement::Reader::hasText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasText()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setText(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptText(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Statement::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Statement::Reader::hasArgument() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasArgument()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getArgument() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getArgument()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setArgument(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initArgument(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptArgument(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownArgument()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Statement::Reader::hasPreparedShape() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasPreparedShape()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getPreparedShape() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getPreparedShape()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setPreparedShape(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initPreparedShape(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptPreparedShape(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownPreparedShape()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Statement::Reader::getPreparedWrites() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+
+inline bool Statement::Builder::getPreparedWrites()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setPreparedWrites(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasValues() const
+{
+    return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasValues()
+{
+    return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Reader
+Statement::Reader::getValues() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Builder
+Statement::Builder::getValues()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setValues(
+    ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Builder
+Statement::Builder::initValues(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptValues(
+    ::capnp::Orphan<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>
+Statement::Builder::disownValues()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue,
+        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline ::uint8_t Statement::Reader::getStart() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t Statement::Builder::getStart()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setStart(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::getNeedsPrimary() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+
+inline bool Statement::Builder::getNeedsPrimary()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setNeedsPrimary(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::int64_t Statement::Reader::getMaxStalenessUs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Statement::Builder::getMaxStalenessUs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setMaxStalenessUs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::int64_t Statement::Reader::getRemainingUs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Statement::Builder::getRemainingUs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setRemainingUs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::int64_t Statement::Reader::getObjectiveUs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Statement::Builder::getObjectiveUs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setObjectiveUs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasLastWrite() const
+{
+    return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasLastWrite()
+{
+    return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline ::endivetrestle::wire::LogPosition::Reader Statement::Reader::getLastWrite() const
+{
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
+        _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::endivetrestle::wire::LogPosition::Builder Statement::Builder::getLastWrite()
+{
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::endivetrestle::wire::LogPosition::Pipeline Statement::Pipeline::getLastWrite()
+{
+    return ::endivetrestle::wire::LogPosition::Pipeline(_typeless.getPointerField(7));
+}
+#endif // !CAPNP_LITE
+inline void Statement::Builder::setLastWrite(::endivetrestle::wire::LogPosition::Reader value)
+{
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::set(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline ::endivetrestle::wire::LogPosition::Builder Statement::Builder::initLastWrite()
+{
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::init(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::adoptLastWrite(::capnp::Orphan<::endivetrestle::wire::LogPosition>&& value)
+{
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::adopt(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::endivetrestle::wire::LogPosition> Statement::Builder::disownLastWrite()
+{
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::disown(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline ::int32_t Statement::Reader::getPriority() const
+{
+    return _reader.getDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::int32_t Statement::Builder::getPriority()
+{
+    return _builder.getDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setPriority(::int32_t value)
+{
+    _builder.setDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Statement::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Statement::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Statement::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> SessionValue::Builder::disownName()
+inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownWorkspace()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool SessionValue::Reader::hasValue() const
+inline ::uint64_t Outcome::Reader::getNumber() const
 {
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool SessionValue::Builder::hasValue()
+
+inline ::uint64_t Outcome::Builder::getNumber()
 {
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader SessionValue::Reader::getValue() const
+inline void Outcome::Builder::setNumber(::uint64_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder SessionValue::Builder::getValue()
+
+inline bool Outcome::Reader::getDeclined() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void SessionValue::Builder::setValue(::capnp::Text::Reader value)
+
+inline bool Outcome::Builder::getDeclined()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder SessionValue::Builder::initValue(unsigned int size)
+inline void Outcome::Builder::setDeclined(bool value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline void SessionValue::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value)
+
+inline bool Outcome::Reader::getSucceeded() const
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> SessionValue::Builder::disownValue()
+
+inline bool Outcome::Builder::getSucceeded()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    return _builder.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setSucceeded(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Statement::Reader::getNumber() const
+inline ::uint8_t Outcome::Reader::getCode() const
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Statement::Builder::getNumber()
+inline ::uint8_t Outcome::Builder::getCode()
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setNumber(::uint64_t value)
+inline void Outcome::Builder::setCode(::uint8_t value)
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasGroup() const
+inline bool Outcome::Reader::hasErrorText() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasGroup()
+inline bool Outcome::Builder::hasErrorText()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getGroup() const
+inline ::capnp::Text::Reader Outcome::Reader::getErrorText() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getGroup()
+inline ::capnp::Text::Builder Outcome::Builder::getErrorText()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setGroup(::capnp::Text::Reader value)
+inline void Outcome::Builder::setErrorText(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initGroup(unsigned int size)
+inline ::capnp::Text::Builder Outcome::Builder::initErrorText(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptGroup(::capnp::Orphan<::capnp::Text>&& value)
+inline void Outcome::Builder::adoptErrorText(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownGroup()
+inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownErrorText()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Statement::Reader::getConnection() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Statement::Builder::getConnection()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Statement::Builder::setConnection(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint8_t Statement::Reader::getKind() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint8_t Statement::Builder::getKind()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void Statement::Builder::setKind(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Statement::Reader::hasId() const
+inline bool Outcome::Reader::hasPayload() const
 {
     return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasId()
+inline bool Outcome::Builder::hasPayload()
 {
     return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getId() const
+inline ::capnp::Data::Reader Outcome::Reader::getPayload() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
         _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getId()
+inline ::capnp::Data::Builder Outcome::Builder::getPayload()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setId(::capnp::Text::Reader value)
+inline void Outcome::Builder::setPayload(::capnp::Data::Reader value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initId(unsigned int size)
+inline ::capnp::Data::Builder Outcome::Builder::initPayload(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptId(::capnp::Orphan<::capnp::Text>&& value)
+inline void Outcome::Builder::adoptPayload(::capnp::Orphan<::capnp::Data>&& value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownId()
+inline ::capnp::Orphan<::capnp::Data> Outcome::Builder::disownPayload()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasText() const
+inline ::uint8_t Outcome::Reader::getPhase() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t Outcome::Builder::getPhase()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setPhase(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Outcome::Reader::hasPosition() const
 {
     return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasText()
+inline bool Outcome::Builder::hasPosition()
 {
     return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getText() const
+inline ::endivetrestle::wire::LogPosition::Reader Outcome::Reader::getPosition() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
         _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getText()
+inline ::endivetrestle::wire::LogPosition::Builder Outcome::Builder::getPosition()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
         _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setText(::capnp::Text::Reader value)
+#if !CAPNP_LITE
+inline ::endivetrestle::wire::LogPosition::Pipeline Outcome::Pipeline::getPosition()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    return ::endivetrestle::wire::LogPosition::Pipeline(_typeless.getPointerField(2));
+}
+#endif // !CAPNP_LITE
+inline void Outcome::Builder::setPosition(::endivetrestle::wire::LogPosition::Reader value)
+{
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::set(
         _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initText(unsigned int size)
+inline ::endivetrestle::wire::LogPosition::Builder Outcome::Builder::initPosition()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::adoptText(::capnp::Orphan<::capnp::Text>&& value)
+inline void Outcome::Builder::adoptPosition(::capnp::Orphan<::endivetrestle::wire::LogPosition>&& value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::adopt(
         _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownText()
+inline ::capnp::Orphan<::endivetrestle::wire::LogPosition> Outcome::Builder::disownPosition()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::disown(
         _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasName() const
+inline bool Outcome::Reader::hasReason() const
 {
     return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasName()
+inline bool Outcome::Builder::hasReason()
 {
     return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getName() const
+inline ::capnp::Text::Reader Outcome::Reader::getReason() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getName()
+inline ::capnp::Text::Builder Outcome::Builder::getReason()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setName(::capnp::Text::Reader value)
+inline void Outcome::Builder::setReason(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initName(unsigned int size)
+inline ::capnp::Text::Builder Outcome::Builder::initReason(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
         _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
+inline void Outcome::Builder::adoptReason(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownName()
+inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownReason()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::hasArgument() const
+inline bool Outcome::Reader::hasEndpoint() const
 {
     return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasArgument()
+inline bool Outcome::Builder::hasEndpoint()
 {
     return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getArgument() const
+inline ::capnp::Text::Reader Outcome::Reader::getEndpoint() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getArgument()
+inline ::capnp::Text::Builder Outcome::Builder::getEndpoint()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setArgument(::capnp::Text::Reader value)
+inline void Outcome::Builder::setEndpoint(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initArgument(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void Statement::Builder::adoptArgument(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownArgument()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool Statement::Reader::hasPreparedShape() const
-{
-    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Statement::Builder::hasPreparedShape()
-{
-    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Statement::Reader::getPreparedShape() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Statement::Builder::getPreparedShape()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Statement::Builder::setPreparedShape(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Statement::Builder::initPreparedShape(unsigned int size)
+inline ::capnp::Text::Builder Outcome::Builder::initEndpoint(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptPreparedShape(::capnp::Orphan<::capnp::Text>&& value)
+inline void Outcome::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownPreparedShape()
+inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownEndpoint()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Statement::Reader::getPreparedWrites() const
+inline ::uint64_t Outcome::Reader::getConnection() const
 {
-    return _reader.getDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Statement::Builder::getPreparedWrites()
+inline ::uint64_t Outcome::Builder::getConnection()
 {
-    return _builder.getDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setPreparedWrites(bool value)
+inline void Outcome::Builder::setConnection(::uint64_t value)
 {
-    _builder.setDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasValues() const
+inline bool Outcome::Reader::getFromEndpoint() const
 {
-    return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+    return _reader.getDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline bool Statement::Builder::hasValues()
+
+inline bool Outcome::Builder::getFromEndpoint()
 {
-    return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+    return _builder.getDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Reader
-Statement::Reader::getValues() const
+inline void Outcome::Builder::setFromEndpoint(bool value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+    _builder.setDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Builder
-Statement::Builder::getValues()
+
+inline ::int32_t Outcome::Reader::getAttempts() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+    return _reader.getDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setValues(
-    ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Reader value)
+
+inline ::int32_t Outcome::Builder::getAttempts()
 {
-    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+    return _builder.getDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>::Builder
-Statement::Builder::initValues(unsigned int size)
+inline void Outcome::Builder::setAttempts(::int32_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+    _builder.setDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void Statement::Builder::adoptValues(
-    ::capnp::Orphan<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>&& value)
+
+inline bool End::Reader::hasGroup() const
 {
-    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::SessionValue, ::capnp::Kind::STRUCT>>
-Statement::Builder::disownValues()
+inline bool End::Builder::hasGroup()
 {
-    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::SessionValue,
-        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::uint8_t Statement::Reader::getStart() const
+inline ::capnp::Text::Reader End::Reader::getGroup() const
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline ::uint8_t Statement::Builder::getStart()
+inline ::capnp::Text::Builder End::Builder::getGroup()
 {
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setStart(::uint8_t value)
+inline void End::Builder::setGroup(::capnp::Text::Reader value)
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Statement::Reader::getNeedsPrimary() const
+inline ::capnp::Text::Builder End::Builder::initGroup(unsigned int size)
 {
-    return _reader.getDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline bool Statement::Builder::getNeedsPrimary()
+inline void End::Builder::adoptGroup(::capnp::Orphan<::capnp::Text>&& value)
 {
-    return _builder.getDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS);
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Statement::Builder::setNeedsPrimary(bool value)
+inline ::capnp::Orphan<::capnp::Text> End::Builder::disownGroup()
 {
-    _builder.setDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Statement::Reader::getMaxStalenessUs() const
+inline ::uint64_t End::Reader::getConnection() const
 {
-    return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Statement::Builder::getMaxStalenessUs()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Statement::Builder::setMaxStalenessUs(::int64_t value)
+inline ::uint64_t End::Builder::getConnection()
 {
-    _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-
-inline ::int64_t Statement::Reader::getRemainingUs() const
+inline void End::Builder::setConnection(::uint64_t value)
 {
-    return _reader.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Statement::Builder::getRemainingUs()
+inline bool QuotaAsk::Reader::hasWorkspace() const
 {
-    return _builder.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Statement::Builder::setRemainingUs(::int64_t value)
+inline bool QuotaAsk::Builder::hasWorkspace()
 {
-    _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::int64_t Statement::Reader::getObjectiveUs() const
+inline ::capnp::Text::Reader QuotaAsk::Reader::getWorkspace() const
 {
-    return _reader.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline ::int64_t Statement::Builder::getObjectiveUs()
+inline ::capnp::Text::Builder QuotaAsk::Builder::getWorkspace()
 {
-    return _builder.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setObjectiveUs(::int64_t value)
+inline void QuotaAsk::Builder::setWorkspace(::capnp::Text::Reader value)
 {
-    _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Statement::Reader::hasLastWrite() const
+inline ::capnp::Text::Builder QuotaAsk::Builder::initWorkspace(unsigned int size)
 {
-    return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline bool Statement::Builder::hasLastWrite()
+inline void QuotaAsk::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value)
 {
-    return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::endivetrestle::wire::LogPosition::Reader Statement::Reader::getLastWrite() const
+inline ::capnp::Orphan<::capnp::Text> QuotaAsk::Builder::disownWorkspace()
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
-        _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::endivetrestle::wire::LogPosition::Builder Statement::Builder::getLastWrite()
+
+inline ::uint32_t QuotaAsk::Reader::getWaiting() const
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
-        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline ::endivetrestle::wire::LogPosition::Pipeline Statement::Pipeline::getLastWrite()
+
+inline ::uint32_t QuotaAsk::Builder::getWaiting()
 {
-    return ::endivetrestle::wire::LogPosition::Pipeline(_typeless.getPointerField(7));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif // !CAPNP_LITE
-inline void Statement::Builder::setLastWrite(::endivetrestle::wire::LogPosition::Reader value)
+inline void QuotaAsk::Builder::setWaiting(::uint32_t value)
 {
-    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::set(
-        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::endivetrestle::wire::LogPosition::Builder Statement::Builder::initLastWrite()
+
+inline ::uint32_t QuotaAsk::Reader::getAhead() const
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::init(
-        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::adoptLastWrite(::capnp::Orphan<::endivetrestle::wire::LogPosition>&& value)
+
+inline ::uint32_t QuotaAsk::Builder::getAhead()
 {
-    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::adopt(
-        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::endivetrestle::wire::LogPosition> Statement::Builder::disownLastWrite()
+inline void QuotaAsk::Builder::setAhead(::uint32_t value)
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::disown(
-        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int32_t Statement::Reader::getPriority() const
+inline ::uint64_t QuotaRequest::Reader::getNumber() const
 {
-    return _reader.getDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t Statement::Builder::getPriority()
+inline ::uint64_t QuotaRequest::Builder::getNumber()
 {
-    return _builder.getDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Statement::Builder::setPriority(::int32_t value)
+inline void QuotaRequest::Builder::setNumber(::uint64_t value)
 {
-    _builder.setDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Statement::Reader::hasWorkspace() const
+inline bool QuotaRequest::Reader::hasDaemon() const
 {
-    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Statement::Builder::hasWorkspace()
+inline bool QuotaRequest::Builder::hasDaemon()
 {
-    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Statement::Reader::getWorkspace() const
+inline ::capnp::Text::Reader QuotaRequest::Reader::getDaemon() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Statement::Builder::getWorkspace()
+inline ::capnp::Text::Builder QuotaRequest::Builder::getDaemon()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Statement::Builder::setWorkspace(::capnp::Text::Reader value)
+inline void QuotaRequest::Builder::setDaemon(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Statement::Builder::initWorkspace(unsigned int size)
+inline ::capnp::Text::Builder QuotaRequest::Builder::initDaemon(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Statement::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value)
+inline void QuotaRequest::Builder::adoptDaemon(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Statement::Builder::disownWorkspace()
+inline ::capnp::Orphan<::capnp::Text> QuotaRequest::Builder::disownDaemon()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t Outcome::Reader::getNumber() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Outcome::Builder::getNumber()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Outcome::Builder::setNumber(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Outcome::Reader::getDeclined() const
+inline ::uint32_t QuotaRequest::Reader::getShards() const
 {
-    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Builder::getDeclined()
+inline ::uint32_t QuotaRequest::Builder::getShards()
 {
-    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setDeclined(bool value)
+inline void QuotaRequest::Builder::setShards(::uint32_t value)
 {
-    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Outcome::Reader::getSucceeded() const
+inline ::uint32_t QuotaRequest::Reader::getShard() const
 {
-    return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Builder::getSucceeded()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-inline void Outcome::Builder::setSucceeded(bool value)
+inline ::uint32_t QuotaRequest::Builder::getShard()
 {
-    _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-
-inline ::uint8_t Outcome::Reader::getCode() const
+inline void QuotaRequest::Builder::setShard(::uint32_t value)
 {
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t Outcome::Builder::getCode()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void Outcome::Builder::setCode(::uint8_t value)
+inline ::uint64_t QuotaRequest::Reader::getIncarnation() const
 {
-    _builder.setDataField<::uint8_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Reader::hasErrorText() const
+inline ::uint64_t QuotaRequest::Builder::getIncarnation()
 {
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool Outcome::Builder::hasErrorText()
+inline void QuotaRequest::Builder::setIncarnation(::uint64_t value)
 {
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Reader Outcome::Reader::getErrorText() const
+
+inline ::int64_t QuotaRequest::Reader::getStampUs() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder Outcome::Builder::getErrorText()
+
+inline ::int64_t QuotaRequest::Builder::getStampUs()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setErrorText(::capnp::Text::Reader value)
+inline void QuotaRequest::Builder::setStampUs(::int64_t value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+    _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder Outcome::Builder::initErrorText(unsigned int size)
+
+inline ::uint32_t QuotaRequest::Reader::getDaemons() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::adoptErrorText(::capnp::Orphan<::capnp::Text>&& value)
+
+inline ::uint32_t QuotaRequest::Builder::getDaemons()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownErrorText()
+inline void QuotaRequest::Builder::setDaemons(::uint32_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Outcome::Reader::hasPayload() const
+inline bool QuotaRequest::Reader::hasAsks() const
 {
     return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Outcome::Builder::hasPayload()
+inline bool QuotaRequest::Builder::hasAsks()
 {
     return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Outcome::Reader::getPayload() const
+inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Reader
+QuotaRequest::Reader::getAsks() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::get(
         _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Outcome::Builder::getPayload()
+inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Builder QuotaRequest::Builder::getAsks()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::get(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Outcome::Builder::setPayload(::capnp::Data::Reader value)
+inline void QuotaRequest::Builder::setAsks(
+    ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Reader value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::set(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Outcome::Builder::initPayload(unsigned int size)
+inline ::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>::Builder QuotaRequest::Builder::initAsks(
+    unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::init(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Outcome::Builder::adoptPayload(::capnp::Orphan<::capnp::Data>&& value)
+inline void QuotaRequest::Builder::adoptAsks(
+    ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>&& value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::adopt(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Outcome::Builder::disownPayload()
+inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>
+QuotaRequest::Builder::disownAsks()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaAsk, ::capnp::Kind::STRUCT>>::disown(
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t Outcome::Reader::getPhase() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint8_t Outcome::Builder::getPhase()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-inline void Outcome::Builder::setPhase(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Outcome::Reader::hasPosition() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Outcome::Builder::hasPosition()
+inline bool QuotaTokens::Reader::hasWorkspace() const
 {
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::endivetrestle::wire::LogPosition::Reader Outcome::Reader::getPosition() const
+inline bool QuotaTokens::Builder::hasWorkspace()
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::endivetrestle::wire::LogPosition::Builder Outcome::Builder::getPosition()
+inline ::capnp::Text::Reader QuotaTokens::Reader::getWorkspace() const
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline ::endivetrestle::wire::LogPosition::Pipeline Outcome::Pipeline::getPosition()
+inline ::capnp::Text::Builder QuotaTokens::Builder::getWorkspace()
 {
-    return ::endivetrestle::wire::LogPosition::Pipeline(_typeless.getPointerField(2));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif // !CAPNP_LITE
-inline void Outcome::Builder::setPosition(::endivetrestle::wire::LogPosition::Reader value)
+inline void QuotaTokens::Builder::setWorkspace(::capnp::Text::Reader value)
 {
-    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::endivetrestle::wire::LogPosition::Builder Outcome::Builder::initPosition()
+inline ::capnp::Text::Builder QuotaTokens::Builder::initWorkspace(unsigned int size)
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Outcome::Builder::adoptPosition(::capnp::Orphan<::endivetrestle::wire::LogPosition>&& value)
+inline void QuotaTokens::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value)
 {
-    ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::endivetrestle::wire::LogPosition> Outcome::Builder::disownPosition()
+inline ::capnp::Orphan<::capnp::Text> QuotaTokens::Builder::disownWorkspace()
 {
-    return ::capnp::_::PointerHelpers<::endivetrestle::wire::LogPosition>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Outcome::Reader::hasReason() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Outcome::Builder::hasReason()
+inline ::uint32_t QuotaTokens::Reader::getTokens() const
 {
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader Outcome::Reader::getReason() const
+
+inline ::uint32_t QuotaTokens::Builder::getTokens()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder Outcome::Builder::getReason()
+inline void QuotaTokens::Builder::setTokens(::uint32_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline void Outcome::Builder::setReason(::capnp::Text::Reader value)
+
+inline bool QuotaTokens::Reader::getEmpty() const
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder Outcome::Builder::initReason(unsigned int size)
+
+inline bool QuotaTokens::Builder::getEmpty()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::adoptReason(::capnp::Orphan<::capnp::Text>&& value)
+inline void QuotaTokens::Builder::setEmpty(bool value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownReason()
+
+inline ::uint64_t QuotaGrant::Reader::getNumber() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Reader::hasEndpoint() const
+inline ::uint64_t QuotaGrant::Builder::getNumber()
 {
-    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Outcome::Builder::hasEndpoint()
+inline void QuotaGrant::Builder::setNumber(::uint64_t value)
 {
-    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Reader Outcome::Reader::getEndpoint() const
+
+inline ::uint32_t QuotaGrant::Reader::getShards() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder Outcome::Builder::getEndpoint()
+
+inline ::uint32_t QuotaGrant::Builder::getShards()
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setEndpoint(::capnp::Text::Reader value)
+inline void QuotaGrant::Builder::setShards(::uint32_t value)
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder Outcome::Builder::initEndpoint(unsigned int size)
+
+inline ::uint32_t QuotaGrant::Reader::getShard() const
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value)
+
+inline ::uint32_t QuotaGrant::Builder::getShard()
 {
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> Outcome::Builder::disownEndpoint()
+inline void QuotaGrant::Builder::setShard(::uint32_t value)
 {
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Outcome::Reader::getConnection() const
+inline ::uint64_t QuotaGrant::Reader::getIncarnation() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Outcome::Builder::getConnection()
+inline ::uint64_t QuotaGrant::Builder::getIncarnation()
 {
     return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setConnection(::uint64_t value)
+inline void QuotaGrant::Builder::setIncarnation(::uint64_t value)
 {
     _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Outcome::Reader::getFromEndpoint() const
+inline ::int64_t QuotaGrant::Reader::getStampUs() const
 {
-    return _reader.getDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Builder::getFromEndpoint()
+inline ::int64_t QuotaGrant::Builder::getStampUs()
 {
-    return _builder.getDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setFromEndpoint(bool value)
+inline void QuotaGrant::Builder::setStampUs(::int64_t value)
 {
-    _builder.setDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int32_t Outcome::Reader::getAttempts() const
+inline bool QuotaGrant::Reader::getActive() const
 {
-    return _reader.getDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    return _reader.getDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t Outcome::Builder::getAttempts()
+inline bool QuotaGrant::Builder::getActive()
 {
-    return _builder.getDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    return _builder.getDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setAttempts(::int32_t value)
+inline void QuotaGrant::Builder::setActive(bool value)
 {
-    _builder.setDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+    _builder.setDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool End::Reader::hasGroup() const
+inline bool QuotaGrant::Reader::hasCoordinator() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool End::Builder::hasGroup()
+inline bool QuotaGrant::Builder::hasCoordinator()
 {
     return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader End::Reader::getGroup() const
+inline ::capnp::Text::Reader QuotaGrant::Reader::getCoordinator() const
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder End::Builder::getGroup()
+inline ::capnp::Text::Builder QuotaGrant::Builder::getCoordinator()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::get(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void End::Builder::setGroup(::capnp::Text::Reader value)
+inline void QuotaGrant::Builder::setCoordinator(::capnp::Text::Reader value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::set(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder End::Builder::initGroup(unsigned int size)
+inline ::capnp::Text::Builder QuotaGrant::Builder::initCoordinator(unsigned int size)
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::init(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void End::Builder::adoptGroup(::capnp::Orphan<::capnp::Text>&& value)
+inline void QuotaGrant::Builder::adoptCoordinator(::capnp::Orphan<::capnp::Text>&& value)
 {
     ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> End::Builder::disownGroup()
+inline ::capnp::Orphan<::capnp::Text> QuotaGrant::Builder::disownCoordinator()
 {
     return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t End::Reader::getConnection() const
+inline bool QuotaGrant::Reader::hasTokens() const
 {
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::uint64_t End::Builder::getConnection()
+inline bool QuotaGrant::Builder::hasTokens()
 {
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void End::Builder::setConnection(::uint64_t value)
+inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Reader
+QuotaGrant::Reader::getTokens() const
 {
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Builder
+QuotaGrant::Builder::getTokens()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuotaGrant::Builder::setTokens(
+    ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>::Builder
+QuotaGrant::Builder::initTokens(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QuotaGrant::Builder::adoptTokens(
+    ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>
+QuotaGrant::Builder::disownTokens()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::endivetrestle::wire::QuotaTokens, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline ::endivetrestle::wire::Message::Which Message::Reader::which() const
@@ -2124,6 +3114,108 @@
     _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Message::Reader::isQuotaRequest() const { return which() == Message::QUOTA_REQUEST; }
+inline bool Message::Builder::isQuotaRequest() { return which() == Message::QUOTA_REQUEST; }
+inline bool Message::Reader::hasQuotaRequest() const
+{
+    if (which() != Message::QUOTA_REQUEST)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasQuotaRequest()
+{
+    if (which() != Message::QUOTA_REQUEST)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::endivetrestle::wire::QuotaRequest::Reader Message::Reader::getQuotaRequest() const
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_REQUEST), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::endivetrestle::wire::QuotaRequest::Builder Message::Builder::getQuotaRequest()
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_REQUEST), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setQuotaRequest(::endivetrestle::wire::QuotaRequest::Reader value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REQUEST);
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::endivetrestle::wire::QuotaRequest::Builder Message::Builder::initQuotaRequest()
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REQUEST);
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptQuotaRequest(::capnp::Orphan<::endivetrestle::wire::QuotaRequest>&& value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REQUEST);
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::endivetrestle::wire::QuotaRequest> Message::Builder::disownQuotaRequest()
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_REQUEST), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaRequest>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isQuotaGrant() const { return which() == Message::QUOTA_GRANT; }
+inline bool Message::Builder::isQuotaGrant() { return which() == Message::QUOTA_GRANT; }
+inline bool Message::Reader::hasQuotaGrant() const
+{
+    if (which() != Message::QUOTA_GRANT)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasQuotaGrant()
+{
+    if (which() != Message::QUOTA_GRANT)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::endivetrestle::wire::QuotaGrant::Reader Message::Reader::getQuotaGrant() const
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_GRANT), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::endivetrestle::wire::QuotaGrant::Builder Message::Builder::getQuotaGrant()
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_GRANT), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setQuotaGrant(::endivetrestle::wire::QuotaGrant::Reader value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANT);
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::endivetrestle::wire::QuotaGrant::Builder Message::Builder::initQuotaGrant()
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANT);
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptQuotaGrant(::capnp::Orphan<::endivetrestle::wire::QuotaGrant>&& value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANT);
+    ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::endivetrestle::wire::QuotaGrant> Message::Builder::disownQuotaGrant()
+{
+    KJ_IREQUIRE((which() == Message::QUOTA_GRANT), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::endivetrestle::wire::QuotaGrant>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace wire
 } // namespace endivetrestle
 
--- a/src/edge/forward_codec.cc
+++ b/src/edge/forward_codec.cc
@@ -156,6 +156,87 @@
     return message;
 }
 
+// No value for a shard that no division has, from which a coordinator would keep state.
+std::optional<QuotaShard> readShard(std::uint32_t count, std::uint32_t index)
+{
+    constexpr std::uint32_t mostShards = 1024;
+    if (count > mostShards || index >= count)
+        return std::nullopt;
+    return QuotaShard { count, index };
+}
+
+void write(wire::QuotaRequest::Builder builder, const QuotaRequest& message)
+{
+    builder.setNumber(message.number);
+    builder.setDaemon(textOf(message.daemon.value));
+    builder.setShards(message.shard.count);
+    builder.setShard(message.shard.index);
+    builder.setIncarnation(message.incarnation);
+    builder.setStampUs(message.stampUs);
+    builder.setDaemons(message.daemons);
+    auto asks = builder.initAsks(static_cast<unsigned>(message.asks.size()));
+    unsigned index = 0;
+    for (const auto& ask : message.asks) {
+        auto entry = asks[index++];
+        entry.setWorkspace(textOf(ask.workspace.value));
+        entry.setWaiting(ask.waiting);
+        entry.setAhead(ask.ahead);
+    }
+}
+
+std::optional<ForwardMessage> read(wire::QuotaRequest::Reader reader)
+{
+    const auto shard = readShard(reader.getShards(), reader.getShard());
+    if (!shard)
+        return std::nullopt;
+    QuotaRequest message;
+    message.number = reader.getNumber();
+    message.daemon = DaemonId(stringOf(reader.getDaemon()));
+    message.shard = *shard;
+    message.incarnation = reader.getIncarnation();
+    message.stampUs = reader.getStampUs();
+    message.daemons = reader.getDaemons();
+    for (const auto ask : reader.getAsks())
+        message.asks.push_back({ WorkspaceId(stringOf(ask.getWorkspace())), ask.getWaiting(), ask.getAhead() });
+    return message;
+}
+
+void write(wire::QuotaGrant::Builder builder, const QuotaGrant& message)
+{
+    builder.setNumber(message.number);
+    builder.setShards(message.shard.count);
+    builder.setShard(message.shard.index);
+    builder.setIncarnation(message.incarnation);
+    builder.setStampUs(message.stampUs);
+    builder.setActive(message.active);
+    builder.setCoordinator(textOf(message.coordinator.value));
+    auto tokens = builder.initTokens(static_cast<unsigned>(message.tokens.size()));
+    unsigned index = 0;
+    for (const auto& answer : message.tokens) {
+        auto entry = tokens[index++];
+        entry.setWorkspace(textOf(answer.workspace.value));
+        entry.setTokens(answer.tokens);
+        entry.setEmpty(answer.empty);
+    }
+}
+
+std::optional<ForwardMessage> read(wire::QuotaGrant::Reader reader)
+{
+    const auto shard = readShard(reader.getShards(), reader.getShard());
+    if (!shard)
+        return std::nullopt;
+    QuotaGrant message;
+    message.number = reader.getNumber();
+    message.shard = *shard;
+    message.incarnation = reader.getIncarnation();
+    message.stampUs = reader.getStampUs();
+    message.active = reader.getActive();
+    message.coordinator = DaemonId(stringOf(reader.getCoordinator()));
+    for (const auto entry : reader.getTokens())
+        message.tokens.push_back({ WorkspaceId(stringOf(entry.getWorkspace())), entry.getTokens(), entry.getEmpty() });
+    return message;
+}
+
 std::optional<ForwardMessage> read(wire::Message::Reader reader, Time now)
 {
     switch (reader.which()) {
@@ -173,6 +254,10 @@
         return LinkProbe {};
     case wire::Message::PROBE_ANSWER:
         return LinkProbeAnswer {};
+    case wire::Message::QUOTA_REQUEST:
+        return read(reader.getQuotaRequest());
+    case wire::Message::QUOTA_GRANT:
+        return read(reader.getQuotaGrant());
     }
     return std::nullopt;
 }
@@ -194,6 +279,8 @@
     void operator()(const OwnerLeaving&) { this->builder.setOwnerLeaving(); }
     void operator()(const LinkProbe&) { this->builder.setProbe(); }
     void operator()(const LinkProbeAnswer&) { this->builder.setProbeAnswer(); }
+    void operator()(const QuotaRequest& message) { write(this->builder.initQuotaRequest(), message); }
+    void operator()(const QuotaGrant& message) { write(this->builder.initQuotaGrant(), message); }
 };
 
 } // namespace
--- a/src/edge/forward_codec_test.cc
+++ b/src/edge/forward_codec_test.cc
@@ -151,3 +151,27 @@
     REQUIRE(end);
     CHECK(std::get<ForwardedRollback>(*end).group.value == zero);
 }
+
+TEST_CASE("ForwardCodec, keeps requests for quota and their answers")
+{
+    const QuotaRequest request { 7, DaemonId("d1"), { 3, 2 }, 91, 5000001, 26,
+        { { WorkspaceId("a"), 2, 0 }, { WorkspaceId("b"), 0, 4 } } };
+    const auto decodedRequest = decodeForward(encodeForward(request, sender), receiver);
+    REQUIRE(decodedRequest);
+    CHECK(std::get<QuotaRequest>(*decodedRequest) == request);
+    const QuotaGrant grant { 7, { 3, 2 }, 91, 5000001, true, DaemonId("d2"),
+        { { WorkspaceId("a"), 1, true }, { WorkspaceId("b"), 4, false } } };
+    const auto decodedGrant = decodeForward(encodeForward(grant, sender), receiver);
+    REQUIRE(decodedGrant);
+    CHECK(std::get<QuotaGrant>(*decodedGrant) == grant);
+}
+
+// Guards against state that a coordinator would keep for shards that do not exist.
+TEST_CASE("ForwardCodec, rejects a request for a shard that does not exist")
+{
+    QuotaRequest request;
+    request.shard = { 2, 2 };
+    CHECK_FALSE(decodeForward(encodeForward(request, sender), receiver));
+    request.shard = { 100000, 1 };
+    CHECK_FALSE(decodeForward(encodeForward(request, sender), receiver));
+}
--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -44,8 +44,9 @@
     const auto now = this->hooks.now();
     if (this->outgoing.count(owner) == 0) {
         const auto address = this->addresses.find(owner);
-        const bool isStatement = std::holds_alternative<ForwardedStatement>(message);
-        if (address == this->addresses.end() || this->reopenAt.count(owner) != 0 || !isStatement)
+        const bool mayOpen
+            = std::holds_alternative<ForwardedStatement>(message) || std::holds_alternative<QuotaRequest>(message);
+        if (address == this->addresses.end() || this->reopenAt.count(owner) != 0 || !mayOpen)
             return false;
         this->open(owner, address->second);
     }
@@ -123,7 +124,8 @@
         // An outcome without a group answers a statement that was abandoned meanwhile.
         if (const auto group = found->second.statementGroups.extract(outcome->number))
             this->hooks.outcome(owner, group.mapped(), *outcome);
-    }
+    } else if (const auto* grant = std::get_if<QuotaGrant>(&*message); grant != nullptr && this->hooks.quotaGrant)
+        this->hooks.quotaGrant(owner, *grant, now);
     return this->outgoing.count(owner) != 0;
 }
 
@@ -222,6 +224,8 @@
         statements.onEnd(*end, now);
     else if (const auto* abandon = std::get_if<ForwardedAbandon>(&*message))
         statements.onAbandon(*abandon, now);
+    else if (const auto* request = std::get_if<QuotaRequest>(&*message); request != nullptr && this->hooks.quotaRequest)
+        found->second.socket->writeFrame(encodeForward(this->hooks.quotaRequest(*request, now), now));
     else if (std::holds_alternative<LinkProbe>(*message))
         found->second.socket->writeFrame(encodeForward(LinkProbeAnswer {}, now));
     return this->incoming.count(id) != 0;
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -26,6 +26,10 @@
     std::function<void(const DaemonId&, bool established)> lost;
     std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<bool(const ForwardedStatement&, Time now)> accepts;
+    // Answers a request for quota, and takes the answer of another daemon to one of this daemon. Requests are ignored
+    // without the functions.
+    std::function<QuotaGrant(const QuotaRequest&, Time now)> quotaRequest;
+    std::function<void(const DaemonId&, const QuotaGrant&, Time now)> quotaGrant;
 };
 
 // TCP links over which statements are forwarded: one to each owner that this daemon uses, opened with the first
--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -214,3 +214,31 @@
     REQUIRE(fixture.outcomes.size() == 2);
     CHECK(fixture.outcomes.front().number == 1);
 }
+
+// Guards against a request for quota that waits until a statement opens the link, and against an answer that goes to
+// another daemon.
+TEST_CASE("ForwardLinks, opens a link for a request for quota and carries the answer back on it")
+{
+    Fixture fixture;
+    std::vector<QuotaRequest> requests;
+    auto ownerHooks = fixture.ownerHooks();
+    ownerHooks.quotaRequest = [&](const QuotaRequest& request, Time) {
+        requests.push_back(request);
+        return QuotaGrant { request.number, request.shard, 5, 9, true, {}, { { WorkspaceId("w"), 2, false } } };
+    };
+    ForwardLinks coordinator(fixture.context, std::move(ownerHooks));
+    coordinator.listen({ "127.0.0.1", 0 });
+    std::vector<std::pair<DaemonId, QuotaGrant>> grants;
+    auto senderHooks = fixture.ownerHooks();
+    senderHooks.quotaGrant
+        = [&](const DaemonId& from, const QuotaGrant& grant, Time) { grants.emplace_back(from, grant); };
+    ForwardLinks sender(fixture.context, std::move(senderHooks));
+    sender.setDaemons({ { owner, { "127.0.0.1", coordinator.port() } } });
+    const QuotaRequest request { 3, DaemonId("asking"), {}, 0, 0, 2, { { WorkspaceId("w"), 1, 1 } } };
+    REQUIRE(sender.send(owner, request));
+    fixture.runUntil([&] { return !grants.empty(); });
+    CHECK(requests == std::vector { request });
+    CHECK(grants.front().first == owner);
+    CHECK(grants.front().second.number == 3);
+    CHECK(grants.front().second.tokens == std::vector { QuotaTokens { WorkspaceId("w"), 2, false } });
+}
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -52,6 +52,7 @@
         FleetIdentity { this->settings.daemon, this->incarnation, this->settings.advertisedPeerAddress,
             this->settings.advertisedForwardAddress, this->settings.dataCentre },
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
+    this->makeQuota();
     this->makeBootstrap();
     this->listen();
     this->startFeeds();
@@ -115,6 +116,7 @@
     hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
     hooks.ended = [this](const SessionEnd& end) { this->recordEnd(end); };
     hooks.startHold = [startedAt = bootNow()] { return sessionStartWait(bootNow() - startedAt); };
+    hooks.gate = this->makeOperationGate();
     this->sessions
         = std::make_unique<SessionServer>(this->context, this->timers, std::move(hooks), this->sessionLimit());
     this->sessions->listen(this->settings.clientAddress);
@@ -186,6 +188,7 @@
         this->syncRequirement.apply(*this->routes, bootNow());
         this->updateGroups();
         this->updatePlacements();
+        this->configureQuota();
         this->sessions->checkKeys();
         this->sessions->startHeldSessions();
     }
@@ -293,6 +296,8 @@
             group.scheduler->primaryUsable(now));
         this->metrics.forwarding(id, group.forwarder->statistics(), group.placement.ownedHere);
     }
+    if (this->quota->nextDue() != Time::max())
+        this->metrics.quota(this->quota->statistics());
     ProxyState state;
     state.sessions = this->sessions->sessions();
     state.liveDaemons = this->alive.size();
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -14,6 +14,7 @@
 #include "process/group_scheduler.h"
 #include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
+#include "process/quota/daemon_quota.h"
 #include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
@@ -78,6 +79,16 @@
     [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
     StatementRunner* runnerOf(const DatabaseId& group);
 
+    // session_proxy_quota.cc
+    void makeQuota();
+    OperationGate makeOperationGate();
+    void logQuotaRefusal(const WorkspaceId& workspace, QuotaDecision decision);
+    void configureQuota();
+    void updateQuotaDaemons();
+    void addQuotaHooks(ForwardLinkHooks& hooks);
+    void onQuotaLinkLost(const DaemonId& daemon);
+    void armQuotaTimer();
+
     void listen();
     void startFeeds();
     void onStoreRegained();
@@ -126,6 +137,10 @@
     bool registryKnown = false;
     std::map<DatabaseId, Group> groups;
     std::unique_ptr<FleetController> fleet;
+    std::unique_ptr<DaemonQuota> quota;
+    // Subscription of the quota's next periodic work, 0 if there is none, and its time.
+    TimerService::SubscriptionId quotaTimer = 0;
+    Time quotaTimerDue = Time::max();
     std::unique_ptr<ForwardLinks> links;
     std::unique_ptr<SessionServer> sessions;
     std::unique_ptr<TableFeed> configurationFeed;
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -38,12 +38,14 @@
     hooks.lost = [this](const DaemonId& owner, bool established) {
         for (auto& [id, group] : this->groups)
             group.forwarder->onLinkLost(owner, established, bootNow());
+        this->onQuotaLinkLost(owner);
     };
     hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
     hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
         const auto* scheduler = this->schedulerOf(statement.group);
         return !this->stopping && scheduler != nullptr && !scheduler->lacksAccessToPrimary(statement.work, now);
     };
+    this->addQuotaHooks(hooks);
     return hooks;
 }
 
@@ -93,6 +95,7 @@
     this->alive = std::move(daemons);
     this->links->setDaemons(std::move(addresses));
     this->updatePlacements();
+    this->updateQuotaDaemons();
 }
 
 // Whether the placements rest on the whole fleet. A daemon that does not know the others yet takes itself for an owner
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -112,6 +112,26 @@
     set("group_owned", "1 if this daemon runs the group's statements itself.", ownedHere ? 1 : 0);
 }
 
+void ProxyMetrics::quota(const QuotaStatistics& statistics)
+{
+    const DatabaseId none;
+    const auto set = [&](const char* name, const char* help, auto value) {
+        this->gauge(name, help, none).Set(static_cast<double>(value));
+    };
+    set("quota_granted", "Operations of limited workspaces that got a token.", statistics.granted);
+    set("quota_granted_fixed", "Those of them without an active coordinator.", statistics.grantedFixed);
+    set("quota_exceeded", "Operations refused because the workspace has used up its limit.", statistics.exceeded);
+    set("quota_unanswered", "Operations refused because no coordinator answered in time.", statistics.unanswered);
+    set("quota_waiting", "Operations that wait for a token.", statistics.waiting);
+    set("quota_requests_sent", "Requests for tokens sent to coordinators.", statistics.requestsSent);
+    set("quota_requests_served", "Requests for tokens answered as a coordinator.", statistics.requestsServed);
+    set("quota_requests_lost", "Requests for tokens that were not answered in time.", statistics.requestsLost);
+    set("quota_tokens_expired", "Tokens that were granted and not used.", statistics.tokensExpired);
+    set("quota_coordinator_changes", "Changes of the daemon that is asked for tokens.", statistics.coordinatorChanges);
+    set("quota_shards_coordinated", "Parts of the workspaces that this daemon coordinates.",
+        statistics.shardsCoordinated);
+}
+
 void ProxyMetrics::state(const ProxyState& state)
 {
     const DatabaseId none;
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -4,6 +4,7 @@
 #include "connection/client_session.h"
 #include "connection/session_end.h"
 #include "process/group_scheduler.h"
+#include "process/quota/quota_client.h"
 #include "process/statement_forwarder.h"
 
 #include <prometheus/counter.h>
@@ -47,6 +48,8 @@
     void group(const DatabaseId& group, const SchedulerStatistics& statistics, std::uint64_t term, bool primaryUsable);
     // Sets the gauges for statements of a group that are forwarded to other daemons.
     void forwarding(const DatabaseId& group, const ForwarderStatistics& statistics, bool ownedHere);
+    // Sets the gauges for the limits of workspaces.
+    void quota(const QuotaStatistics& statistics);
     void state(const ProxyState& state);
 
     // Returns all metrics in the Prometheus text exposition format 0.0.4.
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -44,3 +44,15 @@
     CHECK(text.find("endivetrestle_store_era 3") != std::string::npos);
     CHECK(text.find("endivetrestle_store_era_joined 0") != std::string::npos);
 }
+
+TEST_CASE("ProxyMetrics, exports the use of quotas")
+{
+    ProxyMetrics metrics;
+    QuotaStatistics statistics;
+    statistics.exceeded = 4;
+    statistics.shardsCoordinated = 1;
+    metrics.quota(statistics);
+    const auto text = metrics.serialize();
+    CHECK(text.find("endivetrestle_quota_exceeded 4") != std::string::npos);
+    CHECK(text.find("endivetrestle_quota_shards_coordinated 1") != std::string::npos);
+}
--- a/src/process/quota/daemon_quota_test.cc
+++ b/src/process/quota/daemon_quota_test.cc
@@ -140,6 +140,24 @@
     CHECK(simulation.grants.size() >= 490);
 }
 
+// Guards against waiting for a coordinator that has given up its lease at a planned stop.
+TEST_CASE("DaemonQuota, asks another daemon at once when the coordinator has no lease")
+{
+    Fleet simulation(5, { 100, 20 }, 60);
+    simulation.run(10s);
+    const auto old = simulation.coordinator();
+    simulation.daemons[old].leaseEnd = simulation.now;
+    simulation.run(900ms);
+    CHECK(simulation.coordinators() == 1);
+    CHECK(simulation.coordinator() != old);
+    forget(simulation);
+    // The daemon without a lease is served by the new coordinator.
+    for (std::size_t i = 0; i < 5; ++i)
+        simulation.daemons[i].load = i == old ? 60 : 0;
+    simulation.run(5s);
+    CHECK(simulation.grants.size() >= 280);
+}
+
 // Guards against a coordinator that grants what it counted before it was suspended.
 TEST_CASE("DaemonQuota, has one coordinator when the earlier one was frozen and is resumed")
 {
--- a/src/process/quota/quota_client.cc
+++ b/src/process/quota/quota_client.cc
@@ -204,7 +204,7 @@
 
 void QuotaClient::promise(Shard& shard, const QuotaShard& id, const DaemonId& to, const QuotaGrant& grant, Time now)
 {
-    if (to != shard.current || !this->maySupport(id, shard, now))
+    if (to != shard.current || grant.incarnation == 0 || !this->maySupport(id, shard, now))
         return;
     const bool first = shard.promisedTo != to || now >= shard.promisedUntil;
     shard.unconfirmed = first && !grant.active;
@@ -506,6 +506,8 @@
                 && (avoided == shard.avoidedUntil.end() || avoided->second <= now);
             if (usable)
                 this->use(entry->first, shard, grant.coordinator, now, "named");
+            else if (grant.incarnation == 0)
+                this->avoid(entry->first, shard, now, "declined");
         }
     }
     this->pump(now);
--- a/src/process/quota/quota_coordinator.cc
+++ b/src/process/quota/quota_coordinator.cc
@@ -122,6 +122,8 @@
     grant.incarnation = this->incarnation;
     grant.stampUs = now.time_since_epoch().count();
     grant.active = this->check(coordination, now);
+    if (!this->mayServe(now))
+        grant.incarnation = 0;
     if (!grant.active)
         return grant;
     for (const auto& ask : request.asks) {
--- a/src/process/quota/quota_property_test.cc
+++ b/src/process/quota/quota_property_test.cc
@@ -172,6 +172,7 @@
         },
         rc::detail::TestMetadata { "quota bound", "quota bound" }, params);
     rc::detail::printResultMessage(result, std::cout);
-    std::cout << "\ngranted=" << granted << " by fixed parts=" << fixed << " changes of coordinator=" << changes << "\n";
+    std::cout << "\ngranted=" << granted << " by fixed parts=" << fixed << " changes of coordinator=" << changes
+              << "\n";
     CHECK(result.is<rc::detail::SuccessResult>());
 }
--- a/src/request/forward_message.h
+++ b/src/request/forward_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/identifier.h"
+#include "request/quota_message.h"
 #include "request/scheduled_statement.h"
 
 #include <cstdint>
@@ -52,6 +53,6 @@
 struct LinkProbeAnswer { };
 
 using ForwardMessage = std::variant<ForwardedStatement, ForwardedOutcome, ForwardedRollback, ForwardedAbandon,
-    OwnerLeaving, LinkProbe, LinkProbeAnswer>;
+    OwnerLeaving, LinkProbe, LinkProbeAnswer, QuotaRequest, QuotaGrant>;
 
 } // namespace endivetrestle
--- a/src/request/quota_message.h
+++ b/src/request/quota_message.h
@@ -59,6 +59,7 @@
 struct QuotaGrant {
     std::uint64_t number = 0;
     QuotaShard shard;
+    // Start of the sender; 0 if it cannot become active, so that others need not wait for it.
     std::uint64_t incarnation = 0;
     std::int64_t stampUs = 0;
     // Whether the sender may grant tokens.
