Keep the time up to which the configuration is proven to be complete

Cause: with FailClosed, a daemon may use a key only while it knows that its configuration is recent, and nothing kept that knowledge. TableFeed reports, after the rows of an answer, the time at which its call was sent. An answer with a row that has no key proves nothing until the whole table is read. readOnce() has a reading's longer time-out and leaves the feed's own calls alone; a catch-up while the table must be read no longer starts a second series of repeated readings.

--- a/src/process/table_feed.cc
+++ b/src/process/table_feed.cc
@@ -27,40 +27,56 @@
     this->hooks.reachable(value);
 }
 
-void TableFeed::readAll(const std::function<void(bool)>& callback)
+void TableFeed::readAll(AfterReading after, const std::function<void(bool)>& callback)
 {
-    const auto take = [this, callback, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
+    const auto take = [this, after, callback, weak = std::weak_ptr<int>(this->lifetime)](const StoreResult& result) {
         if (weak.expired())
             return;
         // A snapshot older than what has been reported comes from a call that was overtaken.
-        if (result.status != StoreStatus::Done || result.version < this->lastVersion) {
+        const bool usable = result.status == StoreStatus::Done && result.version >= this->lastVersion;
+        if (usable) {
+            this->takeSnapshot(result, after);
+        } else if (after == AfterReading::Follow) {
             this->setReachable(false);
             this->retry(true);
-            if (callback)
-                callback(false);
-            return;
         }
-        if (this->lastVersion.isSet() && result.version.era != this->lastVersion.era)
-            logEvent(LogLevel::Info, "feed_read_in_new_era",
-                { { "table", this->table }, { "known_version", toString(this->lastVersion) },
-                    { "version", toString(result.version) }, { "rows", result.rows.size() } });
-        // The snapshot is reported before the store is reported as reachable, so that the grace period of entries that
-        // expired during an outage starts first.
-        this->lastVersion = std::max(this->lastVersion, result.version);
-        this->versionUsable = true;
-        this->hooks.snapshot(result.rows);
-        this->setReachable(true);
-        this->watch();
         if (callback)
-            callback(true);
+            callback(usable);
     };
     this->store.readAll(this->table, take);
 }
 
+void TableFeed::takeSnapshot(const StoreResult& result, AfterReading after)
+{
+    if (this->lastVersion.isSet() && result.version.era != this->lastVersion.era)
+        logEvent(LogLevel::Info, "feed_read_in_new_era",
+            { { "table", this->table }, { "known_version", toString(this->lastVersion) },
+                { "version", toString(result.version) }, { "rows", result.rows.size() } });
+    // The snapshot is reported before the store is reported as reachable, so that the grace period of entries that
+    // expired during an outage starts first.
+    this->lastVersion = std::max(this->lastVersion, result.version);
+    this->versionUsable = true;
+    this->lacksRows = !result.complete;
+    this->hooks.snapshot(result.rows);
+    this->setReachable(true);
+    this->reportComplete(result);
+    if (after == AfterReading::Follow || !this->watching)
+        this->watch();
+}
+
+void TableFeed::reportComplete(const StoreResult& result)
+{
+    if (this->hooks.complete && !this->lacksRows && result.version.era == this->lastVersion.era)
+        this->hooks.complete(result.sentAt, result.version);
+}
+
+void TableFeed::readOnce(std::function<void(bool)> callback) { this->readAll(AfterReading::LeaveFeed, callback); }
+
 void TableFeed::catchUp(std::function<void(bool)> callback)
 {
     if (this->lastVersion.isSet() && !this->versionUsable) {
-        this->readAll(callback);
+        // The reading that follows a change of the era is repeated until it is answered.
+        this->readAll(AfterReading::LeaveFeed, callback);
         return;
     }
     const auto take
@@ -70,14 +86,16 @@
               if (result.status == StoreStatus::HistoryLost) {
                   logEvent(LogLevel::Info, "feed_history_lost",
                       { { "table", this->table }, { "version", toString(this->lastVersion) } });
-                  this->readAll(callback);
+                  this->readAll(AfterReading::Follow, callback);
                   return;
               }
               const bool current = result.status == StoreStatus::Done && this->lastVersion.isSet();
               if (current && !result.rows.empty())
                   this->checkWatchLater();
-              if (current)
+              if (current) {
                   this->takeChanges(result);
+                  this->reportComplete(result);
+              }
               callback(current);
           };
     this->store.watch(this->table, this->lastVersion, Duration::zero(), take);
@@ -127,6 +145,7 @@
     if (!rows.empty())
         this->hooks.changed(rows);
     this->lastVersion = std::max(this->lastVersion, result.version);
+    this->lacksRows = this->lacksRows || !result.complete;
 }
 
 void TableFeed::scheduleWatch()
@@ -163,6 +182,7 @@
                 this->setReachable(true);
                 this->lastWatchWasHeard = result.rows.empty();
                 this->takeChanges(result);
+                this->reportComplete(result);
                 this->scheduleWatch();
                 return;
             case StoreStatus::HistoryLost:
--- a/src/process/table_feed.h
+++ b/src/process/table_feed.h
@@ -20,6 +20,9 @@
     std::function<void(const std::vector<StoreRow>&)> changed;
     // Called when the store stops answering and when it answers again.
     std::function<void(bool reachable)> reachable;
+    // Called after the rows of an answer have been reported: everything that the store acknowledged before the call was
+    // sent has been reported. The version is that of the store when it answered. May be null.
+    std::function<void(Time sentAt, StoreVersion version)> complete;
 };
 
 // Follows the changes of one table in the store: reads the whole table once and then watches for changes after the
@@ -50,6 +53,9 @@
     // does not answer, or if the table has not been read yet. The outstanding watch alone does not tell: the store may
     // have lost it, and its connection stays open then.
     void catchUp(std::function<void(bool)> callback);
+    // Reads the whole table once, with the longer time-out of a reading, so that a store that is too slow for catchUp()
+    // is still heard. The callback tells whether the rows have been reported.
+    void readOnce(std::function<void(bool)> callback);
     // Gives up the outstanding watch, if there is one, and watches anew. Call when the watch may be lost.
     void watchAgain();
     // Reads the whole table, whatever is outstanding. Call when the store has come back from a copy: it gives numbers
@@ -61,7 +67,18 @@
     [[nodiscard]] bool isReachable() const { return this->reachable; }
 
 private:
-    void readAll(const std::function<void(bool)>& callback = nullptr);
+    // What follows a reading of the whole table.
+    enum class AfterReading {
+        // Watches anew; a reading that failed is repeated.
+        Follow,
+        // Watches only if no watch is outstanding; a reading that failed is not repeated, because the feed's own calls
+        // go on. Repeating it as well would add a series of calls with every reading.
+        LeaveFeed,
+    };
+
+    void readAll(AfterReading after = AfterReading::Follow, const std::function<void(bool)>& callback = nullptr);
+    void takeSnapshot(const StoreResult& result, AfterReading after);
+    void reportComplete(const StoreResult& result);
     void watch();
     void checkWatchLater();
     void takeChanges(const StoreResult& result);
@@ -84,6 +101,8 @@
     // store has come back from a copy until the table has been read again.
     bool versionUsable = false;
     bool reachable = true;
+    // Whether an answer held a row that could not be read at all. Later changes do not repeat it; the whole table does.
+    bool lacksRows = false;
     // Start of the last watch.
     Time watchedAt;
     // Lets callbacks detect that the feed was destroyed.
--- a/src/process/table_feed_test.cc
+++ b/src/process/table_feed_test.cc
@@ -53,6 +53,10 @@
         hooks.snapshot = [this](const std::vector<StoreRow>& rows) { this->snapshots.push_back(rows.size()); };
         hooks.changed = [this](const std::vector<StoreRow>& rows) { this->changes += rows.size(); };
         hooks.reachable = [this](bool value) { this->reachable = value; };
+        hooks.complete = [this](Time sentAt, StoreVersion) {
+            this->completeSince.push_back(sentAt);
+            this->rowsWhenComplete = this->changes + (this->snapshots.empty() ? 0 : this->snapshots.back());
+        };
         this->feed = std::make_unique<TableFeed>("op", this->store, this->timers, std::move(hooks));
         this->feed->start();
     }
@@ -78,6 +82,9 @@
     std::vector<std::size_t> snapshots;
     std::size_t changes = 0;
     bool reachable = true;
+    // Times up to which the table was reported to be complete, and the rows that had been reported by the last one.
+    std::vector<Time> completeSince;
+    std::size_t rowsWhenComplete = 0;
     std::unique_ptr<TableFeed> feed;
 };
 
@@ -301,6 +308,91 @@
     CHECK(fixture.store.watchedAfter == StoreVersion { 2, 12 });
 }
 
+// Guards against a proof that counts from the answer: what was acknowledged while it was on its way may be missing.
+TEST_CASE("TableFeed, tells since when the table is complete once the rows of an answer are reported")
+{
+    FeedFixture fixture;
+    const auto sent = [&](std::uint64_t version, std::size_t rows, Time at) {
+        auto result = FeedFixture::result(StoreStatus::Done, version, rows);
+        result.sentAt = at;
+        return result;
+    };
+    fixture.store.answerRead(sent(7, 2, Time(90s)));
+    CHECK(fixture.completeSince == std::vector<Time> { Time(90s) });
+    CHECK(fixture.rowsWhenComplete == 2);
+    fixture.feed->catchUp([&](bool) { CHECK(fixture.completeSince.size() == 2); });
+    fixture.store.answerCatchUp(sent(8, 1, Time(95s)));
+    CHECK(fixture.completeSince.back() == Time(95s));
+    CHECK(fixture.rowsWhenComplete == 3);
+    fixture.store.answerWatch(sent(9, 1, Time(91s)));
+    CHECK(fixture.completeSince.back() == Time(91s));
+    CHECK(fixture.rowsWhenComplete == 4);
+}
+
+TEST_CASE("TableFeed, does not tell that the table is complete after answers that do not show it")
+{
+    FeedFixture fixture;
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Done, 5, 1));
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Refused, 0));
+    fixture.elapseRetryDelay();
+    auto result = FeedFixture::result(StoreStatus::Done, 7, 1);
+    result.complete = false;
+    fixture.store.answerRead(result);
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Unknown, 0));
+    auto earlier = FeedFixture::result(StoreStatus::Done, 9);
+    earlier.version.era = 0;
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(earlier);
+    CHECK(fixture.completeSince.empty());
+}
+
+// Guards against a revocation that stands in a row without a key, which no later change repeats.
+TEST_CASE(
+    "TableFeed, does not tell that the table is complete after a row that could not be read until it reads it all")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    fixture.completeSince.clear();
+    auto damaged = FeedFixture::result(StoreStatus::Done, 8);
+    damaged.complete = false;
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(damaged);
+    fixture.feed->catchUp([](bool) {});
+    fixture.store.answerCatchUp(FeedFixture::result(StoreStatus::Done, 9));
+    CHECK(fixture.completeSince.empty());
+    fixture.feed->readOnce([](bool) {});
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 9, 2));
+    CHECK(fixture.completeSince.size() == 1);
+}
+
+// Guards against a series of calls that grows with every reading while the store is down.
+TEST_CASE("TableFeed, leaves its own calls as they are when it reads once")
+{
+    FeedFixture fixture;
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 7, 2));
+    std::vector<bool> done;
+    fixture.feed->readOnce([&](bool value) { done.push_back(value); });
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Unknown, 0));
+    CHECK(fixture.reachable);
+    fixture.elapseRetryDelay();
+    CHECK(fixture.store.reads.empty());
+    fixture.feed->readOnce([&](bool value) { done.push_back(value); });
+    fixture.store.answerRead(FeedFixture::result(StoreStatus::Done, 8, 2));
+    CHECK(done == std::vector<bool> { false, true });
+    CHECK(fixture.store.abandoned.empty());
+    CHECK(fixture.store.watches.size() == 1);
+    fixture.feed->startOver();
+    fixture.feed->catchUp([](bool) {});
+    auto reads = std::exchange(fixture.store.reads, {});
+    CHECK(reads.size() == 2);
+    for (const auto& read : reads)
+        read(FeedFixture::result(StoreStatus::Unknown, 0));
+    fixture.elapseRetryDelay();
+    CHECK(fixture.store.reads.size() == 1);
+}
+
 namespace {
 
 // A store with one row, on virtual time. While it is silent it swallows the opening of watches: they are never
--- a/src/process/table_store.h
+++ b/src/process/table_store.h
@@ -72,6 +72,8 @@
     std::int64_t storeMs = 0;
     // Whether the store answered at all.
     bool answered = false;
+    // Whether every row of the answer could be read. What is missing may be any row.
+    bool complete = true;
     // Times at which the call was sent and answered here.
     Time sentAt;
     Time answeredAt;
