Answer the questions of several daemons with one reading of the configuration

Cause: 26 daemons that read the store themselves every 1.5 s make 17 calls a second; the budget is 2. Its answers advise when to ask again, so that daemons that started at different times come to ask together. The call is /peer/configuration. The choice of the first daemon of a part is FleetController::firstOfPart().

--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+// Longest time for which the prover may advise a daemon not to ask. Asking by the age of the proof comes earlier.
+constexpr std::uint64_t longestAdviceMs = 3'600'000;
+
 // Text field of a decoded body, or an empty text.
 std::string text(const json& body, const char* name)
 {
@@ -143,6 +146,48 @@
     return answer;
 }
 
+std::string encodeMessage(const ConfigurationQuestion& question)
+{
+    return json { { "version", toString(question.known) } }.dump();
+}
+
+std::string encodeMessage(const ConfigurationAnswer& answer)
+{
+    const auto askAgainIn = std::chrono::duration_cast<std::chrono::milliseconds>(answer.askAgainIn);
+    json body { { "proven", answer.proven }, { "version", toString(answer.version) },
+        { "ask_again_ms", static_cast<std::uint64_t>(askAgainIn.count()) } };
+    if (const auto& row = answer.row)
+        body["configuration"] = { { "key", row->key }, { "value", row->value }, { "version", toString(row->version) } };
+    return body.dump();
+}
+
+std::optional<ConfigurationQuestion> decodeConfigurationQuestion(const std::string& body)
+{
+    const auto known = decodeBootstrapQuestion(body);
+    return known ? std::optional(ConfigurationQuestion { *known }) : std::nullopt;
+}
+
+std::optional<ConfigurationAnswer> decodeConfigurationAnswer(const std::string& body)
+{
+    const auto value = json::parse(body, nullptr, false);
+    if (!value.is_object() || !value.contains("proven") || !value["proven"].is_boolean())
+        return std::nullopt;
+    const auto rowVersion = version(value, "version");
+    const auto askAgainMs = number(value, "ask_again_ms");
+    if (!rowVersion || !askAgainMs || *askAgainMs > longestAdviceMs)
+        return std::nullopt;
+    ConfigurationAnswer answer { value["proven"].get<bool>(), *rowVersion, std::nullopt,
+        std::chrono::milliseconds(*askAgainMs) };
+    const auto configuration = value.find("configuration");
+    if (configuration == value.end())
+        return answer;
+    const auto sentVersion = configuration->is_object() ? version(*configuration, "version") : std::nullopt;
+    if (!sentVersion)
+        return std::nullopt;
+    answer.row = StoreRow { "", text(*configuration, "key"), text(*configuration, "value"), *sentVersion, false };
+    return answer;
+}
+
 std::optional<Claim> decodeClaim(const std::string& body)
 {
     const auto value = json::parse(body, nullptr, false);
@@ -320,4 +365,21 @@
         });
 }
 
+void PeerCalls::askConfiguration(const SocketAddress& address, const ConfigurationQuestion& question,
+    std::function<void(const std::optional<ConfigurationAnswer>&)> callback)
+{
+    auto call = makeCall(peerConfigurationPath, encodeMessage(question));
+    // An answer without a number may be a late copy, and prove what was true for an earlier question only. Every
+    // release that knows this call repeats the number.
+    call.match = [match = std::move(call.match)](const HttpAnswer& answer) {
+        const auto result = match(answer);
+        const bool isUnnumberedAnswer = result == HttpAnswerMatch::Possible && answer.status == 200;
+        return isUnnumberedAnswer ? HttpAnswerMatch::Impossible : result;
+    };
+    this->clientFor(address).send(
+        std::move(call), ConfigurationProof::proverTimeout, [callback = std::move(callback)](const HttpAnswer& answer) {
+            callback(answer.status == 200 ? decodeConfigurationAnswer(answer.body) : std::nullopt);
+        });
+}
+
 } // namespace endivetrestle
--- a/src/edge/peer_calls.h
+++ b/src/edge/peer_calls.h
@@ -2,6 +2,7 @@
 
 #include "edge/http_server.h"
 #include "edge/loop_http_client.h"
+#include "process/configuration_proof.h"
 #include "process/fleet_hooks.h"
 #include "process/seed_bootstrap.h"
 
@@ -19,6 +20,7 @@
 inline constexpr const char* peerBootstrapPath = "/peer/bootstrap";
 inline constexpr const char* peerReachablePath = "/peer/reachable";
 inline constexpr const char* peerRenewPath = "/peer/renew";
+inline constexpr const char* peerConfigurationPath = "/peer/configuration";
 
 // Header field with the number of a call between daemons. The answer repeats it, so that a copy of it that arrives late
 // is not taken for the answer to another call.
@@ -47,6 +49,8 @@
 // Answer of a witness: the newest claim that it knows; no value if it has no lease itself.
 std::string encodeMessage(const std::optional<StoreVersion>& newestClaim);
 std::string encodeMessage(const BootstrapAnswer& answer);
+std::string encodeMessage(const ConfigurationQuestion& question);
+std::string encodeMessage(const ConfigurationAnswer& answer);
 // The decoders return no value for a body that is not such a message.
 std::optional<Claim> decodeClaim(const std::string& body);
 std::optional<ReachableQuestion> decodeReachableQuestion(const std::string& body);
@@ -56,6 +60,8 @@
 // Row version of the configuration that the asking daemon has.
 std::optional<StoreVersion> decodeBootstrapQuestion(const std::string& body);
 std::optional<BootstrapAnswer> decodeBootstrapAnswer(const std::string& body);
+std::optional<ConfigurationQuestion> decodeConfigurationQuestion(const std::string& body);
+std::optional<ConfigurationAnswer> decodeConfigurationAnswer(const std::string& body);
 
 // Calls to other daemons over HTTP. A connection to each daemon is kept open.
 class PeerCalls {
@@ -73,6 +79,9 @@
         std::function<void(const std::optional<BootstrapAnswer>&)> callback);
     void askReachable(const SocketAddress& address, const ReachableQuestion& question,
         std::function<void(std::optional<bool>)> callback);
+    // Asks the prover whether the configuration is complete.
+    void askConfiguration(const SocketAddress& address, const ConfigurationQuestion& question,
+        std::function<void(const std::optional<ConfigurationAnswer>&)> callback);
 
 private:
     // Longest wait for a daemon. It exceeds the time that another daemon may need to drain its statements.
--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -151,6 +151,49 @@
 
 namespace {
 
+ConfigurationAnswer sampleConfigurationAnswer()
+{
+    return { true, { 4, 41 }, StoreRow { "", "config", R"({"Version":7})", { 4, 41 }, false }, 1350ms };
+}
+
+} // namespace
+
+TEST_CASE("PeerCalls, keeps the question for the configuration and its answer")
+{
+    const ConfigurationQuestion question { { 4, 40 } };
+    CHECK(decodeConfigurationQuestion(encodeMessage(question)) == question);
+    auto answer = sampleConfigurationAnswer();
+    CHECK(decodeConfigurationAnswer(encodeMessage(answer)) == answer);
+    answer.row.reset();
+    CHECK(decodeConfigurationAnswer(encodeMessage(answer)) == answer);
+    CHECK(decodeConfigurationAnswer(encodeMessage(ConfigurationAnswer {})) == ConfigurationAnswer {});
+}
+
+// Guards against a proof from rubbish.
+TEST_CASE("PeerCalls, finds no proof of the configuration in damaged bodies")
+{
+    for (const char* body : { "", "[]", "{}", R"({"proven":true})", R"({"proven":1,"version":"4.1","ask_again_ms":1})",
+             R"({"proven":true,"version":"x","ask_again_ms":1})", R"({"proven":true,"version":"4.1"})",
+             R"({"proven":true,"version":"4.1","ask_again_ms":-1})",
+             R"({"proven":true,"version":"4.1","ask_again_ms":18446744073709551615})",
+             R"({"proven":true,"version":"4.1","ask_again_ms":1,"configuration":{"key":"c"}})" }) {
+        CAPTURE(body);
+        CHECK_FALSE(decodeConfigurationAnswer(body));
+    }
+    CHECK_FALSE(decodeConfigurationQuestion("{}"));
+    CHECK_FALSE(decodeConfigurationQuestion(R"({"version":7})"));
+    rc::prop("damaged answers", [] {
+        auto body = encodeMessage(sampleConfigurationAnswer());
+        const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+        body[at] = static_cast<char>(*rc::gen::inRange(1, 256));
+        decodeConfigurationAnswer(body);
+        decodeConfigurationQuestion(body);
+        return true;
+    });
+}
+
+namespace {
+
 // Calls to a daemon that sends what a script says.
 struct ScriptedPeer {
     explicit ScriptedPeer(ScriptedHttpServer::Script script)
@@ -169,6 +212,16 @@
         return *result;
     }
 
+    std::optional<ConfigurationAnswer> askConfiguration()
+    {
+        std::optional<std::optional<ConfigurationAnswer>> result;
+        this->calls.askConfiguration(this->server.address(), { { 4, 40 } },
+            [&](const std::optional<ConfigurationAnswer>& answer) { result = answer; });
+        while (!result)
+            this->context.run_one();
+        return *result;
+    }
+
     PeerStatus suspend()
     {
         std::optional<PeerStatus> result;
@@ -204,6 +257,31 @@
     CHECK_FALSE(peer.askReachable("e2"));
 }
 
+// Guards against a proof from the late copy of an earlier answer.
+TEST_CASE("PeerCalls, takes no proof of the configuration from an answer without the number of the question")
+{
+    const auto body = encodeMessage(sampleConfigurationAnswer());
+    const auto [header, isTaken] = GENERATE(
+        table<std::string, bool>({ { std::string(), false }, { callHeader(2), false }, { callHeader(1), true } }));
+    CAPTURE(header);
+    ScriptedPeer peer([&, header = header](int, const std::string&) -> std::vector<ScriptedBytes> {
+        return { { httpResponse(200, body, header) } };
+    });
+    CHECK(peer.askConfiguration().has_value() == isTaken);
+}
+
+// Guards against a daemon of an earlier release, which does not know the call, and one that does not answer.
+TEST_CASE("PeerCalls, gets no proof of the configuration from a daemon that knows no such call or does not answer")
+{
+    const bool answers = GENERATE(true, false);
+    ScriptedPeer peer([&](int, const std::string&) -> std::vector<ScriptedBytes> {
+        if (!answers)
+            return {};
+        return { { httpResponse(404, "{}", callHeader(1)) } };
+    });
+    CHECK_FALSE(peer.askConfiguration());
+}
+
 TEST_CASE("PeerCalls, keeps the connection when the answers repeat the numbers of their calls")
 {
     asio::io_context context;
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -74,6 +74,11 @@
     [[nodiscard]] bool peerListComplete() const { return this->leaseListings > 1 || this->firstListComplete; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
+    // The first daemon by name of this daemon's part of the fleet, which does for the others of the part what one call
+    // to the store can do for all. No value if no other daemon is known; may be this daemon.
+    [[nodiscard]] std::optional<DaemonId> firstOfPart() const;
+    // Whether the present era of the store is known to be older than the given time, or to be the first one.
+    [[nodiscard]] bool eraIsOlderThan(Duration age) const;
     // Era of the store that this daemon goes by; 0 before the first answer.
     [[nodiscard]] std::uint64_t storeEra() const { return this->era; }
     // Whether this daemon has taken over the primaries of the present era.
--- a/src/process/fleet_controller_era.cc
+++ b/src/process/fleet_controller_era.cc
@@ -165,6 +165,14 @@
     return this->clock.lowerBoundMs(this->now()) >= *this->eraBegunStoreMs + milliseconds(limit);
 }
 
+bool FleetController::eraIsOlderThan(Duration age) const
+{
+    if (!this->fleetTableLoaded)
+        return false;
+    return !this->eraBegunStoreMs
+        || this->clock.lowerBoundMs(this->now()) >= *this->eraBegunStoreMs + milliseconds(age);
+}
+
 // Whether a primary that was observed in the given row may be replaced in the present era.
 bool FleetController::mayReplace(const PrimaryRow& observedRow) const
 {
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -43,11 +43,16 @@
     return renewal;
 }
 
-// Returns the daemon that renews the leases for this daemon's part of the fleet: the first one of that part by name.
-// Returns no value if no other daemon is known, or if the delegate recently did not answer.
+// Returns the daemon that renews the leases for this daemon's part of the fleet. Returns no value if no other daemon is
+// known, or if the delegate recently did not answer.
 std::optional<DaemonId> FleetController::leaseDelegate() const
 {
-    if (this->peers.empty() || this->now() < this->delegationPausedUntil)
+    return this->now() < this->delegationPausedUntil ? std::nullopt : this->firstOfPart();
+}
+
+std::optional<DaemonId> FleetController::firstOfPart() const
+{
+    if (this->peers.empty())
         return std::nullopt;
     std::vector<DaemonId> names { this->identity.daemon };
     for (const auto& [daemon, lease] : this->peers)
