Refuse keyed statements while the configuration is not proven to be recent

Cause: guarantee 3 of docs/design/shared-endpoints.md. Change: SessionProxy sets OperationGate::configurationIsRecent, which asks ConfigurationProof where FailClosed is set and workspaces are in use. Metrics and log lines for the proof.

--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -53,6 +53,7 @@
             this->settings.advertisedForwardAddress, this->settings.dataCentre },
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
     this->makeBootstrap();
+    this->makeConfigurationProof();
     this->listen();
     this->startFeeds();
     this->fleet->start();
@@ -114,6 +115,7 @@
     hooks.runner = [this](const DatabaseId& group) { return this->runnerOf(group); };
     hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
     hooks.ended = [this](const SessionEnd& end) { this->recordEnd(end); };
+    hooks.gate.configurationIsRecent = [this](Time now) { return this->configurationIsRecent(now); };
     hooks.startHold = [startedAt = bootNow()] { return sessionStartWait(bootNow() - startedAt); };
     this->sessions
         = std::make_unique<SessionServer>(this->context, this->timers, std::move(hooks), this->sessionLimit());
@@ -127,6 +129,9 @@
     configuration.snapshot = [this](const std::vector<StoreRow>& rows) { this->onConfigurationRows(rows); };
     configuration.changed = configuration.snapshot;
     configuration.reachable = [](bool) {};
+    configuration.complete = [this](Time sentAt, StoreVersion version) {
+        this->configurationProof->onReading(sentAt, version, bootNow());
+    };
     this->configurationFeed = std::make_unique<TableFeed>(
         platform::configurationTable, this->store, this->timers, std::move(configuration));
     this->configurationFeed->start();
@@ -156,6 +161,7 @@
 {
     this->fleet->onEraChanged(era);
     this->directory.onRestored(bootNow());
+    this->configurationProof->onEraChanged(era, bootNow());
     this->configurationFeed->startOver();
     this->registryFeed->startOver();
 }
@@ -166,6 +172,8 @@
         if (row.key != platform::configurationKey || row.removed)
             continue;
         auto table = platform::decodeConfigurationRow(row.value);
+        // Noted although it is in force only below: nothing uses the proof in between.
+        this->configurationProof->onRow(row, table.has_value());
         if (!table) {
             logEvent(LogLevel::Error, "configuration_unreadable", { { "row_version", toString(row.version) } });
             continue;
@@ -305,6 +313,7 @@
     state.joinedEra = this->fleet->hasJoinedEra();
     state.droppedLogLines = droppedLogLines();
     this->metrics.state(state);
+    this->metrics.configurationProof(this->configurationProofState(now));
     return this->metrics.serialize();
 }
 
@@ -362,6 +371,7 @@
             group.scheduler->tick(now);
     }
     this->fleet->tick();
+    this->configurationProof->tick(now);
     const bool storeAnswered = this->configurationFeed->version().isSet();
     if (!storeAnswered)
         this->bootstrap->tick(this->configurationRow.version, now);
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -8,6 +8,8 @@
 #include "edge/session_server.h"
 #include "platform/promotion_client.h"
 #include "platform/store_client.h"
+#include "process/configuration_proof.h"
+#include "process/configuration_prover.h"
 #include "process/endpoint_directory.h"
 #include "process/fleet_controller.h"
 #include "process/group_placement.h"
@@ -78,6 +80,15 @@
     [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
     StatementRunner* runnerOf(const DatabaseId& group);
 
+    // session_proxy_configuration.cc
+    void makeConfigurationProof();
+    [[nodiscard]] bool needsConfigurationProof() const;
+    [[nodiscard]] bool configurationIsRecent(Time now);
+    bool askProver(const ConfigurationQuestion& question, const ConfigurationProofHooks::AnswerCallback& callback);
+    void answerConfigurationQuestion(const ConfigurationQuestion& question, HttpServer::Answer answer);
+    void logConfigurationRecency(bool recent, Time now);
+    [[nodiscard]] ConfigurationProofState configurationProofState(Time now) const;
+
     void listen();
     void startFeeds();
     void onStoreRegained();
@@ -130,6 +141,8 @@
     std::unique_ptr<SessionServer> sessions;
     std::unique_ptr<TableFeed> configurationFeed;
     std::unique_ptr<TableFeed> registryFeed;
+    std::unique_ptr<ConfigurationProof> configurationProof;
+    std::unique_ptr<ConfigurationProver> configurationProver;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> peerServer;
     std::unique_ptr<HttpServer> metricsServer;
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -228,6 +228,11 @@
                 answer(HttpResponse { unavailable, "application/json", "{}" });
             return;
         }
+    } else if (request.path == peerConfigurationPath) {
+        if (const auto question = decodeConfigurationQuestion(request.body)) {
+            this->answerConfigurationQuestion(*question, std::move(answer));
+            return;
+        }
     } else if (request.path == peerReachablePath) {
         if (const auto question = decodeReachableQuestion(request.body)) {
             this->queryEndpoint(
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -131,6 +131,31 @@
     set("dropped_log_lines", "Log lines dropped because nobody read them.", static_cast<double>(state.droppedLogLines));
 }
 
+void ProxyMetrics::configurationProof(const ConfigurationProofState& state)
+{
+    if (!state.needed)
+        return;
+    const auto set = [&](const char* name, const char* help, double value) {
+        this->gauge(std::string("configuration_") + name, help, DatabaseId()).Set(value);
+    };
+    const auto& counts = state.statistics;
+    set("proof_age_seconds", "Time since which the configuration is not proven to be complete; -1 without a proof.",
+        state.ageSeconds);
+    set("questions", "Questions to the prover whether the configuration is complete.",
+        static_cast<double>(counts.questions));
+    set("questions_unanswered", "Questions that the prover did not answer with a proof.",
+        static_cast<double>(counts.unansweredQuestions));
+    set("readings", "Readings of the store to prove the configuration, for this daemon or for others.",
+        static_cast<double>(counts.readings));
+    set("readings_failed", "Readings that proved nothing.", static_cast<double>(counts.failedReadings));
+    set("refusals", "Checks that failed because the configuration was not known to be recent.",
+        static_cast<double>(counts.refusals));
+    set("answers_proven", "Questions of other daemons answered with a proof.",
+        static_cast<double>(state.provenAnswers));
+    set("answers_refused", "Questions of other daemons answered without a proof.",
+        static_cast<double>(state.refusedAnswers));
+}
+
 std::string ProxyMetrics::serialize() const { return prometheus::TextSerializer().Serialize(this->registry.Collect()); }
 
 } // namespace endivetrestle
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -3,6 +3,7 @@
 #include "base/identifier.h"
 #include "connection/client_session.h"
 #include "connection/session_end.h"
+#include "process/configuration_proof.h"
 #include "process/group_scheduler.h"
 #include "process/statement_forwarder.h"
 
@@ -34,6 +35,18 @@
     std::uint64_t droppedLogLines = 0;
 };
 
+// State of the proof that the configuration is recent, exported as gauges.
+struct ConfigurationProofState {
+    // Whether anything depends on the proof. Nothing is exported otherwise.
+    bool needed = false;
+    // Negative without any proof.
+    double ageSeconds = -1;
+    ConfigurationProofStatistics statistics;
+    // Answers that this daemon gave as the prover.
+    std::uint64_t provenAnswers = 0;
+    std::uint64_t refusedAnswers = 0;
+};
+
 // Metrics of a session proxy. Metric handles are cached by their labels. Not thread-safe.
 class ProxyMetrics {
 public:
@@ -48,6 +61,7 @@
     // Sets the gauges for statements of a group that are forwarded to other daemons.
     void forwarding(const DatabaseId& group, const ForwarderStatistics& statistics, bool ownedHere);
     void state(const ProxyState& state);
+    void configurationProof(const ConfigurationProofState& state);
 
     // Returns all metrics in the Prometheus text exposition format 0.0.4.
     [[nodiscard]] std::string serialize() const;
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -44,3 +44,18 @@
     CHECK(text.find("endivetrestle_store_era 3") != std::string::npos);
     CHECK(text.find("endivetrestle_store_era_joined 0") != std::string::npos);
 }
+
+TEST_CASE("ProxyMetrics, exports the proof of the configuration only where something depends on it")
+{
+    ProxyMetrics metrics;
+    ConfigurationProofState state;
+    state.ageSeconds = 1.5;
+    state.statistics.readings = 4;
+    metrics.configurationProof(state);
+    CHECK(metrics.serialize().find("configuration_proof") == std::string::npos);
+    state.needed = true;
+    metrics.configurationProof(state);
+    const auto text = metrics.serialize();
+    CHECK(text.find("endivetrestle_configuration_proof_age_seconds 1.5") != std::string::npos);
+    CHECK(text.find("endivetrestle_configuration_readings 4") != std::string::npos);
+}
