--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -130,7 +130,10 @@
     configuration.changed = configuration.snapshot;
     configuration.reachable = [](bool) {};
     configuration.complete = [this](Time sentAt, StoreVersion version) {
-        this->configurationProof->onReading(sentAt, version, bootNow());
+        const auto now = bootNow();
+        this->configurationProof->onReading(sentAt, version, now);
+        // A daemon that has just started asks at once if the first reading proves nothing.
+        this->configurationProof->tick(now);
     };
     this->configurationFeed = std::make_unique<TableFeed>(
         platform::configurationTable, this->store, this->timers, std::move(configuration));
--- a/src/process/configuration_proof_test.cc
+++ b/src/process/configuration_proof_test.cc
@@ -181,6 +181,26 @@
     CHECK_FALSE(fixture.proof->isRecent(fixture.now));
 }
 
+// Guards against refusals because of one answer that is lost.
+TEST_CASE("ConfigurationProof, stays recent when the answers of the prover and of one reading are lost")
+{
+    ProofFixture fixture;
+    fixture.prove();
+    fixture.pass(1500ms);
+    fixture.pass(300ms);
+    REQUIRE(fixture.reads.size() == 1);
+    fixture.pass(1s);
+    fixture.answerRead(false);
+    fixture.pass(1ms);
+    fixture.pass(300ms);
+    REQUIRE(fixture.reads.size() == 1);
+    CHECK(fixture.proof->isRecent(fixture.now));
+    fixture.pass(20ms);
+    fixture.answerRead(true);
+    CHECK(fixture.proof->isRecent(fixture.now + 4s));
+    CHECK(fixture.changes == std::vector<bool> { true });
+}
+
 // Guards against a store that answers after a second: what it says was true when it was asked.
 TEST_CASE("ConfigurationProof, takes a slow answer for the time at which the call was sent")
 {
