--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -54,6 +54,7 @@
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
     this->makeQuota();
     this->makeBootstrap();
+    this->makeConfigurationProof();
     this->listen();
     this->startFeeds();
     this->fleet->start();
@@ -129,6 +130,12 @@
     configuration.snapshot = [this](const std::vector<StoreRow>& rows) { this->onConfigurationRows(rows); };
     configuration.changed = configuration.snapshot;
     configuration.reachable = [](bool) {};
+    configuration.complete = [this](Time sentAt, StoreVersion version) {
+        const auto now = bootNow();
+        this->configurationProof->onReading(sentAt, version, now);
+        // A daemon that has just started asks at once if the first reading proves nothing.
+        this->configurationProof->tick(now);
+    };
     this->configurationFeed = std::make_unique<TableFeed>(
         platform::configurationTable, this->store, this->timers, std::move(configuration));
     this->configurationFeed->start();
@@ -158,6 +165,7 @@
 {
     this->fleet->onEraChanged(era);
     this->directory.onRestored(bootNow());
+    this->configurationProof->onEraChanged(era, bootNow());
     this->configurationFeed->startOver();
     this->registryFeed->startOver();
 }
@@ -168,6 +176,8 @@
         if (row.key != platform::configurationKey || row.removed)
             continue;
         auto table = platform::decodeConfigurationRow(row.value);
+        // Noted although it is in force only below: nothing uses the proof in between.
+        this->configurationProof->onRow(row, table.has_value());
         if (!table) {
             logEvent(LogLevel::Error, "configuration_unreadable", { { "row_version", toString(row.version) } });
             continue;
@@ -310,6 +320,7 @@
     state.joinedEra = this->fleet->hasJoinedEra();
     state.droppedLogLines = droppedLogLines();
     this->metrics.state(state);
+    this->metrics.configurationProof(this->configurationProofState(now));
     return this->metrics.serialize();
 }
 
@@ -367,6 +378,7 @@
             group.scheduler->tick(now);
     }
     this->fleet->tick();
+    this->configurationProof->tick(now);
     const bool storeAnswered = this->configurationFeed->version().isSet();
     if (!storeAnswered)
         this->bootstrap->tick(this->configurationRow.version, now);
--- a/src/edge/session_proxy_quota.cc
+++ b/src/edge/session_proxy_quota.cc
@@ -52,6 +52,7 @@
 OperationGate SessionProxy::makeOperationGate()
 {
     OperationGate gate;
+    gate.configurationIsRecent = [this](Time now) { return this->configurationIsRecent(now); };
     gate.takeQuota = [this](const WorkspaceId& workspace, Time now, OperationGate::QuotaCallback callback) {
         const auto request = this->quota->take(
             workspace, now, [this, workspace, callback = std::move(callback)](QuotaDecision decision) {
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -3,6 +3,7 @@
 #include "base/identifier.h"
 #include "connection/client_session.h"
 #include "connection/session_end.h"
+#include "process/configuration_proof.h"
 #include "process/group_scheduler.h"
 #include "process/quota/quota_client.h"
 #include "process/statement_forwarder.h"
@@ -35,6 +36,18 @@
     std::uint64_t droppedLogLines = 0;
 };
 
+// State of the proof that the configuration is recent, exported as gauges.
+struct ConfigurationProofState {
+    // Whether anything depends on the proof. Nothing is exported otherwise.
+    bool needed = false;
+    // Negative without any proof.
+    double ageSeconds = -1;
+    ConfigurationProofStatistics statistics;
+    // Answers that this daemon gave as the prover.
+    std::uint64_t provenAnswers = 0;
+    std::uint64_t refusedAnswers = 0;
+};
+
 // Metrics of a session proxy. Metric handles are cached by their labels. Not thread-safe.
 class ProxyMetrics {
 public:
@@ -51,6 +64,7 @@
     // Sets the gauges for the limits of workspaces.
     void quota(const QuotaStatistics& statistics);
     void state(const ProxyState& state);
+    void configurationProof(const ConfigurationProofState& state);
 
     // Returns all metrics in the Prometheus text exposition format 0.0.4.
     [[nodiscard]] std::string serialize() const;
