Order a group's owners for each workspace, and give each owner five connections

Cause: every owner ran its own clients' statements itself, and the others spread theirs over all owners. Connections belong to workspaces now, so each workspace needed connections at every owner, of which an endpoint accepts too few.

Change: WorkspaceOwners orders the owners of a group for each workspace by rendezvous hashing over group and workspace, the same at all daemons; an owner runs a statement itself only if it comes first. Orders are cached, bounded, and dropped when the owners change. OverloadSpread sends statements to the second owner as well while the first one answers late or refuses from its queue, and stops if that does not help. With workspaces, owners are as many as leave each five connections to an endpoint, and at least one in each data centre. A log line tells when owners change. Without workspaces nothing changes but that line.

--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -20,6 +20,7 @@
 #include "process/store_contact.h"
 #include "process/sync_requirement.h"
 #include "process/table_feed.h"
+#include "process/workspace_owners.h"
 
 #include <asio/signal_set.hpp>
 
@@ -73,6 +74,8 @@
     std::unique_ptr<StatementForwarder> makeForwarder(const DatabaseId& group, GroupScheduler& scheduler);
     void onLiveDaemons(const std::vector<LeaseRow>& others);
     void updatePlacements();
+    void updatePlacement(const DatabaseId& id, Group& group, const GroupPlacement& placement);
+    void onOwnerResult(const DatabaseId& group, const ObservedStatement& statement, const StatementResult& result);
     [[nodiscard]] bool othersKnown() const;
     [[nodiscard]] std::vector<DaemonId> otherOwners(const DatabaseId& group) const;
     [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
@@ -125,6 +128,7 @@
     SyncRequirement syncRequirement;
     bool registryKnown = false;
     std::map<DatabaseId, Group> groups;
+    WorkspaceOwners workspaceOwners { this->settings.daemon };
     std::unique_ptr<FleetController> fleet;
     std::unique_ptr<ForwardLinks> links;
     std::unique_ptr<SessionServer> sessions;
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -14,7 +14,10 @@
         if (found == this->groups.end())
             return std::vector<DaemonId> {};
         const auto& placement = found->second.placement;
-        if (placement.ownedHere && !found->second.scheduler->lacksAccessToPrimary(work, bootNow()))
+        const bool canRun = placement.ownedHere && !found->second.scheduler->lacksAccessToPrimary(work, bootNow());
+        if (!work.workspace.empty())
+            return this->workspaceOwners.targets(group, work.workspace, canRun, bootNow());
+        if (canRun)
             return std::vector<DaemonId> {};
         // Where every daemon owns every group, the others are asked only by a daemon that cannot use the primary.
         return placement.owners.empty() ? this->otherDaemons() : placement.owners;
@@ -23,9 +26,27 @@
         = [this](const DaemonId& owner, const ForwardMessage& message) { return this->links->send(owner, message); };
     // Connections and forwarded statements share one sequence, so that their identifiers never meet.
     hooks.nextId = [this] { return ++this->lastConnectionId; };
+    hooks.observe = [this, id](const ObservedStatement& statement, const StatementResult& result) {
+        this->onOwnerResult(id, statement, result);
+    };
     return std::make_unique<StatementForwarder>(id, this->timers, scheduler, std::move(hooks));
 }
 
+void SessionProxy::onOwnerResult(
+    const DatabaseId& group, const ObservedStatement& statement, const StatementResult& result)
+{
+    const auto now = bootNow();
+    const bool overloaded = showsOverload(result, statement.objective, now - statement.submittedAt);
+    if (!this->workspaceOwners.report(group, statement.workspace, result.owner, overloaded, now))
+        return;
+    const auto decision = this->logLimiter.decide("workspace_spread", now);
+    if (!decision.write)
+        return;
+    logEvent(LogLevel::Info, "workspace_spread",
+        { { "group", group.value }, { "workspace", statement.workspace.value }, { "overloaded", result.owner.value },
+            { "left_out", decision.suppressed } });
+}
+
 ForwardLinkHooks SessionProxy::makeLinkHooks()
 {
     ForwardLinkHooks hooks;
@@ -107,20 +128,34 @@
 {
     if (!this->routes || this->alive.empty())
         return;
-    const PlacementPolicy policy(this->settings.daemon, this->alive);
+    const PlacementPolicy policy(this->settings.daemon, this->alive, this->routes->workspacesInUse);
     for (auto& [id, group] : this->groups) {
         const auto declared = this->routes->groups.find(id);
-        if (declared == this->routes->groups.end())
-            continue;
-        const auto placement = policy.placementOf(id, declared->second.connectionLimit);
-        if (placement.ownedHere != group.placement.ownedHere) {
-            logEvent(LogLevel::Info, "group_placement",
-                { { "group", id.value }, { "owned_here", placement.ownedHere ? 1 : 0 },
-                    { "other_owners", placement.owners.size() }, { "share", placement.connectionShare } });
-        }
-        group.placement = placement;
-        group.scheduler->setConnectionShare(placement.connectionShare, placement.ownedHere && this->othersKnown());
+        if (declared != this->routes->groups.end())
+            this->updatePlacement(id, group, policy.placementOf(id, declared->second.connectionLimit));
+    }
+}
+
+void SessionProxy::updatePlacement(const DatabaseId& id, Group& group, const GroupPlacement& placement)
+{
+    if (placement.ownedHere != group.placement.ownedHere) {
+        logEvent(LogLevel::Info, "group_placement",
+            { { "group", id.value }, { "owned_here", placement.ownedHere ? 1 : 0 },
+                { "other_owners", placement.owners.size() }, { "share", placement.connectionShare } });
+    }
+    const bool workspacesMoved = this->workspaceOwners.setOwners(id, placement.workspaceOwners);
+    const auto firstOf = [](const GroupPlacement& of) {
+        return of.ownedHere || of.owners.empty() ? std::string() : of.owners.front().value;
+    };
+    if (workspacesMoved || firstOf(placement) != firstOf(group.placement)) {
+        const auto decision = this->logLimiter.decide("owner_changed", bootNow());
+        if (decision.write)
+            logEvent(LogLevel::Info, "owner_changed",
+                { { "group", id.value }, { "owner", firstOf(placement) }, { "before", firstOf(group.placement) },
+                    { "workspace_owners", placement.workspaceOwners.size() }, { "left_out", decision.suppressed } });
     }
+    group.placement = placement;
+    group.scheduler->setConnectionShare(placement.connectionShare, placement.ownedHere && this->othersKnown());
 }
 
 } // namespace endivetrestle
--- a/src/process/group_placement.cc
+++ b/src/process/group_placement.cc
@@ -5,9 +5,35 @@
 
 namespace endivetrestle {
 
-PlacementPolicy::PlacementPolicy(DaemonId self, std::vector<DaemonInfo> alive)
+namespace {
+
+// Connections of an endpoint without the reserve.
+int usableConnections(int connectionLimit)
+{
+    return static_cast<int>(connectionLimit * (1 - PlacementPolicy::reserveFraction));
+}
+
+std::vector<DaemonId> sorted(std::vector<DaemonId> ids)
+{
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+std::vector<DaemonId> idsOf(const std::vector<DaemonInfo>& daemons)
+{
+    std::vector<DaemonId> ids;
+    ids.reserve(daemons.size());
+    for (const auto& daemon : daemons)
+        ids.push_back(daemon.id);
+    return ids;
+}
+
+} // namespace
+
+PlacementPolicy::PlacementPolicy(DaemonId self, std::vector<DaemonInfo> alive, bool workspacesInUse)
     : self(std::move(self))
     , alive(std::move(alive))
+    , workspacesInUse(workspacesInUse)
     , ownership(this->alive.size())
 {
     this->ownership.update(this->alive);
@@ -24,7 +50,9 @@
 
 std::size_t PlacementPolicy::ownerCount(int connectionLimit) const
 {
-    const auto fromLimit = static_cast<std::size_t>(std::max(1, connectionLimit / connectionsPerOwner));
+    const int byLimit = this->workspacesInUse ? usableConnections(connectionLimit) / minWorkspaceShare
+                                              : connectionLimit / connectionsPerOwner;
+    const auto fromLimit = static_cast<std::size_t>(std::max(1, byLimit));
     return std::min(std::max(fromLimit, this->dataCentreCount), this->alive.size());
 }
 
@@ -34,12 +62,16 @@
     const int daemons = std::max(1, static_cast<int>(this->alive.size()));
     const double usable = connectionLimit * (1 - reserveFraction);
     const int equalShare = static_cast<int>(usable / daemons);
-    if (equalShare >= minEqualShare || daemons == 1) {
+    if (equalShare >= (this->workspacesInUse ? minWorkspaceShare : minEqualShare) || daemons == 1) {
         placement.connectionShare = std::max(1, equalShare);
+        if (this->workspacesInUse)
+            placement.workspaceOwners = sorted(idsOf(this->alive));
         return placement;
     }
     const auto count = this->ownerCount(connectionLimit);
     auto owners = this->ownership.owners(group, this->region, count);
+    if (this->workspacesInUse)
+        placement.workspaceOwners = sorted(idsOf(owners));
     const auto isSelf = [&](const DaemonInfo& owner) { return owner.id == this->self; };
     placement.ownedHere = std::any_of(owners.begin(), owners.end(), isSelf);
     if (placement.ownedHere) {
@@ -56,8 +88,7 @@
             return leftIsLocal;
         return Ownership::weight(left.id, daemonSpecificKey) > Ownership::weight(right.id, daemonSpecificKey);
     });
-    for (const auto& owner : owners)
-        placement.owners.push_back(owner.id);
+    placement.owners = idsOf(owners);
     return placement;
 }
 
--- a/src/process/group_placement.h
+++ b/src/process/group_placement.h
@@ -16,6 +16,9 @@
     std::vector<DaemonId> owners;
     // Number of connections to each endpoint that this daemon may hold.
     int connectionShare = 1;
+    // All owners by name, this daemon included if it is one; WorkspaceOwners orders them for each workspace. Empty if
+    // no workspaces are in use.
+    std::vector<DaemonId> workspaceOwners {};
 
     bool operator==(const GroupPlacement&) const = default;
 };
@@ -30,12 +33,15 @@
     static constexpr int minEqualShare = 2;
     // Target number of connections to an endpoint for each owner if not every daemon is an owner.
     static constexpr int connectionsPerOwner = 8;
+    // Minimum number of connections to an endpoint for each owner if workspaces are in use. Each of them belongs to one
+    // workspace, so that all daemons are owners only if an equal share is at least this.
+    static constexpr int minWorkspaceShare = 5;
     // Fraction of an endpoint's connections that the shares leave free, so that daemons which restart after a power
     // failure can connect while the endpoint still counts their lost connections.
     static constexpr double reserveFraction = 0.4;
 
     // `alive` lists the live daemons, including this one.
-    PlacementPolicy(DaemonId self, std::vector<DaemonInfo> alive);
+    PlacementPolicy(DaemonId self, std::vector<DaemonInfo> alive, bool workspacesInUse = false);
 
     // Returns the placement of a group whose endpoints accept `connectionLimit` connections each.
     [[nodiscard]] GroupPlacement placementOf(const DatabaseId& group, int connectionLimit) const;
@@ -45,6 +51,7 @@
 
     DaemonId self;
     std::vector<DaemonInfo> alive;
+    bool workspacesInUse;
     Ownership ownership;
     DataCentre dataCentre;
     Region region;
--- a/src/process/group_placement_test.cc
+++ b/src/process/group_placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -131,3 +132,47 @@
     CHECK(placement.ownedHere);
     CHECK(placement.connectionShare == 1);
 }
+
+namespace {
+
+GroupPlacement workspacePlacementAt(int daemon, int count, int limit)
+{
+    const PlacementPolicy policy(DaemonId("d" + std::to_string(daemon)), fleet(count, 3), true);
+    return policy.placementOf(DatabaseId("shop"), limit);
+}
+
+} // namespace
+
+// Guards against owners with so few connections that each workspace's statement needs a new one.
+TEST_CASE("PlacementPolicy, leaves every owner five connections when workspaces are in use")
+{
+    for (const int limit : { 28, 49, 55, 70, 200 }) {
+        for (const int count : { 4, 6, 12, 26, 73 }) {
+            const auto placement = workspacePlacementAt(0, count, limit);
+            const auto owners = placement.workspaceOwners.size();
+            std::set<DataCentre> dataCentres;
+            for (const auto& daemon : fleet(count, 3)) {
+                if (std::count(placement.workspaceOwners.begin(), placement.workspaceOwners.end(), daemon.id) != 0)
+                    dataCentres.insert(daemon.dataCentre);
+            }
+            int share = 0;
+            for (int i = 0; i < count; ++i) {
+                const auto other = workspacePlacementAt(i, count, limit);
+                CHECK(other.workspaceOwners == placement.workspaceOwners);
+                if (other.ownedHere)
+                    share = other.connectionShare;
+            }
+            CAPTURE(limit, count, owners, share);
+            CHECK(dataCentres.size() == 3);
+            CHECK((share >= PlacementPolicy::minWorkspaceShare || owners == 3));
+            CHECK(share * static_cast<int>(owners) <= limit * (1 - PlacementPolicy::reserveFraction));
+        }
+    }
+}
+
+// Guards against a change of placement in deployments without workspaces.
+TEST_CASE("PlacementPolicy, names no owners for workspaces when none are in use")
+{
+    CHECK(placementAt(0, 4, 3, 16).workspaceOwners.empty());
+    CHECK(placementAt(0, 26, 3, 70).workspaceOwners.empty());
+}
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -45,14 +45,26 @@
 
 void StatementForwarder::submit(const ExecutionPtr& execution, Time now)
 {
+    if (this->hooks.observe && !execution->work.workspace.empty())
+        this->observeResult(*execution, now);
     this->forwardOrRunLocally(execution, {}, now);
 }
 
+void StatementForwarder::observeResult(Execution& execution, Time now) const
+{
+    const ObservedStatement statement { execution.work.workspace, execution.work.objective, now };
+    execution.callback = [observe = this->hooks.observe, statement, callback = std::move(execution.callback)](
+                             const StatementResult& result) {
+        observe(statement, result);
+        callback(result);
+    };
+}
+
 // Sends the statement to the first reachable owner that has not been tried, or runs it locally if there is none.
 void StatementForwarder::forwardOrRunLocally(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now)
 {
     for (const auto& owner : this->hooks.owners(this->group, execution->work)) {
-        if (tried.size() >= maxOwnersTried)
+        if (execution->work.workspace.empty() && tried.size() >= maxOwnersTried)
             break;
         if (std::find(tried.begin(), tried.end(), owner) != tried.end())
             continue;
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -11,6 +11,13 @@
 
 namespace endivetrestle {
 
+// Statement of a workspace whose result is observed.
+struct ObservedStatement {
+    WorkspaceId workspace;
+    Duration objective {};
+    Time submittedAt;
+};
+
 // Callbacks through which a forwarder reaches other daemons.
 struct ForwarderHooks {
     // Returns the daemons that may run the statement, in order of preference. Empty if this daemon runs it itself.
@@ -19,6 +26,8 @@
     std::function<bool(const DaemonId&, const ForwardMessage&)> send;
     // Returns an identifier that is unique among the connections and statements of the process.
     std::function<std::uint64_t()> nextId;
+    // Reports the result of a statement of a workspace, wherever it ran. May be null.
+    std::function<void(const ObservedStatement&, const StatementResult&)> observe {};
 };
 
 // Counters and gauges of a forwarder, exported as metrics.
@@ -58,7 +67,8 @@
 
     [[nodiscard]] ForwarderStatistics statistics() const;
 
-    // Number of owners that are tried before this daemon runs a statement itself.
+    // Number of owners that are tried before this daemon runs a statement itself. The hook `owners` limits it for a
+    // statement of a workspace.
     static constexpr std::size_t maxOwnersTried = 2;
     // Additional time, beyond the expiry of a statement, for the owner's answer to arrive.
     static constexpr Duration answerSlack = std::chrono::milliseconds(30);
@@ -80,6 +90,7 @@
         std::uint64_t timer = 0;
     };
 
+    void observeResult(Execution& execution, Time now) const;
     void forwardOrRunLocally(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now);
     bool sendTo(const DaemonId& owner, Pending pending, std::optional<ConnectionId> connection);
     void onTimer(std::uint64_t number, Time now);
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -46,6 +46,9 @@
             return true;
         };
         hooks.nextId = [this] { return ++this->lastId; };
+        hooks.observe = [this](const ObservedStatement& statement, const StatementResult& result) {
+            this->observed.emplace_back(statement.workspace, result.owner);
+        };
         this->forwarder
             = std::make_unique<StatementForwarder>(DatabaseId("shop"), this->timers, this->local, std::move(hooks));
     }
@@ -105,6 +108,7 @@
     std::set<DaemonId> unreachable;
     std::vector<std::pair<DaemonId, ForwardMessage>> sent;
     std::vector<StatementResult> results;
+    std::vector<std::pair<WorkspaceId, DaemonId>> observed;
     std::uint64_t lastId = 0;
     std::unique_ptr<StatementForwarder> forwarder;
 };
@@ -303,3 +307,25 @@
     CHECK(fixture.results.size() == 1);
     CHECK(fixture.forwarder->statistics().inFlight == 1);
 }
+
+// Guards against a daemon without connections that runs a workspace's statement although an owner is left.
+TEST_CASE("StatementForwarder, tries all named owners and reports the result when the statement belongs to a workspace")
+{
+    Fixture fixture;
+    fixture.owners = { ownerA, ownerB, DaemonId("c") };
+    fixture.unreachable = { ownerA };
+    const auto execution = fixture.make(StatementKind::Read);
+    execution->work.workspace = WorkspaceId("w1");
+    fixture.forwarder->submit(execution, fixture.now);
+    fixture.answer(std::nullopt, true);
+    CHECK(fixture.sent.back().first == DaemonId("c"));
+    CHECK(fixture.local.submitted.empty());
+    fixture.answer(std::nullopt);
+    CHECK(fixture.results.size() == 1);
+    CHECK(fixture.observed == std::vector { std::pair { WorkspaceId("w1"), DaemonId("c") } });
+    // A statement without a workspace is not observed.
+    fixture.unreachable.clear();
+    fixture.submit(StatementKind::Read);
+    fixture.answer(std::nullopt);
+    CHECK(fixture.observed.size() == 1);
+}
