Weigh the choice of owners by the capacities of the hosts

Cause: owners were chosen by name alone, on hosts that differ by a factor of four in processor share and twenty in bandwidth.

Change: lease rows state processor share and link, in two integer fields that earlier releases ignore; rows without them decode as before. Ownership weighs rendezvous hashing (-w / ln(h)) if all live daemons state a capacity and the largest is at least twice the smallest, so nobody weighs while a daemon of an earlier release is alive. Otherwise the owners are those of before. The capacity is the smaller of what processor share and link carry; bytes of a statement are estimated.

The whole binary has not been run.

--- a/src/edge/peer_calls_test.cc
+++ b/src/edge/peer_calls_test.cc
@@ -23,6 +23,7 @@
     renewal.row.dataCentre = DataCentre("bkk-a");
     renewal.row.untilStoreMs = 123456789;
     renewal.row.epochVersion = { 4, 9 };
+    renewal.row.capacity = { 280, 10000 };
     renewal.rowVersion = { 4, 8 };
     renewal.urgent = true;
     return renewal;
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -50,7 +50,8 @@
             { "data_centre", this->settings.dataCentre.value } });
     this->fleet = std::make_unique<FleetController>(
         FleetIdentity { this->settings.daemon, this->incarnation, this->settings.advertisedPeerAddress,
-            this->settings.advertisedForwardAddress, this->settings.dataCentre },
+            this->settings.advertisedForwardAddress, this->settings.dataCentre,
+            hostCapacity(this->settings.processorShare, this->settings.linkMbps) },
         this->store, this->timers, this->makeFleetHooks(), [] { return bootNow(); });
     this->makeBootstrap();
     this->listen();
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -155,6 +155,7 @@
     self.address = this->settings.advertisedPeerAddress;
     self.forwardAddress = this->settings.advertisedForwardAddress;
     self.dataCentre = this->settings.dataCentre;
+    self.capacity = hostCapacity(this->settings.processorShare, this->settings.linkMbps);
     answer.leases.push_back(std::move(self));
     return answer;
 }
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -101,11 +101,13 @@
     DaemonInfo self;
     self.id = this->settings.daemon;
     self.dataCentre = this->settings.dataCentre;
+    self.capacity = hostCapacity(this->settings.processorShare, this->settings.linkMbps);
     daemons.push_back(self);
     for (const auto& lease : others) {
         DaemonInfo info;
         info.id = lease.daemon;
         info.dataCentre = lease.dataCentre;
+        info.capacity = lease.capacity;
         daemons.push_back(info);
         addresses[lease.daemon] = lease.forwardAddress;
     }
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -23,6 +23,7 @@
     SocketAddress peerAddress;
     SocketAddress forwardAddress;
     DataCentre dataCentre;
+    HostCapacity capacity {};
 };
 
 // Maintains this daemon's lease and its view of the primary of each group, and replaces primaries.
--- a/src/process/fleet_controller_lease.cc
+++ b/src/process/fleet_controller_lease.cc
@@ -37,7 +37,7 @@
     renewal.row = { this->identity.daemon, this->identity.incarnation, this->identity.peerAddress,
         this->identity.forwardAddress, this->identity.dataCentre,
         this->clock.upperBoundMs(preparedAt) + milliseconds(PrimaryLease::validity), this->claims.completeUpTo(),
-        PrimaryLease::witnessesFor(this->liveCount), this->rowSinceStoreMs.value_or(0) };
+        PrimaryLease::witnessesFor(this->liveCount), this->rowSinceStoreMs.value_or(0), this->identity.capacity };
     renewal.rowVersion = this->leaseRowVersion;
     renewal.urgent = !this->lease.isValid(preparedAt);
     return renewal;
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -108,10 +108,15 @@
 
 StoreRow encodeRow(const LeaseRow& row)
 {
-    const json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
+    json value { { "incarnation", row.incarnation }, { "address", toString(row.address) },
         { "forward", toString(row.forwardAddress) }, { "data_centre", row.dataCentre.value },
         { "until", row.untilStoreMs }, { "epoch", row.epochVersion.number }, { "witnesses", row.witnesses },
         { "since", row.rowSinceStoreMs } };
+    // Earlier releases ignore the fields.
+    if (row.capacity.isStated()) {
+        value["cpu_milli"] = row.capacity.processorMilli;
+        value["link_kbps"] = row.capacity.linkKbps;
+    }
     return { leaseTable, toString(EraKey { row.epochVersion.era, row.daemon.value }), value.dump() };
 }
 
@@ -159,6 +164,7 @@
     result.epochVersion = reader.version("epoch", key->era);
     result.witnesses = static_cast<int>(reader.integer("witnesses"));
     result.rowSinceStoreMs = reader.integer("since");
+    result.capacity = { reader.integer("cpu_milli"), reader.integer("link_kbps") };
     return reader.allFieldsValid() ? std::optional(result) : std::nullopt;
 }
 
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -2,6 +2,7 @@
 
 #include "base/identifier.h"
 #include "base/socket_address.h"
+#include "process/host_capacity.h"
 #include "process/table_store.h"
 
 #include <cstdint>
@@ -94,6 +95,8 @@
     int witnesses = 0;
     // Time of the store's clock since which the daemon has had a row, in whichever era.
     std::int64_t rowSinceStoreMs = 0;
+    // What the daemon's host can carry; not stated by an earlier release.
+    HostCapacity capacity {};
 
     bool operator==(const LeaseRow&) const = default;
 };
--- a/src/process/fleet_rows_test.cc
+++ b/src/process/fleet_rows_test.cc
@@ -53,3 +53,34 @@
         CHECK(row->previousEpoch == StoreVersion { era, 9 });
     }
 }
+
+// Guards against a mixed fleet in which daemons of two releases cannot read each other's leases.
+TEST_CASE("LeaseRow, states the host's capacity in fields that an earlier release lacks")
+{
+    LeaseRow row;
+    row.daemon = DaemonId("d1");
+    row.address = row.forwardAddress = { "10.0.0.1", 7440 };
+    row.epochVersion = { era, 3 };
+    // What an earlier release writes.
+    CHECK(encodeRow(row).value.find("cpu_milli") == std::string::npos);
+    const auto earlier = decodeLeaseRow(encodeRow(row));
+    REQUIRE(earlier);
+    CHECK_FALSE(earlier->capacity.isStated());
+    row.capacity = hostCapacity(0.12, 10);
+    const auto decoded = decodeLeaseRow(encodeRow(row));
+    REQUIRE(decoded);
+    CHECK(*decoded == row);
+    CHECK(decoded->capacity == HostCapacity { 120, 10000 });
+}
+
+// Guards against a damaged row that gives its daemon a weight.
+TEST_CASE("LeaseRow, states no capacity when a field is missing or not positive")
+{
+    for (const char* fields : { R"("cpu_milli":500)", R"("cpu_milli":-500,"link_kbps":10000)", R"("link_kbps":0)" }) {
+        const auto row = decodeLeaseRow({ leaseTable, "2/d1",
+            std::string(R"({"address":"10.0.0.1:1","forward":"10.0.0.1:2",)") + fields + "}", { era, 9 } });
+        CAPTURE(fields);
+        REQUIRE(row);
+        CHECK_FALSE(row->capacity.isStated());
+    }
+}
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/identifier.h"
 #include "base/socket_address.h"
+#include "process/host_capacity.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,8 @@
     // Raised only by the daemon itself, to refute a suspicion or after a restart.
     std::uint64_t incarnation = 0;
     DaemonState state = DaemonState::Alive;
+    // What its host can carry; not stated by a daemon of an earlier release.
+    HostCapacity capacity {};
 
     bool operator==(const DaemonInfo&) const = default;
 };
--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace endivetrestle {
 
@@ -12,13 +13,42 @@
 struct Candidate {
     const DaemonInfo* info = nullptr;
     std::uint64_t weight = 0;
+    // Weight with regard to the capacity; 0 if capacities do not count.
+    double score = 0;
 };
 
 bool isHeavier(const Candidate& left, const Candidate& right)
 {
+    if (left.score != right.score)
+        return left.score > right.score;
     return left.weight != right.weight ? left.weight > right.weight : left.info->id < right.info->id;
 }
 
+// Score of weighted rendezvous hashing: the highest of several belongs to each candidate with a probability
+// proportional to its capacity.
+double scoreOf(std::uint64_t weight, const HostCapacity& capacity)
+{
+    // 52 bits of the weight, so that the fraction is exact and neither 0 nor 1.
+    const double fraction = std::ldexp(static_cast<double>(weight >> 12U) + 0.5, -52);
+    return -capacity.statementsPerSecond() / std::log(fraction);
+}
+
+bool capacitiesDiffer(const std::vector<DaemonInfo>& view)
+{
+    double smallest = 0;
+    double largest = 0;
+    for (const auto& info : view) {
+        if (info.state == DaemonState::Dead)
+            continue;
+        if (!info.capacity.isStated())
+            return false;
+        const double capacity = info.capacity.statementsPerSecond();
+        smallest = smallest == 0 ? capacity : std::min(smallest, capacity);
+        largest = std::max(largest, capacity);
+    }
+    return largest > 0 && largest >= Ownership::minCapacityRatio * smallest;
+}
+
 bool hasOwnerIn(const std::vector<DaemonInfo>& chosen, const DataCentre& dataCentre)
 {
     return std::any_of(
@@ -45,6 +75,7 @@
 void Ownership::update(const std::vector<DaemonInfo>& view)
 {
     this->byRegion.clear();
+    this->capacityWeighed = capacitiesDiffer(view);
     for (const auto& info : view) {
         if (info.state == DaemonState::Dead)
             continue;
@@ -61,13 +92,15 @@
 }
 
 void Ownership::appendOwners(
-    const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen)
+    const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen) const
 {
     for (const auto& tier : tiers) {
         std::vector<Candidate> ordered;
         ordered.reserve(tier.size());
-        for (const auto& info : tier)
-            ordered.push_back({ &info, weight(info.id, database) });
+        for (const auto& info : tier) {
+            const auto hash = weight(info.id, database);
+            ordered.push_back({ &info, hash, this->capacityWeighed ? scoreOf(hash, info.capacity) : 0 });
+        }
         std::sort(ordered.begin(), ordered.end(), isHeavier);
         while (chosen.size() < ownerCount && !ordered.empty()) {
             const auto next = bestCandidate(ordered, chosen);
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -16,12 +16,20 @@
 // that has no owner of a lower rank come first, ordered by descending weight. When a daemon joins or leaves, owners
 // change only for databases for which it holds or gets a rank.
 //
+// If all daemons state the capacities of their hosts and these differ by a factor of minCapacityRatio, a daemon's
+// chance to be chosen is proportional to its capacity, and a change of one capacity changes only the databases that
+// this daemon gains or loses. Otherwise all daemons count alike, also while a daemon of an earlier release, which
+// cannot weigh them, is alive.
+//
 // Example:
 //     Ownership ownership(2);
 //     ownership.update(membership.view());
 //     const auto owners = ownership.owners(database, region); // owners[0] is active
 class Ownership {
 public:
+    // Smaller differences are not worth moving owners for.
+    static constexpr double minCapacityRatio = 2;
+
     explicit Ownership(std::size_t ownersPerDatabase);
 
     // Replaces the view. Call when Membership::sequence() has changed.
@@ -37,16 +45,19 @@
 
     // Weight of a daemon for a database; the highest is rank 0. Stable across processes and releases.
     static std::uint64_t weight(const DaemonId& daemon, const DatabaseId& database);
+    // Whether the capacities of the hosts take effect.
+    [[nodiscard]] bool weighsCapacity() const { return this->capacityWeighed; }
 
 private:
     // Daemons by state in the order of preference: alive, suspected, leaving.
     using Tiers = std::array<std::vector<DaemonInfo>, 3>;
 
-    static void appendOwners(
-        const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen);
+    void appendOwners(
+        const Tiers& tiers, const DatabaseId& database, std::size_t ownerCount, std::vector<DaemonInfo>& chosen) const;
 
     std::size_t ownersPerDatabase;
     std::map<Region, Tiers> byRegion;
+    bool capacityWeighed = false;
 };
 
 } // namespace endivetrestle
--- a/src/process/ownership_test.cc
+++ b/src/process/ownership_test.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
+#include <set>
 
 using namespace endivetrestle;
 
@@ -153,3 +155,100 @@
 {
     CHECK(Ownership::weight(DaemonId("prism-1"), DatabaseId("ledger-1")) == 13057595910913481424U);
 }
+
+namespace {
+
+std::vector<DaemonInfo> fleetWith(std::size_t daemons, const std::function<HostCapacity(std::size_t)>& capacity)
+{
+    auto view = fleet(daemons, 1);
+    for (std::size_t index = 0; index < view.size(); ++index)
+        view[index].capacity = capacity(index);
+    return view;
+}
+
+HostCapacity smallOrLarge(std::size_t index) { return hostCapacity(index % 5 == 0 ? 0.5 : 0.12, 200); }
+
+std::vector<DaemonId> ownersIn(const std::vector<DaemonInfo>& view, std::size_t index, std::size_t count)
+{
+    return idsOf(ownershipOf(view).owners(databaseAt(index), Region("region-0"), count));
+}
+
+} // namespace
+
+// Guards against groups that move when hosts begin to state capacities that make no difference.
+TEST_CASE("Ownership, chooses the owners of a fleet without capacities when these are alike, few or not all stated")
+{
+    const auto plain = fleet(26, 1);
+    const auto alike = fleetWith(26, [](std::size_t) { return hostCapacity(0.12, 10); });
+    const auto similar = fleetWith(26, [](std::size_t index) { return hostCapacity(index % 2 ? 0.28 : 0.5, 200); });
+    // A daemon of an earlier release states nothing and weighs nothing.
+    const auto mixed
+        = fleetWith(26, [](std::size_t index) { return index == 7 ? HostCapacity {} : smallOrLarge(index); });
+    for (std::size_t index = 0; index < 200; ++index) {
+        const auto expected = ownersIn(plain, index, 8);
+        CHECK(ownersIn(alike, index, 8) == expected);
+        CHECK(ownersIn(similar, index, 8) == expected);
+        CHECK(ownersIn(mixed, index, 8) == expected);
+    }
+}
+
+// Guards against hosts with a quarter of the capacity that own as many databases as the others.
+TEST_CASE("Ownership, gives hosts databases in proportion to their capacities")
+{
+    const auto view = fleetWith(50, smallOrLarge);
+    const auto ownership = ownershipOf(view);
+    REQUIRE(ownership.weighsCapacity());
+    std::map<HostCapacity, std::size_t, bool (*)(const HostCapacity&, const HostCapacity&)> owned(
+        [](const auto& left, const auto& right) { return left.processorMilli < right.processorMilli; });
+    constexpr std::size_t databases = 20000;
+    for (std::size_t index = 0; index < databases; ++index)
+        ++owned[ownership.owners(databaseAt(index), Region("region-0"), 1).front().capacity];
+    // 10 hosts of 0.5 cores and 40 of 0.12 cores.
+    const double large = 10 * 0.5 / (10 * 0.5 + 40 * 0.12);
+    // Five standard deviations.
+    CHECK(std::abs(static_cast<double>(owned[smallOrLarge(0)]) / databases - large) < 0.018);
+}
+
+// Guards against a changed host that moves databases between other hosts.
+TEST_CASE("Ownership, moves only what a host gains or loses when its capacity changes")
+{
+    rc::prop("other daemons keep their databases", [] {
+        const auto before = fleetWith(*rc::gen::inRange<std::size_t>(6, 40), smallOrLarge);
+        // The first hosts keep the capacities different.
+        const auto changed = *rc::gen::inRange<std::size_t>(2, before.size());
+        auto after = before;
+        after[changed].capacity = hostCapacity(*rc::gen::inRange(50, 2000) / 1000.0, *rc::gen::inRange(1, 200));
+        for (std::size_t index = 0; index < 40; ++index) {
+            const auto old = ownersIn(before, index, 5);
+            const auto now = ownersIn(after, index, 5);
+            std::vector<DaemonId> gone;
+            std::vector<DaemonId> added;
+            for (const auto& id : old) {
+                if (std::find(now.begin(), now.end(), id) == now.end())
+                    gone.push_back(id);
+            }
+            for (const auto& id : now) {
+                if (std::find(old.begin(), old.end(), id) == old.end())
+                    added.push_back(id);
+            }
+            RC_ASSERT(gone.size() <= 1U);
+            RC_ASSERT(gone.size() == added.size());
+            // RC_ASSERT evaluates both sides of an operator.
+            const auto& id = before[changed].id;
+            const bool involved = gone.empty() || gone[0] == id || added[0] == id;
+            RC_ASSERT(involved);
+        }
+    });
+}
+
+// Guards against weighted owners that are all in the data centre of the large hosts.
+TEST_CASE("Ownership, chooses an owner in each data centre when capacities are weighed")
+{
+    const auto view = fleetWith(24, [](std::size_t index) { return hostCapacity(index % 3 == 0 ? 8 : 0.1, 1000); });
+    for (std::size_t index = 0; index < 100; ++index) {
+        std::set<DataCentre> dataCentres;
+        for (const auto& owner : ownershipOf(view).owners(databaseAt(index), Region("region-0"), 3))
+            dataCentres.insert(owner.dataCentre);
+        CHECK(dataCentres.size() == 3);
+    }
+}
