Refuse at once what a daemon cannot serve, and report not ready

On a partitioned daemon, statements waited until the statement timeout, which on one deployment equals the client's deadline, so clients could not retry at another daemon.

ReachabilityMonitor judges each group from the evidence of links, endpoint connections and store calls. While a path is silent and no other answers, it has the others tested. When all are silent, new statements and waiting ones that were never sent get BUSY (reason unreachable), forwarded ones are declined, and, if no group is left, session starts get BUSY and the daemon is not ready. Reads sent to a silent owner move to another path, or are refused if none answers. The first answer ends the state; silent paths are tested every 250 ms until then.

--- a/src/edge/endpoint_transport.cc
+++ b/src/edge/endpoint_transport.cc
@@ -26,6 +26,8 @@
     link.socket->connect(
         asio::ip::tcp::endpoint(address, record.address.port),
         [this, id, greeting = platform::encodeStartup(record.group, workspace, record.id)] {
+            if (this->input.connected)
+                this->input.connected(id);
             this->write(id, greeting);
         },
         [this, id](std::string_view line) { return this->onLine(id, line); }, [this, id] { this->onLost(id); });
--- a/src/edge/endpoint_transport.h
+++ b/src/edge/endpoint_transport.h
@@ -14,6 +14,8 @@
 
 // Input that connections to endpoints deliver.
 struct EndpointInput {
+    // The endpoint's host has accepted the connection. May be null.
+    std::function<void(ConnectionId)> connected;
     std::function<void(ConnectionId, const std::optional<Position>&)> opened;
     std::function<void(ConnectionId, const EndpointAnswer&)> answered;
     std::function<void(ConnectionId)> closed;
--- a/src/edge/forward_links.cc
+++ b/src/edge/forward_links.cc
@@ -59,6 +59,8 @@
     auto frame = encodeForward(message, now);
     if (!link.unansweredSince)
         link.unansweredSince = now;
+    if (statement != nullptr)
+        this->report(owner, LinkEvidence::Sent);
     if (link.established)
         link.socket->writeFrame(frame);
     else
@@ -80,13 +82,32 @@
 {
     auto& link = this->outgoing[owner];
     link.address = address;
-    link.unansweredSince = this->hooks.now();
+    link.openedAt = this->hooks.now();
+    link.unansweredSince = link.openedAt;
+    this->report(owner, LinkEvidence::OpenStarted);
     link.socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), maxForwardBytes, Framing::Lengths);
     link.socket->connect(
         asio::ip::tcp::endpoint(asio::ip::make_address(address.ip), address.port),
         [this, owner] { this->onEstablished(owner); },
         [this, owner](std::string_view frame) { return this->onAnswer(owner, frame); },
-        [this, owner] { this->lose(owner, refusedPause); });
+        [this, owner] { this->onSocketClosed(owner); });
+}
+
+void ForwardLinks::report(const DaemonId& owner, LinkEvidence evidence)
+{
+    if (this->hooks.evidence)
+        this->hooks.evidence(owner, evidence);
+}
+
+// A refusal is an answer of the host. The end of an older attempt may come from this host's kernel.
+void ForwardLinks::onSocketClosed(const DaemonId& owner)
+{
+    const auto found = this->outgoing.find(owner);
+    if (found == this->outgoing.end())
+        return;
+    if (!found->second.established && this->hooks.now() - found->second.openedAt < reopenLimit)
+        this->report(owner, LinkEvidence::Answered);
+    this->lose(owner, refusedPause);
 }
 
 void ForwardLinks::onEstablished(const DaemonId& owner)
@@ -96,8 +117,11 @@
     link.unansweredSince.reset();
     link.probedAt.reset();
     this->reopenAt.erase(owner);
-    if (!link.waiting.empty())
+    this->report(owner, LinkEvidence::Answered);
+    if (!link.waiting.empty()) {
         link.unansweredSince = this->hooks.now();
+        this->report(owner, LinkEvidence::Sent);
+    }
     logEvent(LogLevel::Info, "owner_link_established", { { "owner", owner.value } });
     for (const auto& frame : std::exchange(link.waiting, {}))
         link.socket->writeFrame(frame);
@@ -117,6 +141,7 @@
     }
     found->second.unansweredSince.reset();
     found->second.probedAt.reset();
+    this->report(owner, LinkEvidence::Answered);
     if (std::holds_alternative<OwnerLeaving>(*message))
         found->second.leaving = true;
     else if (const auto* outcome = std::get_if<ForwardedOutcome>(&*message)) {
@@ -124,7 +149,41 @@
         if (const auto group = found->second.statementGroups.extract(outcome->number))
             this->hooks.outcome(owner, group.mapped(), *outcome);
     }
-    return this->outgoing.count(owner) != 0;
+    const auto left = this->outgoing.find(owner);
+    if (left == this->outgoing.end())
+        return false;
+    if (!left->second.statementGroups.empty())
+        this->report(owner, LinkEvidence::Sent);
+    return true;
+}
+
+void ForwardLinks::test(const DaemonId& owner, Time now)
+{
+    auto found = this->outgoing.find(owner);
+    if (found != this->outgoing.end() && !found->second.established && now - found->second.openedAt >= reopenLimit) {
+        this->lose(owner, Duration::zero());
+        found = this->outgoing.find(owner);
+    }
+    if (found == this->outgoing.end()) {
+        const auto address = this->addresses.find(owner);
+        if (address != this->addresses.end())
+            this->open(owner, address->second);
+        return;
+    }
+    auto& link = found->second;
+    if (!link.established)
+        return;
+    if (!link.unansweredSince)
+        link.unansweredSince = now;
+    this->report(owner, LinkEvidence::ProbeSent);
+    link.socket->writeFrame(encodeForward(LinkProbe {}, now));
+}
+
+void ForwardLinks::giveUpOpening(const DaemonId& owner)
+{
+    const auto found = this->outgoing.find(owner);
+    if (found != this->outgoing.end() && !found->second.established)
+        this->lose(owner, silentPause);
 }
 
 void ForwardLinks::lose(const DaemonId& owner, Duration pause)
@@ -135,6 +194,7 @@
     const auto link = std::move(found->second);
     this->outgoing.erase(found);
     link.socket->close();
+    this->report(owner, LinkEvidence::Closed);
     this->reopenAt[owner] = this->hooks.now() + pause;
     // Attempts that fail while a host stays away are not worth a line each.
     logEvent(link.established || !link.waiting.empty() ? LogLevel::Warning : LogLevel::Debug, "owner_link_lost",
--- a/src/edge/forward_links.h
+++ b/src/edge/forward_links.h
@@ -17,6 +17,9 @@
 
 namespace endivetrestle {
 
+// What a link to an owner shows about whether the owner is reached.
+enum class LinkEvidence { Sent, ProbeSent, OpenStarted, Answered, Closed };
+
 // What the links ask of their surroundings.
 struct ForwardLinkHooks {
     std::function<Time()> now;
@@ -26,6 +29,8 @@
     std::function<void(const DaemonId&, bool established)> lost;
     std::function<StatementRunner*(const DatabaseId&)> runner;
     std::function<bool(const ForwardedStatement&, Time now)> accepts;
+    // Something happened on the link to an owner that shows whether it is reached. May be null.
+    std::function<void(const DaemonId&, LinkEvidence)> evidence;
 };
 
 // TCP links over which statements are forwarded: one to each owner that this daemon uses, opened with the first
@@ -51,6 +56,12 @@
     void announceLeaving();
     // Periodic work: probes of silent links, transactions left idle by a suspended daemon.
     void tick(Time now, Duration idleLimit);
+    // Tests whether an owner is reached: probes its link, or opens the link if there is none. An attempt to open that
+    // has lasted longer than reopenLimit is replaced by a new one, because lost packets of the first one are repeated
+    // only after a second.
+    void test(const DaemonId& owner, Time now);
+    // Gives up the link to an owner if it is not established, so that what waits for it may run elsewhere.
+    void giveUpOpening(const DaemonId& owner);
     // Answers what other daemons have forwarded as if the timeouts of the routes had been reached.
     void expireStatements(Time now);
     // Whether nothing that other daemons have forwarded is under way here.
@@ -61,6 +72,8 @@
     // Time that a probe, or a new link, has to be answered. It exceeds the pauses of a host whose processor share is
     // used up.
     static constexpr Duration probeLimit = std::chrono::milliseconds(300);
+    // Time after which test() replaces an attempt to open a link.
+    static constexpr Duration reopenLimit = std::chrono::milliseconds(250);
     // Pause before a lost link is opened again, if the host refused it and if it was silent.
     static constexpr Duration refusedPause = std::chrono::milliseconds(100);
     static constexpr Duration silentPause = std::chrono::milliseconds(500);
@@ -78,6 +91,7 @@
         // Since when something sent has gone without any message from the owner.
         std::optional<Time> unansweredSince;
         std::optional<Time> probedAt;
+        Time openedAt;
     };
     struct Incoming {
         std::shared_ptr<LineSocket> socket;
@@ -88,7 +102,9 @@
     void open(const DaemonId& owner, const SocketAddress& address);
     void onEstablished(const DaemonId& owner);
     bool onAnswer(const DaemonId& owner, std::string_view frame);
+    void onSocketClosed(const DaemonId& owner);
     void lose(const DaemonId& owner, Duration pause);
+    void report(const DaemonId& owner, LinkEvidence evidence);
     void probeSilentLinks(Time now);
     void reopenLostLinks(Time now);
     void add(asio::ip::tcp::socket socket);
--- a/src/edge/forward_links_test.cc
+++ b/src/edge/forward_links_test.cc
@@ -20,7 +20,7 @@
     {
         this->ownerLinks = std::make_unique<ForwardLinks>(this->context, this->ownerHooks());
         this->ownerLinks->listen({ "127.0.0.1", 0 });
-        ForwardLinkHooks hooks;
+        auto& hooks = this->senderHooks;
         hooks.now = [this] { return this->world.now; };
         hooks.outcome = [this](const DaemonId&, const DatabaseId& group, const ForwardedOutcome& outcome) {
             this->outcomes.push_back(outcome);
@@ -29,7 +29,12 @@
         hooks.lost = [this](const DaemonId&, bool established) { this->losses.push_back(established); };
         hooks.runner = [](const DatabaseId&) { return nullptr; };
         hooks.accepts = [](const ForwardedStatement&, Time) { return false; };
-        this->sender = std::make_unique<ForwardLinks>(this->context, std::move(hooks));
+        this->replaceSender();
+    }
+
+    void replaceSender()
+    {
+        this->sender = std::make_unique<ForwardLinks>(this->context, this->senderHooks);
         this->sender->setDaemons({ { owner, { "127.0.0.1", this->ownerLinks->port() } } });
     }
 
@@ -70,6 +75,7 @@
     // Keeps the loop from ending while no operation is under way.
     asio::executor_work_guard<asio::io_context::executor_type> work { this->context.get_executor() };
     SchedulerFixture world;
+    ForwardLinkHooks senderHooks;
     std::unique_ptr<ForwardLinks> ownerLinks;
     std::unique_ptr<ForwardLinks> sender;
     std::vector<ForwardedOutcome> outcomes;
@@ -214,3 +220,51 @@
     REQUIRE(fixture.outcomes.size() == 2);
     CHECK(fixture.outcomes.front().number == 1);
 }
+
+// Guards against a lost link that is taken for silent, or a silent one for reached.
+TEST_CASE("ForwardLinks, reports the evidence of a link")
+{
+    Fixture fixture;
+    std::vector<LinkEvidence> evidence;
+    fixture.senderHooks.evidence = [&](const DaemonId&, LinkEvidence item) { evidence.push_back(item); };
+    fixture.replaceSender();
+    REQUIRE(fixture.send(1));
+    fixture.runUntil([&] { return !fixture.world.sent.empty(); });
+    using Evidence = LinkEvidence;
+    CHECK(evidence
+        == std::vector<Evidence> { Evidence::OpenStarted, Evidence::Sent, Evidence::Answered, Evidence::Sent });
+    evidence.clear();
+    fixture.sender->test(owner, fixture.world.now);
+    fixture.runUntil([&] { return evidence.size() >= 3; });
+    // The statement is still unanswered after the answer to the probe.
+    CHECK(evidence == std::vector<Evidence> { Evidence::ProbeSent, Evidence::Answered, Evidence::Sent });
+    evidence.clear();
+    fixture.ownerLinks.reset();
+    fixture.runUntil([&] { return !fixture.losses.empty(); });
+    CHECK(evidence == std::vector<Evidence> { Evidence::Closed });
+    evidence.clear();
+    fixture.sender->test(owner, fixture.world.now);
+    fixture.runUntil([&] { return fixture.losses.size() == 2; });
+    // The host refuses the link, which is an answer.
+    CHECK(evidence == std::vector<Evidence> { Evidence::OpenStarted, Evidence::Answered, Evidence::Closed });
+}
+
+// Guards against a link that is given up earlier because it was tested: a write on it would be in doubt for no reason.
+TEST_CASE("ForwardLinks, gives a tested link up no earlier than an untested one")
+{
+    Fixture fixture;
+    asio::ip::tcp::acceptor silent(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
+    fixture.sender->setDaemons({ { owner, { "127.0.0.1", silent.local_endpoint().port() } } });
+    REQUIRE(fixture.send(1));
+    fixture.context.run_for(20ms);
+    fixture.sender->test(owner, fixture.world.now);
+    fixture.sender->giveUpOpening(owner);
+    fixture.world.now += ForwardLinks::quietLimit;
+    fixture.sender->tick(fixture.world.now, 1s);
+    fixture.world.now += ForwardLinks::probeLimit - 1ms;
+    fixture.sender->tick(fixture.world.now, 1s);
+    CHECK(fixture.losses.empty());
+    fixture.world.now += 1ms;
+    fixture.sender->tick(fixture.world.now, 1s);
+    CHECK(fixture.losses == std::vector<bool> { true });
+}
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -34,9 +34,11 @@
     , incarnation(makeIncarnation())
     , storeClient(this->context, this->settings.storeAddress)
     , store(this->storeClient,
-          { [this] { this->onStoreRegained(); }, [this](std::uint64_t era) { this->onStoreEraChanged(era); } })
+          { [this] { this->onStoreRegained(); }, [this](std::uint64_t era) { this->onStoreEraChanged(era); },
+              [this](bool answered) { this->onStoreCall(answered); } })
     , promotions(this->context, this->settings.promotionAddress)
     , peers(this->context)
+    , reachability(this->makeReachabilityHooks())
 {
 }
 
@@ -58,6 +60,7 @@
     this->fleet->start();
     this->waitForSignal();
     this->timers.subscribeEvery(bootNow(), tickInterval, [this](Time now) { this->tick(now); });
+    this->tickReachability(bootNow());
     this->watchSettings();
     this->runLoop();
     this->sessions->closeAll();
@@ -114,6 +117,7 @@
     hooks.runner = [this](const DatabaseId& group) { return this->runnerOf(group); };
     hooks.record = [this](const StatementRecord& statement) { this->record(statement); };
     hooks.ended = [this](const SessionEnd& end) { this->recordEnd(end); };
+    hooks.servesNothing = [this] { return this->reachability.servesNothing(); };
     hooks.startHold = [startedAt = bootNow()] { return sessionStartWait(bootNow() - startedAt); };
     this->sessions
         = std::make_unique<SessionServer>(this->context, this->timers, std::move(hooks), this->sessionLimit());
@@ -231,6 +235,7 @@
         if (auto* scheduler = this->schedulerOf(id))
             scheduler->onConnectionLimit(connection, bootNow());
     };
+    this->addReachabilityHooks(id, input);
     group.transport = std::make_unique<EndpointTransport>(this->context, std::move(input));
     SchedulerHooks hooks;
     hooks.nextConnectionId = [this] { return ++this->lastConnectionId; };
@@ -240,6 +245,7 @@
                      ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
     hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
     hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
+    this->addReachabilityHooks(id, hooks);
     group.scheduler
         = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks), bootNow());
     group.forwarder = this->makeForwarder(id, *group.scheduler);
@@ -260,6 +266,10 @@
             scheduler.setPrimary(primary->second.endpoint, primary->second.term, now);
         scheduler.setEndpoints(this->directory.recordsOf(id), now);
     }
+    std::set<DatabaseId> listed;
+    for (const auto& [id, declaration] : this->routes->groups)
+        listed.insert(id);
+    this->reachability.setGroups(std::move(listed));
 }
 
 // Tells the schedulers of the groups whose registered endpoints have changed. Rows of the registry change often, and a
@@ -282,7 +292,7 @@
 bool SessionProxy::isReady() const
 {
     return !this->stopping && this->routes && this->registryKnown && this->fleet->peersKnown()
-        && this->fleet->leaseValid(bootNow());
+        && this->fleet->leaseValid(bootNow()) && !this->reachability.servesNothing();
 }
 
 std::string SessionProxy::metricsPage()
@@ -292,7 +302,9 @@
         this->metrics.group(id, group.scheduler->statistics(), group.scheduler->positions().term(),
             group.scheduler->primaryUsable(now));
         this->metrics.forwarding(id, group.forwarder->statistics(), group.placement.ownedHere);
+        this->metrics.reachable(id, !this->reachability.isUnreachable(id));
     }
+    this->metrics.reachability(this->reachability.statistics());
     ProxyState state;
     state.sessions = this->sessions->sessions();
     state.liveDaemons = this->alive.size();
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -14,6 +14,7 @@
 #include "process/group_scheduler.h"
 #include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
+#include "process/reachability_monitor.h"
 #include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
@@ -78,6 +79,14 @@
     [[nodiscard]] std::vector<DaemonId> otherDaemons() const;
     StatementRunner* runnerOf(const DatabaseId& group);
 
+    // session_proxy_reachability.cc
+    ReachabilityHooks makeReachabilityHooks();
+    void addReachabilityHooks(const DatabaseId& group, EndpointInput& input);
+    void addReachabilityHooks(const DatabaseId& group, SchedulerHooks& hooks);
+    void onLinkEvidence(const DaemonId& owner, LinkEvidence evidence);
+    void onStoreCall(bool answered);
+    void tickReachability(Time now);
+
     void listen();
     void startFeeds();
     void onStoreRegained();
@@ -124,6 +133,7 @@
     EndpointDirectory directory;
     SyncRequirement syncRequirement;
     bool registryKnown = false;
+    ReachabilityMonitor reachability;
     std::map<DatabaseId, Group> groups;
     std::unique_ptr<FleetController> fleet;
     std::unique_ptr<ForwardLinks> links;
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -23,6 +23,9 @@
         = [this](const DaemonId& owner, const ForwardMessage& message) { return this->links->send(owner, message); };
     // Connections and forwarded statements share one sequence, so that their identifiers never meet.
     hooks.nextId = [this] { return ++this->lastConnectionId; };
+    hooks.unreachable = [this, id] { return this->reachability.isUnreachable(id); };
+    hooks.doubtful = [this, id] { return this->reachability.isDoubtful(id); };
+    hooks.silent = [this](const DaemonId& owner) { return this->reachability.isSilent(owner); };
     return std::make_unique<StatementForwarder>(id, this->timers, scheduler, std::move(hooks));
 }
 
@@ -42,8 +45,10 @@
     hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
     hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
         const auto* scheduler = this->schedulerOf(statement.group);
-        return !this->stopping && scheduler != nullptr && !scheduler->lacksAccessToPrimary(statement.work, now);
+        return !this->stopping && scheduler != nullptr && !this->reachability.isUnreachable(statement.group)
+            && !scheduler->lacksAccessToPrimary(statement.work, now);
     };
+    hooks.evidence = [this](const DaemonId& owner, LinkEvidence evidence) { this->onLinkEvidence(owner, evidence); };
     return hooks;
 }
 
--- a/src/edge/session_server.cc
+++ b/src/edge/session_server.cc
@@ -141,6 +141,9 @@
         return false;
     if (this->acceptance == StatementAcceptance::None)
         return this->refuseStart(id, link, ReplyCode::Busy, stoppingText, SessionEndReason::Stopping);
+    if (this->hooks.servesNothing && this->hooks.servesNothing())
+        return this->refuseStart(id, link, ReplyCode::Busy,
+            "no group can be reached from this daemon; connect elsewhere", SessionEndReason::StartRefused);
     if (this->links.size() > this->maxSessions)
         return this->refuseStart(
             id, link, ReplyCode::Busy, "the daemon has no room for a session", SessionEndReason::SessionLimit);
--- a/src/edge/session_server.h
+++ b/src/edge/session_server.h
@@ -22,6 +22,8 @@
     std::function<void(const SessionEnd&)> ended;
     // How long a session start may wait for the first configuration.
     std::function<Duration()> startHold;
+    // Whether this daemon can serve no group at present. May be null.
+    std::function<bool()> servesNothing;
     OperationGate gate;
 };
 
--- a/src/edge/session_server_test.cc
+++ b/src/edge/session_server_test.cc
@@ -72,6 +72,7 @@
         hooks.record = [](const StatementRecord&) {};
         hooks.ended = [this](const SessionEnd& end) { this->ends.push_back(end); };
         hooks.startHold = [this] { return this->startHold; };
+        hooks.servesNothing = [this] { return this->servesNothing; };
         hooks.gate.configurationIsRecent = [this](Time) { return this->configurationIsRecent; };
         return hooks;
     }
@@ -104,6 +105,7 @@
     std::vector<SessionEnd> ends;
     Duration startHold = 1s;
     bool configurationIsRecent = true;
+    bool servesNothing = false;
     SessionServer server;
 };
 
@@ -268,6 +270,21 @@
     CHECK(client.received() == "ERROR BUSY no configuration is known yet\r\n");
 }
 
+// Guards against sessions that start on a daemon which is cut off and wait there until their deadline.
+TEST_CASE("SessionServer, refuses a session start at once when the daemon can serve no group")
+{
+    Fixture fixture;
+    Client open(fixture);
+    open.start();
+    fixture.servesNothing = true;
+    Client client(fixture);
+    client.send("STARTUP shop u1");
+    CHECK(client.received() == "ERROR BUSY no group can be reached from this daemon; connect elsewhere\r\n");
+    REQUIRE(fixture.ends.size() == 1);
+    CHECK(fixture.ends.front().reason == SessionEndReason::StartRefused);
+    CHECK(fixture.server.sessions() == 1);
+}
+
 TEST_CASE("SessionServer, refuses a held session start when its time is over")
 {
     Fixture fixture;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -22,8 +22,8 @@
 struct SchedulerHooks {
     // Returns an identifier that no other connection of the process has.
     std::function<ConnectionId()> nextConnectionId;
-    // Opens a connection in the name of a workspace, or of none. The outcome is reported later through onOpened(), onClosed() or onConnectionLimit(), never
-    // from inside the call.
+    // Opens a connection in the name of a workspace, or of none. The outcome is reported later through onOpened(),
+    // onClosed() or onConnectionLimit(), never from inside the call.
     std::function<void(ConnectionId, const EndpointRecord&, const WorkspaceId&)> open;
     std::function<void(ConnectionId, const EndpointCommand&)> send;
     // Closes a connection. No further events are reported for it.
@@ -53,6 +53,8 @@
     std::uint64_t answerProofs = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
+    // Statements that were refused because this daemon reaches no endpoint.
+    std::uint64_t refusedUnreachable = 0;
 };
 
 // Decides which endpoint of one database group runs a statement, on which connection and when. The class performs no
@@ -115,6 +117,17 @@
     // Periodic work: opens and closes connections, detects silent endpoints and hedges slow reads.
     void tick(Time now);
 
+    // Refuses the waiting statements that were never sent to an endpoint, because this daemon reaches none.
+    void refuseUnsent();
+    // Opens a connection to test whether the endpoint is reached, unless one is being opened. It may exceed the
+    // connection share, and is closed later if it is not needed. Returns whether one is being opened now.
+    bool openTestConnection(const EndpointId& endpoint, Time now);
+    [[nodiscard]] std::vector<EndpointId> endpointIds() const;
+    // Endpoints that owe the answer to a statement or command.
+    [[nodiscard]] std::vector<EndpointId> awaitedEndpoints() const;
+    // Endpoint of a connection; empty if the connection is unknown.
+    [[nodiscard]] EndpointId endpointOf(ConnectionId connection) const;
+
     // Whether this daemon cannot run the statement at present although another daemon may: only the primary can run it,
     // and this daemon has no lease, or no connection because the primary accepts no more. Both happen to daemons that
     // restart together: the store serves some of them earlier, and the endpoints count lost connections for seconds.
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -96,6 +96,8 @@
     set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(statistics.replicaReads));
     set("primary_reads", "Reads with an age bound served by the primary.",
         static_cast<double>(statistics.primaryReads));
+    set("refused_unreachable_waiting", "Statements that waited when the daemon lost all endpoints of the group.",
+        static_cast<double>(statistics.refusedUnreachable));
     set("primary_term", "Term of the primary in use.", static_cast<double>(term));
     set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
 }
@@ -108,10 +110,36 @@
     set("forwarded_declined", "Forwarded statements that the owner did not take.",
         static_cast<double>(statistics.declined));
     set("forwarded_lost", "Forwarded statements that ended with their link.", static_cast<double>(statistics.lost));
+    set("forwarded_reads_moved", "Reads that were moved away from a silent owner.",
+        static_cast<double>(statistics.movedReads));
+    set("refused_unreachable", "Statements refused because the group cannot be served from here.",
+        static_cast<double>(statistics.refusedUnreachable));
     set("forwarded_under_way", "Forwarded statements without an outcome.", static_cast<double>(statistics.inFlight));
     set("group_owned", "1 if this daemon runs the group's statements itself.", ownedHere ? 1 : 0);
 }
 
+void ProxyMetrics::reachable(const DatabaseId& group, bool reachable)
+{
+    this->gauge("group_reachable", "0 if no owner or endpoint of the group answers this daemon.", group)
+        .Set(reachable ? 1 : 0);
+}
+
+void ProxyMetrics::reachability(const ReachabilityStatistics& statistics)
+{
+    const DatabaseId none;
+    const auto set
+        = [&](const char* name, const char* help, double value) { this->gauge(name, help, none).Set(value); };
+    set("unreachable_groups", "Groups that this daemon cannot serve at present.",
+        static_cast<double>(statistics.unreachableGroups));
+    set("unreachable_events", "Times that a group became unreachable.",
+        static_cast<double>(statistics.unreachableEvents));
+    set("silent_owners", "Times that an owner left a test unanswered.", static_cast<double>(statistics.silentOwners));
+    set("silent_endpoints", "Times that an endpoint left a test unanswered.",
+        static_cast<double>(statistics.silentEndpoints));
+    set("reachability_tests", "Tests of paths that were started because others were silent.",
+        static_cast<double>(statistics.tests));
+}
+
 void ProxyMetrics::state(const ProxyState& state)
 {
     const DatabaseId none;
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -4,6 +4,7 @@
 #include "connection/client_session.h"
 #include "connection/session_end.h"
 #include "process/group_scheduler.h"
+#include "process/reachability_monitor.h"
 #include "process/statement_forwarder.h"
 
 #include <prometheus/counter.h>
@@ -47,6 +48,9 @@
     void group(const DatabaseId& group, const SchedulerStatistics& statistics, std::uint64_t term, bool primaryUsable);
     // Sets the gauges for statements of a group that are forwarded to other daemons.
     void forwarding(const DatabaseId& group, const ForwarderStatistics& statistics, bool ownedHere);
+    // Sets the gauge that tells whether the daemon can serve the group.
+    void reachable(const DatabaseId& group, bool reachable);
+    void reachability(const ReachabilityStatistics& statistics);
     void state(const ProxyState& state);
 
     // Returns all metrics in the Prometheus text exposition format 0.0.4.
--- a/src/process/statement_forwarder.cc
+++ b/src/process/statement_forwarder.cc
@@ -48,10 +48,25 @@
     this->forwardOrRunLocally(execution, {}, now);
 }
 
-// Sends the statement to the first reachable owner that has not been tried, or runs it locally if there is none.
+void StatementForwarder::refuseUnreachable(const ExecutionPtr& execution)
+{
+    ++this->counts.refusedUnreachable;
+    finish(execution,
+        proxyError(
+            {}, ReplyCode::Busy, "the group cannot be reached from this daemon; connect elsewhere", "unreachable"));
+}
+
+// Sends the statement to the first reachable owner that has not been tried, or runs it locally if there is none. It has
+// not run, or is a read that may run again.
 void StatementForwarder::forwardOrRunLocally(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now)
 {
+    if (this->hooks.unreachable && this->hooks.unreachable()) {
+        this->refuseUnreachable(execution);
+        return;
+    }
     for (const auto& owner : this->hooks.owners(this->group, execution->work)) {
+        if (this->hooks.silent && this->hooks.silent(owner))
+            continue;
         if (tried.size() >= maxOwnersTried)
             break;
         if (std::find(tried.begin(), tried.end(), owner) != tried.end())
@@ -265,6 +280,27 @@
     }
 }
 
+void StatementForwarder::onOwnerSilent(const DaemonId& owner, Time now)
+{
+    std::vector<std::uint64_t> reads;
+    for (const auto& [number, entry] : this->pending) {
+        if (entry.owner == owner && !entry.transaction && entry.execution->work.isRepeatable())
+            reads.push_back(number);
+    }
+    for (const auto number : reads) {
+        const auto entry = this->takePending(number);
+        if (!entry)
+            continue;
+        this->hooks.send(owner, ForwardedAbandon { number });
+        if (this->hooks.doubtful && this->hooks.doubtful()) {
+            this->refuseUnreachable(entry->execution);
+            continue;
+        }
+        ++this->counts.movedReads;
+        this->forwardOrRunLocally(entry->execution, entry->tried, now);
+    }
+}
+
 ForwarderStatistics StatementForwarder::statistics() const
 {
     auto statistics = this->counts;
--- a/src/process/statement_forwarder.h
+++ b/src/process/statement_forwarder.h
@@ -19,6 +19,12 @@
     std::function<bool(const DaemonId&, const ForwardMessage&)> send;
     // Returns an identifier that is unique among the connections and statements of the process.
     std::function<std::uint64_t()> nextId;
+    // Whether the group cannot be served from here at present. May be null.
+    std::function<bool()> unreachable;
+    // Whether paths to the group are silent and none has answered since. May be null.
+    std::function<bool()> doubtful;
+    // Whether an owner has left a test of its link unanswered. May be null.
+    std::function<bool(const DaemonId&)> silent;
 };
 
 // Counters and gauges of a forwarder, exported as metrics.
@@ -28,6 +34,10 @@
     std::uint64_t declined = 0;
     // Statements that failed because their link was lost.
     std::uint64_t lost = 0;
+    // Reads that were moved away from a silent owner.
+    std::uint64_t movedReads = 0;
+    // Statements that were refused because the group cannot be served from here.
+    std::uint64_t refusedUnreachable = 0;
     // Statements that wait for the answer of an owner.
     std::size_t inFlight = 0;
 };
@@ -38,6 +48,9 @@
 //
 // If the link to the owner is lost, a statement is run elsewhere if it was not sent or is a read outside a transaction.
 // Otherwise a write or commit that may have run is reported as in doubt, and any other statement as aborted.
+//
+// While the group cannot be served from here, statements outside transactions are refused at once, so that the client
+// can go to another daemon within its deadline.
 class StatementForwarder : public StatementRunner {
 public:
     StatementForwarder(DatabaseId group, TimerService& timers, StatementRunner& local, ForwarderHooks hooks);
@@ -56,6 +69,10 @@
     // Handles the loss of the link to an owner. If the link was never established, no statement sent on it has run.
     void onLinkLost(const DaemonId& owner, bool established, Time now);
 
+    // Handles an owner that does not answer although its link is not lost: reads outside transactions run elsewhere, or
+    // are refused if it is in doubt whether they can.
+    void onOwnerSilent(const DaemonId& owner, Time now);
+
     [[nodiscard]] ForwarderStatistics statistics() const;
 
     // Number of owners that are tried before this daemon runs a statement itself.
@@ -80,6 +97,7 @@
         std::uint64_t timer = 0;
     };
 
+    void refuseUnreachable(const ExecutionPtr& execution);
     void forwardOrRunLocally(const ExecutionPtr& execution, std::vector<DaemonId> tried, Time now);
     bool sendTo(const DaemonId& owner, Pending pending, std::optional<ConnectionId> connection);
     void onTimer(std::uint64_t number, Time now);
--- a/src/process/statement_forwarder_test.cc
+++ b/src/process/statement_forwarder_test.cc
@@ -46,6 +46,9 @@
             return true;
         };
         hooks.nextId = [this] { return ++this->lastId; };
+        hooks.unreachable = [this] { return this->groupUnreachable; };
+        hooks.doubtful = [this] { return this->groupDoubtful; };
+        hooks.silent = [this](const DaemonId& owner) { return this->silent.count(owner) != 0; };
         this->forwarder
             = std::make_unique<StatementForwarder>(DatabaseId("shop"), this->timers, this->local, std::move(hooks));
     }
@@ -103,6 +106,9 @@
     RecordingRunner local;
     std::vector<DaemonId> owners { ownerA, ownerB };
     std::set<DaemonId> unreachable;
+    std::set<DaemonId> silent;
+    bool groupUnreachable = false;
+    bool groupDoubtful = false;
     std::vector<std::pair<DaemonId, ForwardMessage>> sent;
     std::vector<StatementResult> results;
     std::uint64_t lastId = 0;
@@ -303,3 +309,85 @@
     CHECK(fixture.results.size() == 1);
     CHECK(fixture.forwarder->statistics().inFlight == 1);
 }
+
+// Guards against statements that wait until they expire on a daemon that is cut off.
+TEST_CASE("StatementForwarder, refuses a statement at once when the group cannot be reached")
+{
+    Fixture fixture;
+    fixture.groupUnreachable = true;
+    fixture.submit(StatementKind::Write);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::Busy);
+    CHECK(fixture.results.front().reason == "unreachable");
+    CHECK(fixture.sent.empty());
+    CHECK(fixture.local.submitted.empty());
+    CHECK(fixture.forwarder->statistics().refusedUnreachable == 1);
+}
+
+TEST_CASE("StatementForwarder, passes over owners that are silent")
+{
+    Fixture fixture;
+    fixture.silent = { ownerA };
+    fixture.submit(StatementKind::Write);
+    REQUIRE(fixture.sent.size() == 1);
+    CHECK(fixture.sent.front().first == ownerB);
+    fixture.silent = { ownerA, ownerB };
+    fixture.submit(StatementKind::Write);
+    CHECK(fixture.local.submitted.size() == 1);
+}
+
+TEST_CASE("StatementForwarder, moves a read to the next owner when the first is silent")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Read);
+    const auto number = fixture.lastSent().number;
+    fixture.silent = { ownerA };
+    fixture.forwarder->onOwnerSilent(ownerA, fixture.now);
+    REQUIRE(fixture.sent.size() == 3);
+    CHECK(std::get<ForwardedAbandon>(fixture.sent[1].second).number == number);
+    CHECK(fixture.sent.back().first == ownerB);
+    CHECK(fixture.results.empty());
+    // The first owner answers after all.
+    ForwardedOutcome late;
+    late.number = number;
+    late.result.answer.succeeded = true;
+    CHECK_FALSE(fixture.forwarder->onOutcome(ownerA, late, fixture.now));
+    fixture.answer(std::nullopt);
+    CHECK(fixture.results.size() == 1);
+}
+
+TEST_CASE("StatementForwarder, refuses the reads of a silent owner when it is in doubt whether another path answers")
+{
+    Fixture fixture;
+    fixture.submit(StatementKind::Read);
+    fixture.groupDoubtful = true;
+    fixture.forwarder->onOwnerSilent(ownerA, fixture.now);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results.front().answer.code == ReplyCode::Busy);
+    CHECK(fixture.results.front().reason == "unreachable");
+}
+
+// Guards against reporting as not run what the silent owner may have run, and against running it twice.
+TEST_CASE("StatementForwarder, leaves writes, transactions and commits to a silent owner")
+{
+    Fixture fixture;
+    const auto transaction = fixture.openTransaction();
+    fixture.forwarder->continueTransaction(transaction, fixture.make(StatementKind::Commit), fixture.now);
+    fixture.submit(StatementKind::Write);
+    fixture.submit(StatementKind::Read, TransactionStart::ReadOnly);
+    const auto sent = fixture.sent.size();
+    fixture.groupUnreachable = true;
+    fixture.groupDoubtful = true;
+    fixture.silent = { ownerA, ownerB };
+    fixture.forwarder->onOwnerSilent(ownerA, fixture.now);
+    CHECK(fixture.results.empty());
+    CHECK(fixture.sent.size() == sent);
+    fixture.forwarder->onLinkLost(ownerA, true, fixture.now);
+    REQUIRE(fixture.results.size() == 3);
+    std::size_t inDoubt = 0;
+    for (const auto& result : fixture.results) {
+        CHECK(result.answer.code != ReplyCode::Busy);
+        inDoubt += result.answer.code == ReplyCode::InDoubt ? 1 : 0;
+    }
+    CHECK(inDoubt == 2);
+}
--- a/src/process/store_contact.cc
+++ b/src/process/store_contact.cc
@@ -76,6 +76,8 @@
     if (answered != this->lost)
         return;
     this->lost = !answered;
+    if (this->hooks.answering)
+        this->hooks.answering(answered);
     logEvent(LogLevel::Info, answered ? "store_answers_again" : "store_call_unanswered", {});
     if (answered)
         this->hooks.regained();
--- a/src/process/store_contact.h
+++ b/src/process/store_contact.h
@@ -14,6 +14,8 @@
     // The store has come back from a copy. Called with the number of the new era before the answer that tells it is
     // passed on.
     std::function<void(std::uint64_t era)> eraChanged;
+    // A call has had no answer, or one is answered again after that. May be null.
+    std::function<void(bool answered)> answering;
 };
 
 // Passes calls on to the store, tells when it answers again after a call has had no answer, and keeps the eras of the
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -26,6 +26,16 @@
     this->places.erase(place);
 }
 
+std::vector<ExecutionPtr> StatementQueue::waiting() const
+{
+    std::vector<ExecutionPtr> result;
+    for (const auto* lane : { &this->primaryLane, &this->anyLane }) {
+        for (const auto& [key, execution] : *lane)
+            result.push_back(execution);
+    }
+    return result;
+}
+
 std::vector<ExecutionPtr> StatementQueue::firstInOrder() const
 {
     std::vector<ExecutionPtr> result;
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -50,6 +50,9 @@
     // Removes a statement; does nothing if it is not queued.
     void remove(const ExecutionPtr& execution);
 
+    // All waiting statements.
+    [[nodiscard]] std::vector<ExecutionPtr> waiting() const;
+
     // Number of waiting statements with the same or a higher rank than the given one.
     [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary, bool late = false) const;
 
