Call a path silent only after a second look

A pause of the daemon between the reading of its sockets and its timers made silence of answers that had already arrived: with a pause of 100 ms, a path could become silent, and reads be refused, for one tick.

A test has failed now if two ticks in succession find it so, between which the event loop takes what has arrived. Log lines on paths that answer again are limited in rate like the others.

--- a/src/process/reachability.cc
+++ b/src/process/reachability.cc
@@ -91,10 +91,12 @@
             entry = this->forgetSilenceOf(entry);
             continue;
         }
-        if (!path.silent && this->isTestFailed(path)) {
+        const bool failed = !path.silent && this->isTestFailed(path);
+        if (failed && path.failing) {
             path.silent = true;
             silent.push_back(*entry);
         }
+        path.failing = failed;
         ++entry;
     }
     return silent;
--- a/src/process/reachability.h
+++ b/src/process/reachability.h
@@ -56,8 +56,10 @@
     // whose connections the kernel gives up.
     void onClosed(const ReachPath& path, Time now);
 
-    // Counts the time since the last call and judges the tests. Returns the paths that have become silent. What
-    // is awaited from a path that was not tested for forgetAfter is forgotten, since the path may not exist any more.
+    // Counts the time since the last call and judges the tests. A test has failed if two calls in succession find it
+    // so: the first may come after a pause of this daemon, before what has arrived meanwhile was taken. Returns the
+    // paths that have become silent. What is awaited from a path that was not tested for forgetAfter is forgotten,
+    // since the path may not exist any more.
     std::vector<ReachPath> evaluate(Time now);
     // Whether something is unanswered.
     [[nodiscard]] bool awaitsAnswer() const { return !this->awaited.empty(); }
@@ -104,6 +106,8 @@
         // Counted time of the first test since then.
         std::optional<Duration> testedSince;
         ReachTest test = ReachTest::Probe;
+        // Whether the test had failed at the last call of evaluate().
+        bool failing = false;
         bool silent = false;
         // Counted time of the last test.
         Duration lastTest {};
--- a/src/process/reachability_monitor.cc
+++ b/src/process/reachability_monitor.cc
@@ -52,8 +52,11 @@
     this->reach.onAnswer(path, now);
     if (!wasSilent)
         return;
-    logEvent(LogLevel::Info, "path_answers_again",
-        { { "kind", path.kind == ReachPath::Kind::Owner ? "owner" : "endpoint" }, { "id", path.id } });
+    const auto decision = this->logLimiter.decide("path_answers_again", now);
+    if (decision.write)
+        logEvent(LogLevel::Info, "path_answers_again",
+            { { "kind", path.kind == ReachPath::Kind::Owner ? "owner" : "endpoint" }, { "id", path.id },
+                { "left_out", decision.suppressed } });
     if (this->unreachable.empty())
         return;
     if (servedNothing)
