--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -17,6 +17,7 @@
 #include "process/proxy_metrics.h"
 #include "process/proxy_settings.h"
 #include "process/quota/daemon_quota.h"
+#include "process/reachability_monitor.h"
 #include "process/seed_bootstrap.h"
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
@@ -103,6 +104,14 @@
     void logConfigurationRecency(bool recent, Time now);
     [[nodiscard]] ConfigurationProofState configurationProofState(Time now) const;
 
+    // session_proxy_reachability.cc
+    ReachabilityHooks makeReachabilityHooks();
+    void addReachabilityHooks(const DatabaseId& group, EndpointInput& input);
+    void addReachabilityHooks(const DatabaseId& group, SchedulerHooks& hooks);
+    void onLinkEvidence(const DaemonId& owner, LinkEvidence evidence);
+    void onStoreCall(bool answered);
+    void tickReachability(Time now);
+
     void listen();
     void startFeeds();
     void onStoreRegained();
@@ -149,6 +158,7 @@
     EndpointDirectory directory;
     SyncRequirement syncRequirement;
     bool registryKnown = false;
+    ReachabilityMonitor reachability;
     std::map<DatabaseId, Group> groups;
     WorkspaceOwners workspaceOwners { this->settings.daemon };
     std::unique_ptr<FleetController> fleet;
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -29,6 +29,9 @@
     hooks.observe = [this, id](const ObservedStatement& statement, const StatementResult& result) {
         this->onOwnerResult(id, statement, result);
     };
+    hooks.unreachable = [this, id] { return this->reachability.isUnreachable(id); };
+    hooks.doubtful = [this, id] { return this->reachability.isDoubtful(id); };
+    hooks.silent = [this](const DaemonId& owner) { return this->reachability.isSilent(owner); };
     return std::make_unique<StatementForwarder>(id, this->timers, scheduler, std::move(hooks));
 }
 
@@ -64,9 +67,11 @@
     hooks.runner = [this](const DatabaseId& group) { return this->schedulerOf(group); };
     hooks.accepts = [this](const ForwardedStatement& statement, Time now) {
         const auto* scheduler = this->schedulerOf(statement.group);
-        return !this->stopping && scheduler != nullptr && !scheduler->lacksAccessToPrimary(statement.work, now);
+        return !this->stopping && scheduler != nullptr && !this->reachability.isUnreachable(statement.group)
+            && !scheduler->lacksAccessToPrimary(statement.work, now);
     };
     this->addQuotaHooks(hooks);
+    hooks.evidence = [this](const DaemonId& owner, LinkEvidence evidence) { this->onLinkEvidence(owner, evidence); };
     return hooks;
 }
 
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -6,6 +6,7 @@
 #include "process/configuration_proof.h"
 #include "process/group_scheduler.h"
 #include "process/quota/quota_client.h"
+#include "process/reachability_monitor.h"
 #include "process/statement_forwarder.h"
 
 #include <prometheus/counter.h>
@@ -63,6 +64,9 @@
     void forwarding(const DatabaseId& group, const ForwarderStatistics& statistics, bool ownedHere);
     // Sets the gauges for the limits of workspaces.
     void quota(const QuotaStatistics& statistics);
+    // Sets the gauge that tells whether the daemon can serve the group.
+    void reachable(const DatabaseId& group, bool reachable);
+    void reachability(const ReachabilityStatistics& statistics);
     void state(const ProxyState& state);
     void configurationProof(const ConfigurationProofState& state);
 
