--- a/src/process/reachability_monitor.cc
+++ b/src/process/reachability_monitor.cc
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace endivetrestle {
@@ -225,7 +226,8 @@
     if (candidates.empty())
         return;
     this->silentTestedAt = now;
-    const auto& [path, group] = *std::next(candidates.begin(), this->nextSilent++ % candidates.size());
+    const auto chosen = static_cast<std::ptrdiff_t>(this->nextSilent++ % candidates.size());
+    const auto& [path, group] = *std::next(candidates.begin(), chosen);
     ++this->counts.tests;
     if (path.kind == ReachPath::Kind::Owner)
         this->hooks.testOwner(DaemonId(path.id), now);
