Give endpoint connections a workspace, and evict idle ones for others

Cause: an endpoint runs a statement under the name with which the connection's session was started, so with workspaces a connection cannot serve everyone.

Change: EndpointConnection::workspace is set when the connection is opened. A statement runs only on a connection of exactly its workspace, also when a read is hedged or a transaction continues; control commands use any connection. Opens in progress at an endpoint never exceed the waiting statements of the workspace. At the share, the idle connection with the lowest recent demand is closed for another workspace; one that was opened for a statement that still waits is kept. Nothing is kept warm where workspaces are in use. Without workspaces the former paths are taken.

--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -37,6 +37,8 @@
 
     ConnectionId id = 0;
     EndpointId endpoint;
+    // Workspace in whose name the session was started; empty for none. It never changes.
+    WorkspaceId workspace;
     Phase phase = Phase::Opening;
     ConnectionSessionState sessionState;
     AnswerHistory answers;
@@ -64,6 +66,10 @@
     // Time at which the outstanding command was sent.
     Time sentAt;
     Time idleSince;
+    // Whether a statement was sent on it.
+    bool served = false;
+    // Whether another connection was closed to make room for it.
+    bool replacesEvicted = false;
 };
 
 } // namespace endivetrestle
--- a/src/connection/endpoint_state.cc
+++ b/src/connection/endpoint_state.cc
@@ -82,12 +82,12 @@
     this->limit = std::max(this->minimum(), this->limit * busyDecrease);
 }
 
-EndpointConnection* EndpointState::findIdle(const SessionState& session)
+EndpointConnection* EndpointState::findIdle(const SessionState& session, const WorkspaceId& workspace)
 {
     EndpointConnection* best = nullptr;
     int bestRank = 0;
     for (auto& [id, connection] : this->connections) {
-        if (connection.phase != EndpointConnection::Phase::Idle)
+        if (connection.phase != EndpointConnection::Phase::Idle || connection.workspace != workspace)
             continue;
         const int rank = connection.sessionState.matches(session) ? 3
             : connection.sessionState.isCompatible(session)       ? 2
@@ -100,10 +100,18 @@
     return best;
 }
 
-bool EndpointState::hasIdle() const
+bool EndpointState::hasIdle(const WorkspaceId& workspace) const
 {
-    return std::any_of(this->connections.begin(), this->connections.end(),
-        [](const auto& entry) { return entry.second.phase == EndpointConnection::Phase::Idle; });
+    return std::any_of(this->connections.begin(), this->connections.end(), [&](const auto& entry) {
+        return entry.second.phase == EndpointConnection::Phase::Idle && entry.second.workspace == workspace;
+    });
+}
+
+int EndpointState::openingFor(const WorkspaceId& workspace) const
+{
+    return static_cast<int>(std::count_if(this->connections.begin(), this->connections.end(), [&](const auto& entry) {
+        return entry.second.phase == EndpointConnection::Phase::Opening && entry.second.workspace == workspace;
+    }));
 }
 
 std::optional<Time> EndpointState::oldestOutstanding() const
--- a/src/connection/endpoint_state.h
+++ b/src/connection/endpoint_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/endpoint_connection.h"
+#include "connection/workspace_demand.h"
 #include "process/endpoint_directory.h"
 
 #include <algorithm>
@@ -56,6 +57,8 @@
     std::deque<ControlTaskPtr> controls;
     // Peak number of connections in use at the same time; it decays.
     double busyPeak = 0;
+    // Statements sent to the endpoint lately, by workspace.
+    WorkspaceDemand demand;
     // Statements that run at the endpoint.
     int running = 0;
     int opening = 0;
@@ -78,9 +81,11 @@
     // Time before which no connection beyond this daemon's share is opened, because the endpoint refused one.
     Time overflowNotBefore;
 
-    // An idle connection, preferably one that already holds the state of the session.
-    EndpointConnection* findIdle(const SessionState& session);
-    [[nodiscard]] bool hasIdle() const;
+    // An idle connection of the workspace, preferably one that already holds the state of the session.
+    EndpointConnection* findIdle(const SessionState& session, const WorkspaceId& workspace);
+    [[nodiscard]] bool hasIdle(const WorkspaceId& workspace) const;
+    // Connections of the workspace that are being opened.
+    [[nodiscard]] int openingFor(const WorkspaceId& workspace) const;
     [[nodiscard]] bool hasOpenConnection() const { return this->opening < static_cast<int>(this->connections.size()); }
     // Time at which the oldest outstanding statement was sent; no value if none is outstanding.
     [[nodiscard]] std::optional<Time> oldestOutstanding() const;
--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -119,6 +119,7 @@
                     { "other_owners", placement.owners.size() }, { "share", placement.connectionShare } });
         }
         group.placement = placement;
+        group.scheduler->setWorkspacesInUse(this->routes->workspacesInUse);
         group.scheduler->setConnectionShare(placement.connectionShare, placement.ownedHere && this->othersKnown());
     }
 }
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -81,7 +81,7 @@
 void GroupScheduler::setConnectionShare(int share, bool keepWarm)
 {
     this->connectionShare = std::max(1, share);
-    this->warmConnections = keepWarm ? 1 : 0;
+    this->keepWarm = keepWarm;
 }
 
 void GroupScheduler::setPrimary(const EndpointId& endpoint, std::uint64_t term, Time now)
@@ -158,6 +158,7 @@
 void GroupScheduler::submit(const ExecutionPtr& execution, Time now)
 {
     const auto& work = execution->work;
+    this->workspaceSeen = this->workspaceSeen || !work.workspace.empty();
     this->arrivals.add(now);
     if (this->needsPrimary(work))
         this->primaryArrivals.add(now);
@@ -185,6 +186,13 @@
         this->refuse(execution, ReplyCode::Aborted, "the transaction was rolled back", "connection_lost");
         return;
     }
+    if (connection->workspace != execution->work.workspace) {
+        logEvent(LogLevel::Error, "wrong_workspace",
+            { { "group", this->group.value }, { "endpoint", connection->endpoint.value }, { "connection", id },
+                { "workspace", execution->work.workspace.value }, { "owner", connection->workspace.value } });
+        this->refuse(execution, ReplyCode::Aborted, "the transaction belongs to another workspace", "wrong_workspace");
+        return;
+    }
     const bool usable = this->primaryUsable(now) && this->isPrimarySinceStart(*connection);
     if (connection->writableTransaction && !usable) {
         this->hooks.close(id);
@@ -255,7 +263,7 @@
     }
     // Control commands may exceed the connection share, so that promotions do not wait for statements.
     if (endpoint->opening == 0)
-        this->openConnection(*endpoint, now);
+        this->openConnection(*endpoint, {}, now);
 }
 
 bool GroupScheduler::lacksAccessToPrimary(const ScheduledStatement& work, Time now) const
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/log_limiter.h"
 #include "base/timer_service.h"
+#include "connection/connection_eviction.h"
 #include "connection/endpoint_state.h"
 #include "request/arrival_rate.h"
 #include "request/position_history.h"
@@ -22,8 +24,8 @@
 struct SchedulerHooks {
     // Returns an identifier that no other connection of the process has.
     std::function<ConnectionId()> nextConnectionId;
-    // Opens a connection in the name of a workspace, or of none. The outcome is reported later through onOpened(), onClosed() or onConnectionLimit(), never
-    // from inside the call.
+    // Opens a connection in the name of a workspace, or of none. The outcome is reported later through onOpened(),
+    // onClosed() or onConnectionLimit(), never from inside the call.
     std::function<void(ConnectionId, const EndpointRecord&, const WorkspaceId&)> open;
     std::function<void(ConnectionId, const EndpointCommand&)> send;
     // Closes a connection. No further events are reported for it.
@@ -53,6 +55,12 @@
     std::uint64_t answerProofs = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
+    // Connections that were opened for a workspace.
+    std::uint64_t workspaceConnectionsOpened = 0;
+    // Idle connections that were closed because another workspace needed one.
+    std::uint64_t evictions = 0;
+    // Statements that waited for a connection of their workspace.
+    std::uint64_t connectionWaits = 0;
 };
 
 // Decides which endpoint of one database group runs a statement, on which connection and when. The class performs no
@@ -63,6 +71,7 @@
 //   and the primary is not suspended. The lease and the suspension are checked again before a write is acknowledged.
 // - A read with a staleness bound carries the position that the endpoint's log must contain, so that an endpoint that
 //   lags refuses it.
+// - A statement runs only on a connection of exactly its workspace.
 // - A statement is sent again only if it is known not to have run, or if it only reads.
 // - A connection whose state is unknown is closed: settle() is the only way from a statement or command back to Idle.
 // - A statement ends only with an answer that is proven to be its own, and so does a command that begins or ends a
@@ -82,6 +91,9 @@
     // Sets how many connections to each endpoint this daemon may hold, and whether it keeps one connection to each
     // endpoint open in advance.
     void setConnectionShare(int share, bool keepWarm = true);
+    // Sets whether the configuration declares workspaces. If it does, no connection is opened in advance, because it
+    // would belong to no workspace.
+    void setWorkspacesInUse(bool inUse) { this->workspacesInUse = inUse; }
 
     // Sets the primary and its term, and ends a suspension.
     void setPrimary(const EndpointId& endpoint, std::uint64_t term, Time now);
@@ -137,6 +149,9 @@
 
     // Maximum number of times that a statement is sent, including the first.
     static constexpr int maxAttempts = 4;
+    // Limit of simultaneous attempts to open a connection to one endpoint. Each attempt occupies a slot of the
+    // endpoint.
+    static constexpr int maxConcurrentOpens = 2;
     // Maximum time that a suspension waits for outstanding statements.
     static constexpr Duration drainTimeout = std::chrono::milliseconds(150);
 
@@ -155,6 +170,24 @@
         std::optional<Position> minimumPosition;
     };
 
+    // How a statement gets a connection to an endpoint.
+    enum class ConnectionSource { None, Idle, Open, Evict };
+
+    // group_scheduler_workspaces.cc
+    [[nodiscard]] bool sharesConnections() const { return this->workspacesInUse || this->workspaceSeen; }
+    [[nodiscard]] int warmConnections() const { return this->keepWarm && !this->workspacesInUse ? 1 : 0; }
+    [[nodiscard]] ConnectionSource sourceOf(EndpointState& endpoint, const WorkspaceId& workspace, Time now) const;
+    [[nodiscard]] EndpointConnection* evictionCandidate(EndpointState& endpoint, Time now) const;
+    [[nodiscard]] std::size_t opensInProgress(
+        const EndpointState& endpoint, const WorkspaceId& workspace, Time now) const;
+    [[nodiscard]] static std::size_t freeSoon(const EndpointState& endpoint, const WorkspaceId& workspace, Time now);
+    [[nodiscard]] bool primaryHasSlot(Time now) const;
+    void openFor(const Execution& execution, EndpointState& endpoint, Time now);
+    void evict(EndpointConnection& connection, const WorkspaceId& beneficiary, Time now);
+    void noteConnectionWait(Execution& execution);
+    void dispatchLater(Time at);
+    void closeUnneededConnections(EndpointState& endpoint, Time now);
+
     // group_scheduler_dispatch.cc
     [[nodiscard]] Requirement requirementOf(const ScheduledStatement& work) const;
     [[nodiscard]] std::optional<Target> chooseEndpoint(const Execution& execution, Time now);
@@ -166,7 +199,7 @@
     [[nodiscard]] bool hasRoomForTransaction(const EndpointState& endpoint, Time now) const;
     [[nodiscard]] AdmissionDecision admissionOf(const Execution& execution, Time now) const;
     StartResult tryStart(const ExecutionPtr& execution, Time now);
-    void openConnection(EndpointState& endpoint, Time now);
+    EndpointConnection& openConnection(EndpointState& endpoint, const WorkspaceId& workspace, Time now);
     void dispatch(Time now);
 
     // group_scheduler_execution.cc and group_scheduler_answers.cc
@@ -245,8 +278,14 @@
     // Whether the endpoint in use as primary has refused a statement because it is read-only.
     bool primaryReportedReadOnly = false;
     int connectionShare = 4;
-    // Number of connections to each endpoint that are kept open in advance.
-    int warmConnections = 0;
+    // Whether one connection to each endpoint is kept open in advance.
+    bool keepWarm = false;
+    bool workspacesInUse = false;
+    // Whether a statement of a workspace was submitted, possibly before the configuration with the workspaces arrived.
+    bool workspaceSeen = false;
+    // Time at which dispatchLater() runs a pass; no value if it is not due.
+    std::optional<Time> dispatchDue;
+    LogLimiter logLimiter;
     SchedulerStatistics counts;
     // Whether dispatch() is running. A nested call sets dispatchAgain to request another pass.
     bool dispatching = false;
--- a/src/process/group_scheduler_answers.cc
+++ b/src/process/group_scheduler_answers.cc
@@ -174,7 +174,7 @@
     endpoint.controls.push_front(std::exchange(connection.control, nullptr));
     this->closeConnection(connection);
     if (endpoint.opening == 0)
-        this->openConnection(endpoint, now);
+        this->openConnection(endpoint, {}, now);
 }
 
 void GroupScheduler::onControlAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now)
--- a/src/process/group_scheduler_dispatch.cc
+++ b/src/process/group_scheduler_dispatch.cc
@@ -17,8 +17,8 @@
 constexpr int primaryReadFactor = 2;
 // Extra cost of an endpoint without an idle connection.
 constexpr Duration openPenalty = std::chrono::milliseconds(15);
-// Limit of simultaneous attempts to open a connection to one endpoint. Each attempt occupies a slot of the endpoint.
-constexpr int maxConcurrentOpens = 2;
+// Extra cost of an endpoint where a connection of another workspace has to be closed, which that one may open again.
+constexpr Duration evictionPenalty = std::chrono::milliseconds(30);
 // Time after the start of the daemon for which statements wait for a primary that is not known yet, as they do for one
 // that is being replaced.
 constexpr Duration startupGrace = std::chrono::seconds(3);
@@ -111,7 +111,8 @@
     auto& endpoint = this->endpoints.at(*this->primaryId);
     if (execution.work.start != TransactionStart::None && !this->hasRoomForTransaction(endpoint, now))
         return std::nullopt;
-    if (!endpoint.limit.allows(endpoint.running) || (!endpoint.hasIdle() && !this->canOpen(endpoint, now)))
+    if (!endpoint.limit.allows(endpoint.running)
+        || this->sourceOf(endpoint, execution.work.workspace, now) == ConnectionSource::None)
         return std::nullopt;
     return Target { &endpoint, true, std::nullopt };
 }
@@ -132,16 +133,18 @@
             continue;
         if (execution.work.start != TransactionStart::None && !this->hasRoomForTransaction(endpoint, now))
             continue;
-        const bool idle = endpoint.hasIdle();
-        if (!endpoint.limit.allows(endpoint.running) || (!idle && !this->canOpen(endpoint, now)))
+        if (!endpoint.limit.allows(endpoint.running))
+            continue;
+        const auto source = this->sourceOf(endpoint, execution.work.workspace, now);
+        if (source == ConnectionSource::None)
             continue;
         auto cost = endpoint.latency * (endpoint.running + 1);
         if (endpoint.record.dataCentre != this->localDataCentre)
             cost += remotePenalty;
         if (asPrimary)
             cost = cost * primaryReadFactor + primaryReadPenalty;
-        if (!idle)
-            cost += openPenalty;
+        if (source != ConnectionSource::Idle)
+            cost += source == ConnectionSource::Evict ? evictionPenalty : openPenalty;
         if (best && cost >= bestCost)
             continue;
         best = Target { &endpoint, asPrimary, asPrimary ? std::nullopt : requirement.minimumPosition };
@@ -176,17 +179,20 @@
                                                                                       : admission;
 }
 
-void GroupScheduler::openConnection(EndpointState& endpoint, Time now)
+EndpointConnection& GroupScheduler::openConnection(EndpointState& endpoint, const WorkspaceId& workspace, Time now)
 {
     const auto id = this->hooks.nextConnectionId();
     auto& connection = endpoint.connections[id];
     connection.id = id;
     connection.endpoint = endpoint.record.id;
+    connection.workspace = workspace;
     connection.sentAt = now;
     ++endpoint.opening;
     ++this->counts.connectionsOpened;
+    this->counts.workspaceConnectionsOpened += workspace.empty() ? 0 : 1;
     this->endpointByConnection[id] = endpoint.record.id;
-    this->hooks.open(id, endpoint.record, {});
+    this->hooks.open(id, endpoint.record, workspace);
+    return connection;
 }
 
 StartResult GroupScheduler::tryStart(const ExecutionPtr& execution, Time now)
@@ -197,13 +203,21 @@
     if (!target) {
         // A transaction may lack a connection where a single statement finds one.
         const bool single = execution->work.start == TransactionStart::None;
-        return single && execution->needsPrimary() ? StartResult::PrimaryFull : StartResult::Waiting;
+        if (!single || !execution->needsPrimary())
+            return StartResult::Waiting;
+        if (!this->sharesConnections() || !this->primaryHasSlot(now))
+            return StartResult::PrimaryFull;
+        this->noteConnectionWait(*execution);
+        return StartResult::PrimaryFullForWorkspace;
     }
-    auto* connection = target->endpoint->findIdle(*execution->work.session);
+    auto* connection = target->endpoint->findIdle(*execution->work.session, execution->work.workspace);
     if (connection == nullptr) {
         // The statement stays in the queue and starts on the first connection that becomes free.
-        if (target->endpoint->opening == 0 || target->endpoint->opening < static_cast<int>(this->queue.size()))
-            this->openConnection(*target->endpoint, now);
+        if (this->sharesConnections()) {
+            this->noteConnectionWait(*execution);
+            this->openFor(*execution, *target->endpoint, now);
+        } else if (target->endpoint->opening == 0 || target->endpoint->opening < static_cast<int>(this->queue.size()))
+            this->openConnection(*target->endpoint, {}, now);
         return StartResult::Waiting;
     }
     this->start(*connection, *target, execution, now);
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -65,10 +65,13 @@
     const auto& work = execution->work;
     connection.phase = EndpointConnection::Phase::Running;
     connection.execution = execution;
+    connection.served = true;
     if (!connection.inTransaction)
         connection.startedInTerm = this->primaryTerm;
     ++target.endpoint->running;
     target.endpoint->updateBusyPeak();
+    if (this->sharesConnections())
+        target.endpoint->demand.add(work.workspace, now);
     ++execution->attempts;
     execution->lastEndpoint = connection.endpoint.value;
     if (!execution->firstSentAt)
--- a/src/process/group_scheduler_maintenance.cc
+++ b/src/process/group_scheduler_maintenance.cc
@@ -30,7 +30,7 @@
 {
     const bool failing = std::any_of(this->endpoints.begin(), this->endpoints.end(),
         [](const auto& entry) { return entry.second.openFailures > 0; });
-    return this->warmConnections == 0 && this->endpointByConnection.empty() && this->queue.empty() && !failing;
+    return this->warmConnections() == 0 && this->endpointByConnection.empty() && this->queue.empty() && !failing;
 }
 
 void GroupScheduler::tick(Time now)
@@ -62,16 +62,18 @@
     }
     endpoint.decayBusyPeak();
     const int present = static_cast<int>(endpoint.connections.size());
-    if (!endpoint.record.draining && present < this->warmConnections && this->canOpen(endpoint, now))
-        this->openConnection(endpoint, now);
+    if (!endpoint.record.draining && present < this->warmConnections() && this->canOpen(endpoint, now))
+        this->openConnection(endpoint, {}, now);
+    if (this->sharesConnections())
+        this->closeUnneededConnections(endpoint, now);
     // Surplus connections are closed to leave room under the endpoint's connection limit for other daemons, and for
     // daemons that restart after a crash while the endpoint still counts their lost connections.
-    const int wanted = std::max(this->warmConnections, endpoint.connectionsWanted());
-    if (present <= wanted)
+    const int wanted = std::max(this->warmConnections(), endpoint.connectionsWanted());
+    if (static_cast<int>(endpoint.connections.size()) <= wanted)
         return;
     for (auto& [id, connection] : endpoint.connections) {
-        const bool unused
-            = connection.phase == EndpointConnection::Phase::Idle && now - connection.idleSince > idleTimeout;
+        const bool unused = connection.phase == EndpointConnection::Phase::Idle && connection.workspace.empty()
+            && now - connection.idleSince > idleTimeout;
         if (unused) {
             this->closeConnection(connection);
             return;
@@ -107,7 +109,7 @@
         const auto target = this->chooseEndpoint(*execution, now);
         if (!target || target->endpoint == &endpoint)
             continue;
-        auto* other = target->endpoint->findIdle(*execution->work.session);
+        auto* other = target->endpoint->findIdle(*execution->work.session, execution->work.workspace);
         if (other == nullptr)
             continue;
         execution->hedged = true;
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -65,13 +65,19 @@
     constexpr Duration overflowBackoff = std::chrono::seconds(1);
     // Even a refused attempt to connect occupies a slot of the endpoint for a while, which statements need.
     constexpr Duration connectionLimitBackoff = std::chrono::milliseconds(500);
+    constexpr Duration evictedConnectionBackoff = std::chrono::milliseconds(50);
     auto* connection = this->findConnection(id);
     if (connection == nullptr)
         return;
     auto& endpoint = this->endpoints.at(connection->endpoint);
+    const bool replacesEvicted = connection->replacesEvicted;
     endpoint.overflowNotBefore = now + overflowBackoff;
     this->onClosed(id, now);
-    endpoint.openNotBefore = std::max(endpoint.openNotBefore, now + connectionLimitBackoff);
+    // The endpoint may have seen the attempt before the end of the connection that was closed to make room.
+    if (replacesEvicted)
+        endpoint.openNotBefore = now + evictedConnectionBackoff;
+    else
+        endpoint.openNotBefore = std::max(endpoint.openNotBefore, now + connectionLimitBackoff);
     endpoint.atConnectionLimit = true;
     // An endpoint that reports its connection limit is alive.
     endpoint.openFailures = 0;
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -22,8 +22,9 @@
     {
         SchedulerHooks hooks;
         hooks.nextConnectionId = [this] { return ++this->lastConnection; };
-        hooks.open = [this](ConnectionId id, const EndpointRecord& record, const WorkspaceId&) {
+        hooks.open = [this](ConnectionId id, const EndpointRecord& record, const WorkspaceId& workspace) {
             this->opening.emplace_back(id, record.id);
+            this->workspaceOf[id] = workspace;
         };
         hooks.send = [this](ConnectionId id, const EndpointCommand& command) { this->sent.push_back({ id, command }); };
         hooks.close = [this](ConnectionId id) { this->closed.push_back(id); };
@@ -206,6 +207,8 @@
     std::uint64_t lastRow = 0;
     std::vector<std::pair<ConnectionId, EndpointId>> opening;
     std::map<ConnectionId, EndpointId> endpointOf;
+    // Workspace in whose name each connection was opened.
+    std::map<ConnectionId, WorkspaceId> workspaceOf;
     std::vector<Sent> sent;
     std::vector<ConnectionId> closed;
     std::vector<StatementResult> results;
--- a/src/request/scheduled_statement.h
+++ b/src/request/scheduled_statement.h
@@ -99,6 +99,8 @@
     int laggingAttempts = 0;
     // Whether the statement was also sent to a second endpoint because the first one had not answered.
     bool hedged = false;
+    // Whether it has waited for a connection of its workspace.
+    bool waitedForConnection = false;
     // Endpoint that was tried last.
     std::string lastEndpoint;
     // Time at which the first byte was sent to an endpoint.
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -1,5 +1,7 @@
 #include "request/statement_queue.h"
 
+#include <set>
+
 namespace endivetrestle {
 
 StatementQueue::Key StatementQueue::keyOf(const ExecutionPtr& execution)
@@ -15,6 +17,7 @@
     const auto key = keyOf(execution);
     lane.emplace(key, execution);
     this->places[execution.get()] = { &lane, key };
+    ++this->waiting[execution->work.workspace];
 }
 
 void StatementQueue::remove(const ExecutionPtr& execution)
@@ -24,6 +27,9 @@
         return;
     place->second.lane->erase(place->second.key);
     this->places.erase(place);
+    const auto count = this->waiting.find(execution->work.workspace);
+    if (--count->second == 0)
+        this->waiting.erase(count);
 }
 
 std::vector<ExecutionPtr> StatementQueue::firstInOrder() const
@@ -51,22 +57,32 @@
 void StatementQueue::offer(const std::function<StartResult(const ExecutionPtr&)>& start)
 {
     bool primaryFull = false;
+    std::set<WorkspaceId> withoutPrimary;
     // The candidates are copied because starting one may push others.
     for (const auto& execution : this->firstInOrder()) {
         if (execution->finished) {
             this->remove(execution);
             continue;
         }
-        if (primaryFull && execution->needsPrimary())
+        const bool passedOver = primaryFull || withoutPrimary.count(execution->work.workspace) != 0;
+        if (passedOver && execution->needsPrimary())
             continue;
         const auto result = start(execution);
         if (result == StartResult::Started)
             this->remove(execution);
         else if (result == StartResult::PrimaryFull)
             primaryFull = true;
+        else if (result == StartResult::PrimaryFullForWorkspace)
+            withoutPrimary.insert(execution->work.workspace);
     }
 }
 
+std::size_t StatementQueue::waitingOf(const WorkspaceId& workspace) const
+{
+    const auto found = this->waiting.find(workspace);
+    return found == this->waiting.end() ? 0 : found->second;
+}
+
 std::size_t StatementQueue::countAhead(const ScheduledStatement& work, bool needsPrimary, bool late) const
 {
     const auto rank = std::make_pair(late, work.priority);
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -14,10 +14,14 @@
 enum class StartResult {
     // It was sent to an endpoint and leaves the queue.
     Started,
-    // It waits for a retry delay or for an endpoint that holds its position. Others may start.
+    // It waits for a retry delay, for a connection that is being opened, or for an endpoint that holds its position.
+    // Others may start.
     Waiting,
     // The primary has no free capacity. No statement that only the primary can run may start.
     PrimaryFull,
+    // The workspace can get no connection to the primary at present. None of its statements that only the primary can
+    // run may start, but those of other workspaces may.
+    PrimaryFullForWorkspace,
 };
 
 // Statements that wait for an endpoint, ordered by priority and then by rank. Statements marked as late come after all
@@ -53,6 +57,9 @@
     // Number of waiting statements with the same or a higher rank than the given one.
     [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary, bool late = false) const;
 
+    // Number of waiting statements of the workspace.
+    [[nodiscard]] std::size_t waitingOf(const WorkspaceId& workspace) const;
+
     [[nodiscard]] std::size_t size() const { return this->places.size(); }
     [[nodiscard]] bool empty() const { return this->places.empty(); }
 
@@ -76,6 +83,8 @@
     Lane primaryLane;
     Lane anyLane;
     std::unordered_map<const Execution*, Place> places;
+    // Waiting statements by workspace; workspaces without any are left out.
+    std::map<WorkspaceId, std::size_t> waiting;
 };
 
 } // namespace endivetrestle
