Share slots between the workspaces of one priority by slot time

Cause: in the order by expiry alone, a workspace that sends eight times its usual load delays the others, and admission refuses their statements because of its backlog.

Change: start-time fair queueing between workspaces (WorkspaceFairness); the rank orders the statements of one workspace. Admission counts of other workspaces only as many statements as are served in turn, and the pause of late admission holds for one workspace. The scan limit of the queue holds for each workspace. An open for a statement that only the primary can run is not held up by opens at replicas. The tests of ClientSession now check in whose name the statement's connection was opened.

--- a/src/connection/client_session_test.cc
+++ b/src/connection/client_session_test.cc
@@ -73,6 +73,8 @@
         const auto callback = this->quotaRequests.back();
         REQUIRE(callback);
         callback(decision);
+        // A statement of a workspace waits for a connection of its own.
+        this->world.completeOpens();
     }
 
     const SessionReply& lastReply()
@@ -315,7 +317,9 @@
     fixture.send(StatementKind::Read, "READ 1");
     CHECK(fixture.world.sent.empty());
     fixture.answerQuota(QuotaDecision::Granted);
-    fixture.world.succeed(fixture.world.take());
+    const auto sent = fixture.world.take();
+    CHECK(fixture.world.workspaceOf[sent.connection] == WorkspaceId("shops"));
+    fixture.world.succeed(sent);
     CHECK(fixture.lastReply().succeeded);
 }
 
--- a/src/connection/endpoint_connection.h
+++ b/src/connection/endpoint_connection.h
@@ -66,6 +66,9 @@
     // Time at which the outstanding command was sent.
     Time sentAt;
     Time idleSince;
+    // Time at which the statement that runs was started, and the slot time for which its workspace was charged then.
+    Time startedAt;
+    Duration chargedSlotTime {};
     // Whether a statement was sent on it.
     bool served = false;
     // Whether another connection was closed to make room for it.
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -169,6 +169,7 @@
     }
     const auto admission = this->admissionOf(*execution, now);
     if (admission == AdmissionDecision::Refused) {
+        this->logRefusal(*execution, now);
         this->refuse(execution, ReplyCode::Busy, "no endpoint can run the statement in time", "not_in_time");
         return;
     }
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -184,6 +184,10 @@
     [[nodiscard]] bool primaryHasSlot(Time now) const;
     void openFor(const Execution& execution, EndpointState& endpoint, Time now);
     void evict(EndpointConnection& connection, const WorkspaceId& beneficiary, Time now);
+    void pauseLateAdmission(const WorkspaceId& workspace, Time now);
+    void chargeStart(EndpointConnection& connection, const Execution& execution, Duration expected, Time now);
+    void chargeEnd(const EndpointConnection& connection, const Execution& execution, Time now);
+    void logRefusal(const Execution& execution, Time now);
     void noteConnectionWait(Execution& execution);
     void dispatchLater(Time at);
     void closeUnneededConnections(EndpointState& endpoint, Time now);
@@ -259,8 +263,8 @@
     // Arrival rates of all statements and of those that only the primary can run.
     ArrivalRate arrivals;
     ArrivalRate primaryArrivals;
-    // Time before which no statement is admitted with AdmissionDecision::Late.
-    Time lateAdmissionNotBefore;
+    // Time before which no statement of a workspace is admitted with AdmissionDecision::Late.
+    std::map<WorkspaceId, Time> lateAdmissionNotBefore;
     PositionHistory history;
     std::optional<EndpointId> primaryId;
     std::uint64_t primaryTerm = 0;
--- a/src/process/group_scheduler_dispatch.cc
+++ b/src/process/group_scheduler_dispatch.cc
@@ -175,8 +175,9 @@
     }
     load.arrivalsPerSecond = (needsPrimary ? this->primaryArrivals : this->arrivals).perSecond(now);
     const auto admission = decideAdmission(load, work.objective, work.expiresAt - now);
-    return admission == AdmissionDecision::Late && now < this->lateAdmissionNotBefore ? AdmissionDecision::Refused
-                                                                                      : admission;
+    const auto pause = this->lateAdmissionNotBefore.find(work.workspace);
+    const bool paused = pause != this->lateAdmissionNotBefore.end() && now < pause->second;
+    return admission == AdmissionDecision::Late && paused ? AdmissionDecision::Refused : admission;
 }
 
 EndpointConnection& GroupScheduler::openConnection(EndpointState& endpoint, const WorkspaceId& workspace, Time now)
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -71,7 +71,7 @@
     ++target.endpoint->running;
     target.endpoint->updateBusyPeak();
     if (this->sharesConnections())
-        target.endpoint->demand.add(work.workspace, now);
+        this->chargeStart(connection, *execution, target.endpoint->latency, now);
     ++execution->attempts;
     execution->lastEndpoint = connection.endpoint.value;
     if (!execution->firstSentAt)
@@ -137,6 +137,9 @@
     endpoint.silent = false;
     connection->phase = EndpointConnection::Phase::Idle;
     connection->idleSince = now;
+    // The attempt occupied a slot of the endpoint.
+    if (this->sharesConnections())
+        this->queue.fairness().charge(connection->workspace, now - connection->sentAt);
     if (!this->startControlTask(endpoint, *connection, now))
         this->dispatch(now);
 }
@@ -258,6 +261,7 @@
     connection.pendingCommands.clear();
     connection.execution.reset();
     --endpoint.running;
+    this->chargeEnd(connection, *execution, now);
     if (answer.succeeded) {
         endpoint.addLatency(now - connection.sentAt);
         if (!inTransaction)
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -163,7 +163,7 @@
     this->queue.remove(execution);
     if (runningOn.empty()) {
         if (execution->late)
-            this->lateAdmissionNotBefore = now + lateAdmissionPause;
+            this->pauseLateAdmission(execution->work.workspace, now);
         this->refuse(execution, ReplyCode::Busy, "no endpoint became available in time", "queue_timeout");
         return;
     }
--- a/src/process/group_scheduler_workspaces.cc
+++ b/src/process/group_scheduler_workspaces.cc
@@ -98,7 +98,9 @@
 {
     const auto& workspace = execution.work.workspace;
     const auto waiting = this->queue.waitingOf(workspace);
-    const auto opening = this->opensInProgress(endpoint, workspace, now);
+    // A statement that only the primary can run cannot start on a connection to another endpoint.
+    const auto opening = execution.needsPrimary() ? static_cast<std::size_t>(endpoint.openingFor(workspace))
+                                                  : this->opensInProgress(endpoint, workspace, now);
     if (opening >= waiting)
         return;
     if (opening + freeSoon(endpoint, workspace, now) >= waiting) {
@@ -125,6 +127,54 @@
     this->closeConnection(connection);
 }
 
+void GroupScheduler::pauseLateAdmission(const WorkspaceId& workspace, Time now)
+{
+    std::erase_if(this->lateAdmissionNotBefore, [&](const auto& entry) { return entry.second <= now; });
+    this->lateAdmissionNotBefore[workspace] = now + lateAdmissionPause;
+}
+
+// Charges the workspace of a statement that starts for the slot time that it is expected to take.
+void GroupScheduler::chargeStart(
+    EndpointConnection& connection, const Execution& execution, Duration expected, Time now)
+{
+    const auto& workspace = execution.work.workspace;
+    this->endpoints.at(connection.endpoint).demand.add(workspace, now);
+    connection.startedAt = now;
+    connection.chargedSlotTime = expected;
+    auto& fairness = this->queue.fairness();
+    // A statement of an open transaction has waited for nobody.
+    if (connection.inTransaction) {
+        fairness.charge(workspace, expected);
+        return;
+    }
+    if (this->queue.empty())
+        fairness.onNoneWaiting();
+    fairness.onStarted(workspace, expected);
+}
+
+// Corrects the charge of a statement that was answered to the slot time that it took.
+void GroupScheduler::chargeEnd(const EndpointConnection& connection, const Execution& execution, Time now)
+{
+    if (this->sharesConnections())
+        this->queue.fairness().charge(
+            execution.work.workspace, now - connection.startedAt - connection.chargedSlotTime);
+}
+
+// Logs why a statement was refused on arrival, where workspaces share the endpoints.
+void GroupScheduler::logRefusal(const Execution& execution, Time now)
+{
+    const auto decision
+        = this->sharesConnections() ? this->logLimiter.decide("statement_not_admitted", now) : LogLimiter::Decision {};
+    if (!decision.write)
+        return;
+    const auto& work = execution.work;
+    const bool needsPrimary = this->requirementOf(work).needsPrimary;
+    logEvent(LogLevel::Info, "statement_not_admitted",
+        { { "group", this->group.value }, { "workspace", work.workspace.value }, { "request", work.statement.id },
+            { "waiting_of_workspace", this->queue.waitingOf(work.workspace) }, { "waiting", this->queue.size() },
+            { "ahead", this->queue.countAhead(work, needsPrimary) }, { "left_out", decision.suppressed } });
+}
+
 void GroupScheduler::noteConnectionWait(Execution& execution)
 {
     if (!std::exchange(execution.waitedForConnection, true))
--- a/src/request/statement_queue.cc
+++ b/src/request/statement_queue.cc
@@ -1,5 +1,6 @@
 #include "request/statement_queue.h"
 
+#include <algorithm>
 #include <set>
 
 namespace endivetrestle {
@@ -17,7 +18,8 @@
     const auto key = keyOf(execution);
     lane.emplace(key, execution);
     this->places[execution.get()] = { &lane, key };
-    ++this->waiting[execution->work.workspace];
+    if (++this->waiting[execution->work.workspace] == 1)
+        this->shares.onWaiting(execution->work.workspace);
 }
 
 void StatementQueue::remove(const ExecutionPtr& execution)
@@ -30,6 +32,8 @@
     const auto count = this->waiting.find(execution->work.workspace);
     if (--count->second == 0)
         this->waiting.erase(count);
+    if (this->waiting.empty())
+        this->shares.onNoneWaiting();
 }
 
 std::vector<ExecutionPtr> StatementQueue::firstInOrder() const
@@ -54,12 +58,48 @@
     }
 }
 
+std::vector<ExecutionPtr> StatementQueue::firstInTurns() const
+{
+    struct Candidate {
+        const Key* key = nullptr;
+        Duration tag {};
+        ExecutionPtr execution;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto* lane : { &this->primaryLane, &this->anyLane }) {
+        std::map<WorkspaceId, std::size_t> taken;
+        for (const auto& [key, execution] : *lane) {
+            if (taken[execution->work.workspace]++ < scanLimit)
+                candidates.push_back({ &key, {}, execution });
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+        [](const Candidate& left, const Candidate& right) { return *left.key < *right.key; });
+    std::map<WorkspaceId, Duration> tags;
+    for (auto& candidate : candidates) {
+        const auto& workspace = candidate.execution->work.workspace;
+        auto& tag = tags.try_emplace(workspace, this->shares.tagOf(workspace)).first->second;
+        candidate.tag = tag;
+        tag += this->shares.expectedCost();
+    }
+    const auto turn = [](const Candidate& candidate) {
+        return std::make_tuple(std::get<0>(*candidate.key), std::get<1>(*candidate.key), candidate.tag);
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [&](const Candidate& left, const Candidate& right) { return turn(left) < turn(right); });
+    std::vector<ExecutionPtr> result;
+    result.reserve(candidates.size());
+    for (auto& candidate : candidates)
+        result.push_back(std::move(candidate.execution));
+    return result;
+}
+
 void StatementQueue::offer(const std::function<StartResult(const ExecutionPtr&)>& start)
 {
     bool primaryFull = false;
     std::set<WorkspaceId> withoutPrimary;
     // The candidates are copied because starting one may push others.
-    for (const auto& execution : this->firstInOrder()) {
+    for (const auto& execution : this->waiting.size() > 1 ? this->firstInTurns() : this->firstInOrder()) {
         if (execution->finished) {
             this->remove(execution);
             continue;
@@ -86,16 +126,26 @@
 std::size_t StatementQueue::countAhead(const ScheduledStatement& work, bool needsPrimary, bool late) const
 {
     const auto rank = std::make_pair(late, work.priority);
+    std::size_t ahead = 0;
+    std::map<WorkspaceId, std::size_t> sameRank;
     const auto count = [&](const Lane& lane) {
-        std::size_t ahead = 0;
         for (const auto& [key, execution] : lane) {
-            if (std::make_pair(execution->late, execution->work.priority) > rank)
+            const auto other = std::make_pair(execution->late, execution->work.priority);
+            if (other > rank)
                 break;
-            ++ahead;
+            if (other < rank)
+                ++ahead;
+            else
+                ++sameRank[execution->work.workspace];
         }
-        return ahead;
     };
-    return count(this->primaryLane) + (needsPrimary ? 0 : count(this->anyLane));
+    count(this->primaryLane);
+    if (!needsPrimary)
+        count(this->anyLane);
+    const auto own = sameRank[work.workspace];
+    for (const auto& [workspace, statements] : sameRank)
+        ahead += workspace == work.workspace ? own : std::min(statements, own + 1);
+    return ahead;
 }
 
 } // namespace endivetrestle
--- a/src/request/statement_queue.h
+++ b/src/request/statement_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/scheduled_statement.h"
+#include "request/workspace_fairness.h"
 
 #include <functional>
 #include <map>
@@ -25,7 +26,8 @@
 };
 
 // Statements that wait for an endpoint, ordered by priority and then by rank. Statements marked as late come after all
-// others.
+// others. Where statements of several workspaces wait, the workspaces share the slots of each priority evenly, and the
+// rank orders the statements of one workspace only.
 //
 // The queue answers the load of a group in which one endpoint is full and another has capacity: statements that only
 // the primary can run are kept apart from the others, so that a backlog in front of a full primary does not hide
@@ -37,7 +39,7 @@
 class StatementQueue {
 public:
     // Maximum number of statements of each lane examined in one pass, so that a long queue whose first statements
-    // cannot start is not searched as a whole.
+    // cannot start is not searched as a whole. It holds for each workspace, so that none hides the others.
     static constexpr std::size_t scanLimit = 64;
 
     StatementQueue() = default;
@@ -54,12 +56,16 @@
     // Removes a statement; does nothing if it is not queued.
     void remove(const ExecutionPtr& execution);
 
-    // Number of waiting statements with the same or a higher rank than the given one.
+    // Number of waiting statements that are served before the given one. Of another workspace with the same priority,
+    // only as many count as are served in turn with those of its own workspace.
     [[nodiscard]] std::size_t countAhead(const ScheduledStatement& work, bool needsPrimary, bool late = false) const;
 
     // Number of waiting statements of the workspace.
     [[nodiscard]] std::size_t waitingOf(const WorkspaceId& workspace) const;
 
+    // Shares of the workspaces. The caller reports the statements that start and the slot time that they take.
+    [[nodiscard]] WorkspaceFairness& fairness() { return this->shares; }
+
     [[nodiscard]] std::size_t size() const { return this->places.size(); }
     [[nodiscard]] bool empty() const { return this->places.empty(); }
 
@@ -78,6 +84,8 @@
 
     // The first statements of both lanes in common order.
     [[nodiscard]] std::vector<ExecutionPtr> firstInOrder() const;
+    // The first statements of each workspace and lane, in the order in which the workspaces take turns.
+    [[nodiscard]] std::vector<ExecutionPtr> firstInTurns() const;
 
     // Statements that only the primary can run, and those that any endpoint may run.
     Lane primaryLane;
@@ -85,6 +93,7 @@
     std::unordered_map<const Execution*, Place> places;
     // Waiting statements by workspace; workspaces without any are left out.
     std::map<WorkspaceId, std::size_t> waiting;
+    WorkspaceFairness shares;
 };
 
 } // namespace endivetrestle
--- a/src/request/statement_queue_test.cc
+++ b/src/request/statement_queue_test.cc
@@ -17,6 +17,13 @@
     return execution;
 }
 
+ExecutionPtr waitingOf(const char* workspace, int priority, Time rank)
+{
+    auto execution = waiting(priority, rank);
+    execution->work.workspace = WorkspaceId(workspace);
+    return execution;
+}
+
 // Offers all statements once, with the same result for each, and returns them in the order in which they were offered.
 std::vector<ExecutionPtr> offerAll(StatementQueue& queue, StartResult result)
 {
@@ -115,3 +122,63 @@
     CHECK(queue.empty());
     CHECK(offerAll(queue, StartResult::Started).empty());
 }
+
+TEST_CASE("StatementQueue, lets the workspaces of one priority take turns")
+{
+    // Guards against a workspace with many statements that delays those of others.
+    StatementQueue queue;
+    std::vector<ExecutionPtr> hot;
+    for (int i = 0; i < 4; ++i)
+        hot.push_back(waitingOf("hot", 1, Time(1s + std::chrono::seconds(i))));
+    const auto quiet = waitingOf("quiet", 1, Time(9s));
+    const auto urgent = waitingOf("hot", 0, Time(9s));
+    for (const auto& execution : hot)
+        queue.push(execution);
+    queue.push(quiet);
+    CHECK(offerAll(queue, StartResult::Waiting) == std::vector<ExecutionPtr> { hot[0], quiet, hot[1], hot[2], hot[3] });
+    // Priority comes first, and the rank orders the statements of one workspace.
+    queue.push(urgent);
+    CHECK(offerAll(queue, StartResult::Waiting).front() == urgent);
+    queue.remove(urgent);
+    queue.fairness().onStarted(WorkspaceId("hot"), 100ms);
+    CHECK(offerAll(queue, StartResult::Waiting).front() == quiet);
+}
+
+TEST_CASE("StatementQueue, examines the first statements of every workspace")
+{
+    // Guards against a long backlog of one workspace that hides statements of others which could start.
+    StatementQueue queue;
+    for (std::size_t i = 0; i < 3 * StatementQueue::scanLimit; ++i)
+        queue.push(waitingOf("hot", 0, Time(1s)));
+    const auto quiet = waitingOf("quiet", 2, Time(9s));
+    queue.push(quiet);
+    const auto offered = offerAll(queue, StartResult::Waiting);
+    CHECK(offered.size() == StatementQueue::scanLimit + 1);
+    CHECK(offered.back() == quiet);
+}
+
+TEST_CASE("StatementQueue, passes over one workspace only when it gets no connection to the primary")
+{
+    StatementQueue queue;
+    const auto first = waitingOf("a", 1, Time(1s));
+    const auto second = waitingOf("a", 1, Time(2s));
+    const auto other = waitingOf("b", 1, Time(3s));
+    for (const auto& execution : { first, second, other })
+        queue.push(execution);
+    CHECK(offerAll(queue, StartResult::PrimaryFullForWorkspace) == std::vector<ExecutionPtr> { first, other });
+    CHECK(offerAll(queue, StartResult::PrimaryFull) == std::vector<ExecutionPtr> { first });
+}
+
+TEST_CASE("StatementQueue, counts only the turns of other workspaces as ahead")
+{
+    // Guards against refusing a statement because another workspace has a backlog.
+    StatementQueue queue;
+    for (int i = 0; i < 50; ++i)
+        queue.push(waitingOf("hot", 1, Time(1s)));
+    CHECK(queue.countAhead(waitingOf("quiet", 1, Time(9s))->work, true) == 1);
+    CHECK(queue.countAhead(waitingOf("hot", 1, Time(9s))->work, true) == 50);
+    queue.push(waitingOf("quiet", 1, Time(1s)));
+    CHECK(queue.countAhead(waitingOf("quiet", 1, Time(9s))->work, true) == 3);
+    // Statements of a higher priority come first, whoever sends them.
+    CHECK(queue.countAhead(waitingOf("quiet", 2, Time(9s))->work, true) == 51);
+}
