--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -96,6 +96,12 @@
     set("replica_reads", "Reads with an age bound served by replicas.", static_cast<double>(statistics.replicaReads));
     set("primary_reads", "Reads with an age bound served by the primary.",
         static_cast<double>(statistics.primaryReads));
+    set("workspace_connections_opened", "Connections opened for a workspace.",
+        static_cast<double>(statistics.workspaceConnectionsOpened));
+    set("connection_evictions", "Idle connections closed because another workspace needed one.",
+        static_cast<double>(statistics.evictions));
+    set("connection_waits", "Statements that waited for a connection of their workspace.",
+        static_cast<double>(statistics.connectionWaits));
     set("primary_term", "Term of the primary in use.", static_cast<double>(term));
     set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
 }
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -27,6 +27,9 @@
     ProxyMetrics metrics;
     SchedulerStatistics statistics;
     statistics.waiting = 3;
+    statistics.evictions = 4;
+    statistics.connectionWaits = 6;
+    statistics.workspaceConnectionsOpened = 9;
     metrics.group(DatabaseId("shop"), statistics, 7, true);
     ForwarderStatistics forwarder;
     forwarder.forwarded = 5;
@@ -37,6 +40,9 @@
     metrics.state(state);
     const auto text = metrics.serialize();
     CHECK(text.find("endivetrestle_waiting_statements{group=\"shop\"} 3") != std::string::npos);
+    CHECK(text.find("endivetrestle_connection_evictions{group=\"shop\"} 4") != std::string::npos);
+    CHECK(text.find("endivetrestle_connection_waits{group=\"shop\"} 6") != std::string::npos);
+    CHECK(text.find("endivetrestle_workspace_connections_opened{group=\"shop\"} 9") != std::string::npos);
     CHECK(text.find("endivetrestle_primary_term{group=\"shop\"} 7") != std::string::npos);
     CHECK(text.find("endivetrestle_forwarded_statements{group=\"shop\"} 5") != std::string::npos);
     CHECK(text.find("endivetrestle_group_owned{group=\"shop\"} 0") != std::string::npos);
