--- a/src/edge/session_proxy_forwarding.cc
+++ b/src/edge/session_proxy_forwarding.cc
@@ -165,6 +165,7 @@
                     { "workspace_owners", placement.workspaceOwners.size() }, { "left_out", decision.suppressed } });
     }
     group.placement = placement;
+    group.scheduler->setWorkspacesInUse(this->routes->workspacesInUse);
     group.scheduler->setConnectionShare(placement.connectionShare, placement.ownedHere && this->othersKnown());
 }
 
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -65,10 +65,13 @@
     const auto& work = execution->work;
     connection.phase = EndpointConnection::Phase::Running;
     connection.execution = execution;
+    connection.served = true;
     if (!connection.inTransaction)
         connection.startedInTerm = this->primaryTerm;
     ++target.endpoint->running;
     target.endpoint->updateBusyPeak();
+    if (this->sharesConnections())
+        this->chargeStart(connection, *execution, target.endpoint->latency, now);
     ++execution->attempts;
     execution->lastEndpoint = connection.endpoint.value;
     if (!execution->firstSentAt)
@@ -134,6 +137,9 @@
     endpoint.silent = false;
     connection->phase = EndpointConnection::Phase::Idle;
     connection->idleSince = now;
+    // The attempt occupied a slot of the endpoint.
+    if (this->sharesConnections())
+        this->queue.fairness().charge(connection->workspace, now - connection->sentAt);
     if (!this->startControlTask(endpoint, *connection, now))
         this->dispatch(now);
 }
@@ -255,6 +261,7 @@
     connection.pendingCommands.clear();
     connection.execution.reset();
     --endpoint.running;
+    this->chargeEnd(connection, *execution, now);
     if (answer.succeeded) {
         endpoint.addLatency(now - connection.sentAt);
         if (!inTransaction)
--- a/src/process/group_scheduler_reachability.cc
+++ b/src/process/group_scheduler_reachability.cc
@@ -5,7 +5,7 @@
 
 void GroupScheduler::refuseUnsent()
 {
-    for (const auto& execution : this->queue.waiting()) {
+    for (const auto& execution : this->queue.waitingStatements()) {
         if (execution->finished || execution->firstSentAt)
             continue;
         this->queue.remove(execution);
@@ -21,7 +21,7 @@
     if (endpoint == nullptr)
         return false;
     if (endpoint->opening == 0)
-        this->openConnection(*endpoint, now);
+        this->openConnection(*endpoint, {}, now);
     return true;
 }
 
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -98,6 +98,12 @@
         static_cast<double>(statistics.primaryReads));
     set("refused_unreachable_waiting", "Statements that waited when the daemon lost all endpoints of the group.",
         static_cast<double>(statistics.refusedUnreachable));
+    set("workspace_connections_opened", "Connections opened for a workspace.",
+        static_cast<double>(statistics.workspaceConnectionsOpened));
+    set("connection_evictions", "Idle connections closed because another workspace needed one.",
+        static_cast<double>(statistics.evictions));
+    set("connection_waits", "Statements that waited for a connection of their workspace.",
+        static_cast<double>(statistics.connectionWaits));
     set("primary_term", "Term of the primary in use.", static_cast<double>(term));
     set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
 }
