--- a/src/process/group_scheduler_workspace_test.cc
+++ b/src/process/group_scheduler_workspace_test.cc
@@ -336,3 +336,26 @@
     CHECK(fixture.endpointName(fixture.take().connection) == endpoint);
     CHECK(fixture.opening.empty());
 }
+
+TEST_CASE("GroupScheduler, admits statements of a workspace when another has a backlog")
+{
+    // Guards against refusing a well-behaved workspace because of another's statements, at once or after a wait.
+    WorkspaceFixture fixture(4);
+    for (int i = 0; i < 400; ++i)
+        fixture.write("hot");
+    REQUIRE_FALSE(fixture.results.empty());
+    for (const auto& result : fixture.results)
+        CHECK(result.reason == "not_in_time");
+    const auto refused = fixture.results.size();
+    const auto quiet = fixture.write("quiet");
+    CHECK(fixture.results.size() == refused);
+    CHECK_FALSE(quiet->late);
+    // It gets one of the first turns.
+    for (int round = 0; round < 20 && !quiet->firstSentAt; ++round) {
+        fixture.completeOpens();
+        fixture.advance(1ms);
+        if (!fixture.sent.empty())
+            fixture.succeed(fixture.take());
+    }
+    CHECK(quiet->firstSentAt);
+}
