Check in the quota property test that no two daemons have enough support at a time

The bound alone did not notice a daemon that breaks its promise of support (trial with a changed copy: 150 schedules passed), because two coordinators rarely last long enough in a window. The simulation now counts after each step the daemons with enough support, frozen ones included. 150 schedules pass.

--- a/src/process/quota/daemon_quota.h
+++ b/src/process/quota/daemon_quota.h
@@ -39,6 +39,11 @@
     // Time at which tick() must run next; Time::max() while no workspace has a limit.
     [[nodiscard]] Time nextDue() const { return this->client.nextDue(); }
 
+    // Whether this daemon may grant tokens of the shard.
+    [[nodiscard]] bool hasSupport(const QuotaShard& shard, Time now) const
+    {
+        return this->coordinator.hasSupport(shard, now);
+    }
     [[nodiscard]] DaemonId coordinatorOf(const WorkspaceId& workspace) const;
     [[nodiscard]] QuotaStatistics statistics() const;
 
--- a/src/process/quota/quota_coordinator.cc
+++ b/src/process/quota/quota_coordinator.cc
@@ -155,6 +155,12 @@
     return found != this->coordinations.end() && this->check(found->second, now);
 }
 
+bool QuotaCoordinator::hasSupport(const QuotaShard& shard, Time now) const
+{
+    const auto found = this->coordinations.find(shard);
+    return found != this->coordinations.end() && this->hasMajority(found->second, now);
+}
+
 std::size_t QuotaCoordinator::activeShards() const
 {
     return static_cast<std::size_t>(std::count_if(this->coordinations.begin(), this->coordinations.end(),
--- a/src/process/quota/quota_coordinator.h
+++ b/src/process/quota/quota_coordinator.h
@@ -49,6 +49,8 @@
     // Takes tokens for operations of this daemon. No value if the coordinator is not active.
     std::optional<unsigned> take(const QuotaShard& shard, const WorkspaceId& workspace, unsigned wanted, Time now);
     [[nodiscard]] bool isActive(const QuotaShard& shard, Time now);
+    // Whether the support suffices, without taking note of an interruption.
+    [[nodiscard]] bool hasSupport(const QuotaShard& shard, Time now) const;
     // Number of shards that this daemon coordinates.
     [[nodiscard]] std::size_t activeShards() const;
 
--- a/src/process/quota/quota_property_test.cc
+++ b/src/process/quota/quota_property_test.cc
@@ -168,6 +168,7 @@
                 fixed += daemon.quota->statistics().grantedFixed;
                 changes += daemon.quota->statistics().coordinatorChanges;
             }
+            RC_ASSERT(simulation.mostSupported <= 1);
             RC_ASSERT(simulation.excess(simulation.quota) <= 0);
         },
         rc::detail::TestMetadata { "quota bound", "quota bound" }, params);
--- a/src/process/quota/quota_simulation_test.h
+++ b/src/process/quota/quota_simulation_test.h
@@ -119,6 +119,7 @@
             this->deliverDue();
             for (std::size_t i = 0; i < this->daemons.size(); ++i)
                 this->serve(i);
+            this->countSupported();
         }
     }
     // Number of shards that daemons coordinate, and the first daemon that does. A frozen daemon grants nothing.
@@ -168,8 +169,17 @@
     std::uint64_t exceeded = 0;
     std::uint64_t unanswered = 0;
     std::uint64_t messages = 0;
+    // Largest number of daemons, frozen ones included, that had enough support at the same time.
+    std::size_t mostSupported = 0;
 
 private:
+    void countSupported()
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < this->daemons.size(); ++i)
+            count += this->daemons[i].quota->hasSupport({}, this->local(i)) ? 1 : 0;
+        this->mostSupported = std::max(this->mostSupported, count);
+    }
     static std::int64_t millisecondsOf(Time at) { return at.time_since_epoch().count() / 1000; }
     [[nodiscard]] Time local(std::size_t index) const { return this->now + this->daemons[index].clockOffset; }
     [[nodiscard]] std::size_t indexOf(const DaemonId& id) const
