--- a/src/process/quota/daemon_quota_test.cc
+++ b/src/process/quota/daemon_quota_test.cc
@@ -321,3 +321,64 @@
     quota.onGrant(DaemonId("b"), grant, now + 600ms);
     CHECK(quota.statistics().granted == 1);
 }
+
+// Guards against daemons that restart and support a second coordinator while the first still counts them.
+TEST_CASE("DaemonQuota, has one coordinator when its supporters restart as it is cut off")
+{
+    Fleet simulation(3, { 100, 20 }, 60);
+    simulation.run(20s);
+    const auto old = simulation.coordinator();
+    simulation.daemons[old].side = 1;
+    for (std::size_t i = 0; i < 3; ++i) {
+        if (i == old)
+            continue;
+        simulation.start(i);
+        simulation.list(i, { 0, 1, 2 });
+    }
+    simulation.run(5s);
+    CHECK(simulation.mostSupported == 1);
+    CHECK(simulation.coordinators() == 1);
+    CHECK(simulation.coordinator() != old);
+}
+
+// Guards against a majority of new daemons beside that of an older list.
+TEST_CASE("DaemonQuota, has one coordinator when many daemons join that an older list lacks")
+{
+    Fleet simulation(3, { 100, 20 }, 60);
+    simulation.run(20s);
+    const auto old = simulation.coordinator();
+    std::vector<std::size_t> cutOff { (old + 1) % 3 };
+    for (int i = 0; i < 4; ++i)
+        cutOff.push_back(simulation.add());
+    for (const auto index : cutOff) {
+        simulation.daemons[index].side = 1;
+        simulation.list(index, { 0, 1, 2, 3, 4, 5, 6 });
+    }
+    simulation.run(10s);
+    CHECK(simulation.mostSupported == 1);
+    CHECK(simulation.coordinator() == old);
+}
+
+// Guards against a coordinator whose supporters the lists of the others have lost with their leases.
+TEST_CASE("DaemonQuota, has one coordinator when the larger side of a partition loses its leases")
+{
+    Fleet simulation(5, { 100, 20 }, 60);
+    simulation.run(20s);
+    const auto old = simulation.coordinator();
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < 5; ++i) {
+        const bool withOld = i == old || i == (old + 1) % 5 || i == (old + 2) % 5;
+        simulation.daemons[i].side = withOld ? 0 : 1;
+        if (withOld)
+            simulation.daemons[i].leaseEnd = simulation.now + 6s;
+        else
+            others.push_back(i);
+    }
+    simulation.run(7s);
+    for (const auto index : others)
+        simulation.list(index, others);
+    simulation.run(20s);
+    CHECK(simulation.mostSupported == 1);
+    CHECK(simulation.coordinators() == 1);
+    CHECK(simulation.coordinator() != old);
+}
