Return to a quota coordinator whose links were reset before its support ends

A lost link is now avoided for 200 ms, and a coordinator that is not active for 2 s instead of 0.9 s and then for 0.7 s, so that daemons which left at different times meet again.

--- a/src/process/quota/daemon_quota_test.cc
+++ b/src/process/quota/daemon_quota_test.cc
@@ -140,6 +140,24 @@
     CHECK(simulation.grants.size() >= 490);
 }
 
+// Guards against daemons that leave a coordinator whose links were reset, split between others, and find no majority
+// for seconds.
+TEST_CASE("DaemonQuota, keeps its coordinator when the links of several daemons are reset")
+{
+    Fleet simulation(24, { 382, 382 }, 10);
+    simulation.run(10s);
+    REQUIRE(simulation.coordinators() == 1);
+    const auto coordinator = simulation.coordinator();
+    forget(simulation);
+    for (std::size_t i = 0; i < 6; ++i)
+        simulation.resetLinks((coordinator + i) % simulation.daemons.size(), 100ms);
+    simulation.run(2s);
+    CHECK(simulation.coordinator() == coordinator);
+    // An operation waits up to 400 ms for an answer, which exceeds the time without links.
+    CHECK(simulation.unanswered == 0);
+    CHECK(simulation.excess(simulation.quota) <= 0);
+}
+
 // Guards against waiting for a coordinator that has given up its lease at a planned stop.
 TEST_CASE("DaemonQuota, asks another daemon at once when the coordinator has no lease")
 {
--- a/src/process/quota/quota_client.cc
+++ b/src/process/quota/quota_client.cc
@@ -15,11 +15,17 @@
 constexpr Duration retryPause = std::chrono::milliseconds(50);
 // Time after which a coordinator that is not active gives way to one that comes first in the order.
 constexpr Duration detourLimit = std::chrono::milliseconds(300);
-// Time after which a coordinator that is not active counts as unreachable. It exceeds the time of a change of
-// coordinator, in which all daemons wait for their earlier promises to end.
-constexpr Duration inactiveLimit = std::chrono::milliseconds(900);
-// Time during which other daemons are preferred to one that did not answer or was not active.
+// Time after which a coordinator that is not active counts as unreachable for the others. It is long against the time
+// of a change of coordinator, because daemons that leave the first one in the order at different times split the
+// support.
+constexpr Duration inactiveLimit = std::chrono::milliseconds(2000);
+// Time during which other daemons are preferred to one that did not answer or does not serve.
 constexpr Duration avoidTime = std::chrono::milliseconds(1500);
+// The same if the link was lost or refused. A daemon whose links were reset takes new ones at once, and its supporters
+// must return before their support ends.
+constexpr Duration reconnectTime = std::chrono::milliseconds(200);
+// The same if it was not active.
+constexpr Duration inactiveAvoidTime = std::chrono::milliseconds(700);
 // Intervals at which a shard coordinated here, or not at all, is looked at: while operations wait, and otherwise.
 constexpr Duration waitingInterval = std::chrono::milliseconds(20);
 constexpr Duration localInterval = std::chrono::milliseconds(100);
@@ -159,9 +165,9 @@
         this->use(id, shard, *chosen, now, reason);
 }
 
-void QuotaClient::avoid(const QuotaShard& id, Shard& shard, Time now, const char* reason)
+void QuotaClient::avoid(const QuotaShard& id, Shard& shard, Time now, const char* reason, Duration time)
 {
-    shard.avoidedUntil[shard.current] = now + avoidTime;
+    shard.avoidedUntil[shard.current] = now + time;
     shard.outstanding = 0;
     this->choose(id, shard, now, reason);
     // The only daemon is asked again.
@@ -178,7 +184,7 @@
     }
     if (shard.outstanding != 0 && now - shard.sentAt >= answerLimit) {
         ++this->counters.requestsLost;
-        this->avoid(id, shard, now, "silent");
+        this->avoid(id, shard, now, "silent", avoidTime);
         return;
     }
     if (this->isActive(id, shard, now)) {
@@ -186,7 +192,7 @@
         return;
     }
     if (now - shard.since >= factorOf(id, inactiveLimit))
-        this->avoid(id, shard, now, "not_active");
+        this->avoid(id, shard, now, "not_active", inactiveAvoidTime);
     else if (now - shard.since >= detourLimit && shard.outstanding == 0)
         this->choose(id, shard, now, "order");
 }
@@ -457,7 +463,7 @@
         return;
     ++this->counters.requestsLost;
     this->sent.erase(message.number);
-    this->avoid(id, shard, now, "not_connected");
+    this->avoid(id, shard, now, "not_connected", reconnectTime);
     shard.notBefore = now + retryPause;
     shard.sentAt = now + retryPause - factorOf(id, requestInterval);
 }
@@ -507,7 +513,7 @@
             if (usable)
                 this->use(entry->first, shard, grant.coordinator, now, "named");
             else if (grant.incarnation == 0)
-                this->avoid(entry->first, shard, now, "declined");
+                this->avoid(entry->first, shard, now, "declined", avoidTime);
         }
     }
     this->pump(now);
@@ -519,7 +525,7 @@
         if (shard.current != daemon || shard.outstanding == 0)
             continue;
         ++this->counters.requestsLost;
-        this->avoid(id, shard, now, "link_lost");
+        this->avoid(id, shard, now, "link_lost", reconnectTime);
     }
     this->pump(now);
 }
--- a/src/process/quota/quota_client.h
+++ b/src/process/quota/quota_client.h
@@ -141,7 +141,7 @@
     [[nodiscard]] std::vector<DaemonId> candidates(const QuotaShard& id) const;
     void choose(const QuotaShard& id, Shard& shard, Time now, const char* reason);
     void use(const QuotaShard& id, Shard& shard, const DaemonId& daemon, Time now, const char* reason);
-    void avoid(const QuotaShard& id, Shard& shard, Time now, const char* reason);
+    void avoid(const QuotaShard& id, Shard& shard, Time now, const char* reason, Duration time);
     void checkCurrent(const QuotaShard& id, Shard& shard, Time now);
     void updateSelfSupport(const QuotaShard& id, Shard& shard, Time now);
     void promise(Shard& shard, const QuotaShard& id, const DaemonId& to, const QuotaGrant& grant, Time now);
--- a/src/process/quota/quota_simulation_test.h
+++ b/src/process/quota/quota_simulation_test.h
@@ -29,6 +29,8 @@
         Time frozenUntil;
         // Time since which its lease has ended, if it has.
         std::optional<Time> leaseEnd;
+        // Until then its links are lost, and other daemons cannot send to it.
+        Time linksDownUntil;
         // Side of a partition.
         int side = 0;
         double wanted = 0;
@@ -68,6 +70,9 @@
         auto& daemon = this->daemons[index];
         QuotaClientHooks hooks;
         hooks.send = [this, index](const DaemonId& to, const QuotaRequest& request) {
+            const auto target = this->indexOf(to);
+            if (this->now < std::max(this->daemons[index].linksDownUntil, this->daemons[target].linksDownUntil))
+                return false;
             ++this->messages;
             this->deliver(index, this->indexOf(to), request);
             return true;
@@ -110,6 +115,18 @@
         for (const auto member : members)
             this->list(member, members);
     }
+    // Resets all links of a daemon, which can be opened again after a time.
+    void resetLinks(std::size_t index, Duration time)
+    {
+        auto& reset = this->daemons[index];
+        reset.linksDownUntil = this->now + time;
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            if (i == index)
+                continue;
+            this->daemons[i].quota->onUnreachable(reset.id, this->local(i));
+            reset.quota->onUnreachable(this->daemons[i].id, this->local(index));
+        }
+    }
     // Runs for a time; every daemon's clients start operations at its load.
     void run(Duration time)
     {
