--- a/src/process/quota/daemon_quota_test.cc
+++ b/src/process/quota/daemon_quota_test.cc
@@ -81,7 +81,7 @@
     forget(simulation);
     simulation.run(60s);
     report("one daemon at 2.8 times the limit", simulation, 60s);
-    CHECK(simulation.grants.size() >= 50 * 60);
+    CHECK(simulation.grants.size() >= 3000);
     CHECK(simulation.excess(simulation.quota) <= 0);
 }
 
--- a/src/process/quota/quota_simulation_test.h
+++ b/src/process/quota/quota_simulation_test.h
@@ -211,7 +211,8 @@
         if (this->daemons[from].side != this->daemons[to].side || this->share() < this->loss)
             return;
         const auto spread = this->longestDelay - this->shortestDelay;
-        const auto delay = this->shortestDelay + Duration(static_cast<Duration::rep>(this->share() * spread.count()));
+        const auto delay = this->shortestDelay
+            + Duration(static_cast<Duration::rep>(this->share() * static_cast<double>(spread.count())));
         this->underWay.emplace(this->now + delay, Message { from, to, content, this->daemons[to].quota.get() });
     }
     void deliverDue()
