Count the support of daemons that joined lately, beside a majority of the others

After restarts in turn most daemons counted as new for 15 s, and their support did not count at all. A daemon with an older list is active with more than half of the settled daemons at least, so it is enough that a coordinator has more than half of those as well as of all.

--- a/src/process/quota/daemon_quota_test.cc
+++ b/src/process/quota/daemon_quota_test.cc
@@ -224,6 +224,28 @@
 }
 
 // Guards against tokens of the earlier limit that are used under the new one.
+// Guards against a fleet that refuses everything for 15 s after a power loss, because most of its daemons had restarted
+// in turn shortly before and count as new.
+TEST_CASE("DaemonQuota, finds a coordinator soon after a power loss that follows restarts in turn")
+{
+    Fleet simulation(24, { 382, 382 }, 10);
+    simulation.run(10s);
+    for (std::size_t i = 0; i < simulation.daemons.size(); ++i) {
+        simulation.daemons[i].rowSince = simulation.now;
+        simulation.start(i);
+        simulation.listAll();
+        simulation.run(1s);
+    }
+    for (std::size_t i = 0; i < simulation.daemons.size(); ++i)
+        simulation.start(i);
+    simulation.listAll();
+    simulation.run(1500ms);
+    CHECK(simulation.coordinators() == 1);
+    simulation.run(5s);
+    CHECK(simulation.mostSupported == 1);
+    CHECK(simulation.excess(simulation.quota) <= 0);
+}
+
 TEST_CASE("DaemonQuota, obeys a lower limit one window later, and a higher one at once")
 {
     Fleet simulation(5, { 100, 20 }, 60);
--- a/src/process/quota/quota_coordinator.cc
+++ b/src/process/quota/quota_coordinator.cc
@@ -30,21 +30,25 @@
     this->limits = std::move(next);
 }
 
-// Whether more than half of the daemons support the coordination. Each daemon must count only while it holds a lease,
-// because then every list that was read lately contains it.
+// Whether more than half of the daemons support the coordination, and more than half of those that every list contains.
+// A daemon with an older list may be active with the support of the latter alone, so young daemons do not replace them.
+// Each daemon must count only while it holds a lease, because then every list that was read lately contains it.
 bool QuotaCoordinator::hasMajority(const Coordination& coordination, Time now) const
 {
     if (!coordination.selfSupport || !this->fleet.known() || !this->mayServe(now))
         return false;
     std::size_t supporters = 1;
+    std::size_t settledSupporters = 1;
     for (const auto& [daemon, until] : coordination.supportedUntil) {
-        if (now < until && this->fleet.isSettled(daemon, now))
-            ++supporters;
+        if (now >= until || !this->fleet.contains(daemon))
+            continue;
+        ++supporters;
+        settledSupporters += this->fleet.isSettled(daemon, now) ? 1 : 0;
     }
     auto daemons = this->fleet.size(now).largest;
     if (now < coordination.statedUntil)
         daemons = std::max(daemons, coordination.statedDaemons);
-    return 2 * supporters > daemons;
+    return 2 * supporters > daemons && 2 * settledSupporters > this->fleet.settledDaemons(now);
 }
 
 // Must run before anything that may add support, so that an interruption between two supports is noticed.
--- a/src/process/quota/quota_fleet.cc
+++ b/src/process/quota/quota_fleet.cc
@@ -84,6 +84,12 @@
     return found != this->settledAt.end() && found->second <= now;
 }
 
+std::size_t QuotaFleet::settledDaemons(Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->settledAt.begin(), this->settledAt.end(), [&](const auto& entry) { return entry.second <= now; }));
+}
+
 std::vector<DaemonId> QuotaFleet::daemons() const
 {
     std::vector<DaemonId> result;
--- a/src/process/quota/quota_fleet.h
+++ b/src/process/quota/quota_fleet.h
@@ -38,8 +38,10 @@
     [[nodiscard]] bool known() const { return !this->sizes.empty(); }
     [[nodiscard]] FleetSize size(Time now) const;
     [[nodiscard]] bool contains(const DaemonId& daemon) const { return this->settledAt.count(daemon) != 0; }
-    // Whether the daemon's support counts.
+    // Whether the lists of all daemons with a valid lease contain the daemon.
     [[nodiscard]] bool isSettled(const DaemonId& daemon, Time now) const;
+    // Number of settled daemons, this one included.
+    [[nodiscard]] std::size_t settledDaemons(Time now) const;
     // Daemons of the list, this one included.
     [[nodiscard]] std::vector<DaemonId> daemons() const;
     [[nodiscard]] const DaemonId& ownId() const { return this->self; }
@@ -59,7 +61,7 @@
 
     DaemonId self;
     Time startedAt;
-    // Daemons of the list with the time from which their support counts.
+    // Daemons of the list with the time from which they are settled.
     std::map<DaemonId, Time> settledAt;
     std::deque<Size> sizes;
 };
