--- a/src/process/quota/quota_client.cc
+++ b/src/process/quota/quota_client.cc
@@ -24,9 +24,8 @@
 // The same if the link was lost or refused. A daemon whose links were reset takes new ones at once, and its supporters
 // must return before their support ends.
 constexpr Duration reconnectTime = std::chrono::milliseconds(200);
-// The same if it was not active. It covers two more daemons in the order, of which one probably knows the daemon that
-// is active: several that restart together may be the first ones in the order, and know nothing of it.
-constexpr Duration inactiveAvoidTime = std::chrono::milliseconds(4500);
+// The same if it was not active.
+constexpr Duration inactiveAvoidTime = std::chrono::milliseconds(700);
 // Intervals at which a shard coordinated here, or not at all, is looked at: while operations wait, and otherwise.
 constexpr Duration waitingInterval = std::chrono::milliseconds(20);
 constexpr Duration localInterval = std::chrono::milliseconds(100);
@@ -169,10 +168,6 @@
 void QuotaClient::avoid(const QuotaShard& id, Shard& shard, Time now, const char* reason, Duration time)
 {
     shard.avoidedUntil[shard.current] = now + time;
-    if (time == inactiveAvoidTime)
-        shard.avoidedAsInactive.insert(shard.current);
-    else
-        shard.avoidedAsInactive.erase(shard.current);
     shard.outstanding = 0;
     this->choose(id, shard, now, reason);
     // The only daemon is asked again.
@@ -514,8 +509,7 @@
             const auto avoided = shard.avoidedUntil.find(grant.coordinator);
             const bool usable = !grant.coordinator.empty() && grant.coordinator != from
                 && grant.coordinator != this->fleet.ownId() && this->fleet.contains(grant.coordinator)
-                && (avoided == shard.avoidedUntil.end() || avoided->second <= now
-                    || shard.avoidedAsInactive.count(grant.coordinator) != 0);
+                && (avoided == shard.avoidedUntil.end() || avoided->second <= now);
             if (usable)
                 this->use(entry->first, shard, grant.coordinator, now, "named");
             else if (grant.incarnation == 0)
--- a/src/process/quota/quota_client.h
+++ b/src/process/quota/quota_client.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -132,8 +131,6 @@
         std::int64_t stampUs = 0;
         // Daemons that did not answer or were not active for long, with the time until which others are preferred.
         std::map<DaemonId, Time> avoidedUntil;
-        // Those of them that answered and were not active. They are used again if another daemon names them.
-        std::set<DaemonId> avoidedAsInactive;
     };
 
     [[nodiscard]] bool hasLimits() const { return !this->limits->quotas.empty(); }
