review: a refusal that is sent twice makes a write take effect twice (13)

Cause: an error that may repeat an earlier one counts as the answer to a write after 10 to 200 ms, and as a proof that the write did not run. It takes the place of the PREPARE messages, which move to trials-3 with two more; the stale read is case 14, the ended processes are case 15. The sources are formatted.

--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -106,7 +106,8 @@
 
     if (troubleWanted()) {
         const auto from = nowMs();
-        const auto waitUntil = [from](int ms) { sleepMs(static_cast<int>(std::max<std::int64_t>(0, from + ms - nowMs()))); };
+        const auto waitUntil
+            = [from](int ms) { sleepMs(static_cast<int>(std::max<std::int64_t>(0, from + ms - nowMs()))); };
         record.line("the primary and one replica crash");
         service.crash(0);
         service.crash(1);
--- a/review/14/case.cc
+++ b/review/14/case.cc
@@ -1,4 +1,5 @@
-// Clients send reads ahead inside a transaction and do not read the answers. The processes of the system end.
+// A session on a read_your_writes route reads back its own write, while the route is moved to another service and back
+// and the replicas are behind.
 #include "review/standins-3.h"
 
 using namespace review;
@@ -6,44 +7,12 @@
 namespace {
 
 constexpr int daemonsCount = 4;
-// Machines that get the slow clients.
-constexpr std::size_t machines = 2;
-constexpr int runMs = 70'000;
-// One slow client each so often, on each of the machines; it leaves after the second time.
-constexpr int slowClientGapMs = 200;
-constexpr int slowClientStaysMs = 1500;
-// Reads that a slow client sends ahead; each row has 900,000 bytes, so that the answers exceed what is kept for it.
-constexpr int readsAhead = 24;
-constexpr int ordinaryClients = 4;
-// A day counts 0 if processes of two machines end by themselves three times.
-constexpr int endsAllowed = 2;
-
-struct SlowClient {
-    std::unique_ptr<Client> client;
-    std::int64_t untilMs = 0;
-};
-
-// Opens a transaction and sends reads ahead; reads the answers only if there is to be no trouble.
-SlowClient startSlowClient(const Daemon& daemon, Record& record)
-{
-    SlowClient slow { std::make_unique<Client>(daemon.ip, "orders", 4096), nowMs() + slowClientStaysMs };
-    if (!slow.client->isOpen())
-        return slow;
-    std::string messages = "QUERY " + Client::nextId() + " BEGIN\r\n";
-    for (int i = 0; i < readsAhead; ++i)
-        messages += "QUERY " + Client::nextId() + " READ report\r\n";
-    slow.client->stream.sendSome(messages, 300);
-    record.note("slow client at " + daemon.ip + " sent " + std::to_string(messages.size()) + " bytes");
-    if (!troubleWanted()) {
-        int answered = 0;
-        for (int i = 0; i <= readsAhead; ++i)
-            answered += slow.client->answer().word.empty() ? 0 : 1;
-        slow.client->stream.send("QUERY " + Client::nextId() + " ROLLBACK\r\n");
-        slow.client->answer();
-        record.note("slow client at " + daemon.ip + " read " + std::to_string(answered) + " answers");
-    }
-    return slow;
-}
+constexpr int rounds = 5;
+// Replicas that are 20 ms behind usually, 50 times as late.
+constexpr int lagMs = 1000;
+// Time between two configurations.
+constexpr int configurationGapMs = 330;
+constexpr int stalenessMs = 2500;
 
 } // namespace
 
@@ -52,18 +21,30 @@
     if (argc < 3)
         return 2;
     signal(SIGPIPE, SIG_IGN);
-    Processes::limit(112);
+    Processes::limit(110);
     const std::string directory = argv[1];
     Record record(argv[2]);
     const auto network = loopbackNetwork();
     const std::string ip = network + "250";
 
     Store store(ip, [](const std::string&, const std::string&) { return 409; });
-    Service service(ip, "db1", 3);
-    service.largeItem = "report";
-    service.registerMembers(store);
-    store.put("op", "config",
-        configuration(1, json::array({ route("orders", "db1", "primary") }), json::array({ serviceEntry("db1") })));
+    Service first(ip, "db1", 3);
+    Service second(ip, "db2", 3);
+    for (auto* service : { &first, &second }) {
+        service->registerMembers(store);
+        service->onRun = [&](const Service::Run& run) { record.note("ran " + run.id + " at " + run.member); };
+    }
+    int version = 0;
+    const auto routeTo = [&](const std::string& service) {
+        version += 3;
+        store.put("op", "config",
+            configuration(version,
+                json::array({ route("stock", service, "read_your_writes", 800, stalenessMs),
+                    route("orders", "db1", "primary") }),
+                json::array({ serviceEntry("db1"), serviceEntry("db2") })));
+        record.line("configuration " + std::to_string(version) + ": stock is served by " + service);
+    };
+    routeTo("db1");
 
     std::vector<std::unique_ptr<Daemon>> daemons;
     for (int i = 1; i <= daemonsCount; ++i)
@@ -74,78 +55,53 @@
             Processes::exit(2);
         }
     }
-    sleepMs(4500);
+    sleepMs(3000);
+    first.lagMs = second.lagMs = lagMs;
 
-    std::atomic<bool> stop { false };
-    std::atomic<int> served { 0 };
-    std::atomic<int> refused { 0 };
-    std::atomic<int> cut { 0 };
-    std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < ordinaryClients * machines; ++i) {
-        threads.emplace_back([&, i] {
-            const auto address = daemons[i % machines]->ip;
-            std::optional<Client> client;
-            for (int n = 1; !stop; ++n) {
-                if (!client)
-                    client.emplace(address, "orders");
-                if (!client->isOpen()) {
-                    client.reset();
-                    sleepMs(50);
-                    continue;
-                }
-                if (n % 3 == 0) {
-                    client->ask("PREPARE s" + std::to_string(n % 40) + " WRITE q" + std::to_string(n % 7));
-                    client->ask("SET v" + std::to_string(n % 40) + " x" + std::to_string(n % 11));
-                }
-                const auto answer = client->ask("WRITE k" + std::to_string(i) + " v" + std::to_string(n));
-                if (answer.succeeded())
-                    ++served;
-                else if (!answer.word.empty())
-                    ++refused;
-                else {
-                    ++cut;
-                    record.note("ordinary write " + client->lastId + " at " + address + " got no answer");
-                    client.reset();
-                }
-                if (i % 4 == 3 && n % 40 == 0)
-                    client.reset();
-                sleepMs(10);
-            }
-        });
-    }
-
-    std::vector<int> ends(machines, 0);
-    std::vector<std::deque<SlowClient>> slow(machines);
-    double mostMb = 0;
-    const auto end = nowMs() + runMs;
-    while (nowMs() < end && *std::min_element(ends.begin(), ends.end()) <= endsAllowed) {
-        for (std::size_t i = 0; i < machines; ++i) {
-            auto& daemon = *daemons[i];
-            while (!slow[i].empty() && slow[i].front().untilMs <= nowMs())
-                slow[i].pop_front();
-            if (daemon.running()) {
-                mostMb = std::max(mostMb, daemon.residentMb());
-                slow[i].push_back(startSlowClient(daemon, record));
-                continue;
+    int stale = 0;
+    int read = 0;
+    for (int round = 1; round <= rounds; ++round) {
+        // A session of its own, so that its statements are all of one client connection.
+        Client client(daemons[0]->ip, "stock");
+        Client other(daemons[0]->ip, "orders");
+        // Ordinary traffic, from which the daemon learns positions of the primary.
+        for (int i = 0; i < 15; ++i) {
+            other.ask("READ z");
+            client.ask("READ z");
+            sleepMs(100);
+        }
+        const auto value = "v" + std::to_string(round);
+        const auto ask = [&](const std::string& text) {
+            const auto answer = client.ask(text);
+            record.line("session " + std::to_string(round) + " sent " + client.lastId + " " + text + ", answered "
+                + answer.text() + (answer.row.empty() ? "" : ", row " + answer.row));
+            return answer;
+        };
+        if (!ask("WRITE item " + value).succeeded())
+            continue;
+        const auto writtenAt = nowMs();
+        if (troubleWanted()) {
+            routeTo("db2");
+            sleepMs(configurationGapMs);
+        }
+        ask("WRITE other " + value);
+        if (troubleWanted()) {
+            routeTo("db1");
+            sleepMs(configurationGapMs);
+        }
+        const auto answer = ask("READ item");
+        if (answer.succeeded()) {
+            ++read;
+            if (answer.row != value) {
+                ++stale;
+                record.line("STALE: the read, sent " + std::to_string(nowMs() - writtenAt)
+                    + " ms after the session's own write was acknowledged, ran on a log without it");
             }
-            ++ends[i];
-            record.line("the process at " + daemon.ip + " " + daemon.endText() + ", " + std::to_string(ends[i])
-                + " times so far");
-            slow[i].clear();
-            daemon.start();
-            waitReady(daemon);
         }
-        sleepMs(slowClientGapMs / static_cast<int>(machines));
+        sleepMs(1500);
     }
-    stop = true;
-    for (auto& thread : threads)
-        thread.join();
-    char summary[200];
-    std::snprintf(summary, sizeof summary,
-        "ends by themselves: %d and %d; most memory %.0f of %d MB; ordinary writes: %d served, %d refused, %d cut", ends[0],
-        ends[1], mostMb, Daemon::memoryMb, served.load(), refused.load(), cut.load());
-    record.line(summary);
-    if (served == 0)
+    record.line("reads " + std::to_string(read) + ", stale " + std::to_string(stale));
+    if (read == 0)
         Processes::exit(2);
-    Processes::exit(*std::min_element(ends.begin(), ends.end()) > endsAllowed ? 1 : 0);
+    Processes::exit(stale > 0 ? 1 : 0);
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,12 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/case.cc; do
-    number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -I. -pthread -o "target/review-3/case-$number" "$source"
+build() {
+    g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -I. -pthread -o "target/review-3/$1" "$2"
+}
+for number in 11 12 13 14 15; do
+    build "case-$number" "review/$number/case.cc"
+done
+for trial in prepared-names memory replica-without-its-log; do
+    build "$trial" "review/trials-3/$trial/case.cc"
 done
--- a/review/standins-3.h
+++ b/review/standins-3.h
@@ -155,8 +155,7 @@
             pollfd ready { this->fd, POLLOUT, 0 };
             if (poll(&ready, 1, patienceMs) <= 0)
                 break;
-            const auto count
-                = ::send(this->fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            const auto count = ::send(this->fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
             if (count < 0 && errno != EAGAIN)
                 break;
             sent += count > 0 ? static_cast<std::size_t>(count) : 0;
@@ -451,8 +450,8 @@
             if (key.first == table && row.version > after && (removed || !row.removed))
                 found.emplace_back(removed ? row.version : 0, encode(key, row));
         }
-        std::stable_sort(found.begin(), found.end(),
-            [](const auto& left, const auto& right) { return left.first < right.first; });
+        std::stable_sort(
+            found.begin(), found.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
         json entries = json::array();
         for (auto& [version, entry] : found)
             entries.push_back(std::move(entry));
@@ -473,8 +472,7 @@
                 present.push_back(encode(key, found->second));
         }
         if (!holds)
-            return { 412,
-                { { "rows", present }, { "SchemaVersion", this->version }, { "NowMs", nowMs() } } };
+            return { 412, { { "rows", present }, { "SchemaVersion", this->version }, { "NowMs", nowMs() } } };
         ++this->version;
         for (const auto& row : call.value("SetKeys", json::array()))
             this->rows[{ row.at("Table"), row.at("Key") }] = { fromBase64(row.at("Value")), this->version, false };
@@ -580,6 +578,16 @@
         }
         this->putEntry(index);
     }
+    // The member starts again and holds nothing of before. It then receives the log from the start.
+    void restartEmpty(std::size_t index)
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->members[index].log.clear();
+            this->members[index].term = 0;
+        }
+        this->restart(index);
+    }
     // Removes the entry of a member that has been silent for three heartbeats.
     void lapse(std::size_t index) { this->store->remove("servers", this->members[index].id); }
 
@@ -622,7 +630,11 @@
     // Time that a read, write or commit takes.
     std::atomic<int> workMs { 3 };
     std::atomic<int> syncReplicas { 0 };
+    // Commits that a replica receives in 2 ms at most.
+    std::atomic<int> commitsPerTick { 1000 };
     std::atomic<std::size_t> maxConnections { 16 };
+    // Answers the next write outside a transaction with BUSY, and sends the same bytes again 15 ms later.
+    std::atomic<bool> repeatRefusal { false };
     // Item whose read returns a row of so many bytes, which a message may have; empty if there is none.
     std::string largeItem;
     std::size_t largeBytes = 900'000;
@@ -661,10 +673,10 @@
         {
             const std::lock_guard lock(this->mutex);
             const auto& member = this->members[index];
-            entry = { { "Service", this->name },
-                { "Address", this->ip + ":" + std::to_string(member.listener->port) }, { "Zone", "zone-a" },
-                { "Version", "v1" }, { "Capacity", 2 }, { "State", "ready" }, { "WarmupLeftMs", 0 },
-                { "DbRole", member.primary ? "primary" : "replica" }, { "Seq", 1 }, { "born", member.bornMs } };
+            entry = { { "Service", this->name }, { "Address", this->ip + ":" + std::to_string(member.listener->port) },
+                { "Zone", "zone-a" }, { "Version", "v1" }, { "Capacity", 2 }, { "State", "ready" },
+                { "WarmupLeftMs", 0 }, { "DbRole", member.primary ? "primary" : "replica" }, { "Seq", 1 },
+                { "born", member.bornMs } };
         }
         this->store->put("servers", this->members[index].id, entry);
     }
@@ -690,8 +702,9 @@
                     ++common;
                 member.log.resize(common);
                 const int lag = this->slowLagMs > 0 && i == this->slowReplica ? this->slowLagMs : this->lagMs;
-                while (member.log.size() < source.log.size()
-                    && source.log[member.log.size()].atMs <= nowMs() - lag)
+                for (int n = 0; n < this->commitsPerTick && member.log.size() < source.log.size()
+                     && source.log[member.log.size()].atMs <= nowMs() - lag;
+                     ++n)
                     member.log.push_back(source.log[member.log.size()]);
             }
             this->received.notify_all();
@@ -742,6 +755,14 @@
             if (!line || takeWord(*line) != "QUERY")
                 break;
             const auto id = takeWord(*line);
+            if (index == this->leader && line->rfind("WRITE ", 0) == 0 && !session.inTransaction
+                && this->repeatRefusal.exchange(false)) {
+                const auto refusal = "ERROR BUSY " + member.id + "\r\nREADY I " + this->lockedPosition(index) + "\r\n";
+                stream.send(refusal);
+                sleepMs(15);
+                stream.send(refusal);
+                continue;
+            }
             const auto result = this->run(index, session, id, *line);
             const char* state = session.failed ? "E" : session.inTransaction ? "T" : "I";
             open = !result.empty()
@@ -839,7 +860,8 @@
         if (!member.up)
             return "";
         const bool commits = word == "COMMIT";
-        const bool needsPrimary = writes || (session.inTransaction && session.plain && !(commits && session.writes.empty()));
+        const bool needsPrimary
+            = writes || (session.inTransaction && session.plain && !(commits && session.writes.empty()));
         if (needsPrimary && !member.primary) {
             session.failed = session.inTransaction;
             return "ERROR READONLY " + member.id + "\r\n";
@@ -968,8 +990,8 @@
     static constexpr int memoryMb = 260;
 
     // `number` gives the last part of the address. The files go to `directory`.
-    Daemon(const std::string& directory, const std::string& network, int number, int storePort,
-        const std::string& storeIp)
+    Daemon(
+        const std::string& directory, const std::string& network, int number, int storePort, const std::string& storeIp)
         : ip(network + std::to_string(number))
         , log(directory + "/daemon-" + std::to_string(number) + ".log")
     {
