--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 for number in 11 12 13 14 15; do
     build "case-$number" "review/$number/case.cc"
 done
-for trial in prepared-names memory replica-without-its-log; do
+for trial in prepared-names memory replica-without-its-log failed-set; do
     build "$trial" "review/trials-3/$trial/case.cc"
 done
--- a/review/standins-3.h
+++ b/review/standins-3.h
@@ -508,6 +508,8 @@
         std::string member;
         std::string id;
         std::string text;
+        // Values of the member's session.
+        std::map<std::string, std::string> values;
     };
 
     Service(const std::string& ip, std::string name, std::size_t count)
@@ -635,6 +637,8 @@
     std::atomic<std::size_t> maxConnections { 16 };
     // Answers the next write outside a transaction with BUSY, and sends the same bytes again 15 ms later.
     std::atomic<bool> repeatRefusal { false };
+    // Answers the next SET with the bytes of an earlier success first, and then with FAILED; it has not taken effect.
+    std::atomic<bool> failSet { false };
     // Item whose read returns a row of so many bytes, which a message may have; empty if there is none.
     std::string largeItem;
     std::size_t largeBytes = 900'000;
@@ -763,6 +767,13 @@
                 stream.send(refusal);
                 continue;
             }
+            if (line->rfind("SET ", 0) == 0 && this->failSet.exchange(false)) {
+                const auto state = "READY I " + this->lockedPosition(index) + "\r\n";
+                stream.send("COMPLETE -\r\n" + state);
+                sleepMs(2);
+                stream.send("ERROR FAILED " + member.id + "\r\n" + state);
+                continue;
+            }
             const auto result = this->run(index, session, id, *line);
             const char* state = session.failed ? "E" : session.inTransaction ? "T" : "I";
             open = !result.empty()
@@ -881,7 +892,7 @@
         }
         const auto rows = writes || commits ? std::string() : this->rowOf(item, member);
         if (this->onRun)
-            this->onRun({ member.id, id, text });
+            this->onRun({ member.id, id, text, session.values });
         return rows + "COMPLETE " + member.id + "." + std::to_string(++this->signatures) + "\r\n";
     }
 
