--- a/src/connection/client_session.cc
+++ b/src/connection/client_session.cc
@@ -340,8 +340,11 @@
     work.needsPrimary
         = route.consistency == RouteConsistency::Primary || work.changesData() || work.start == TransactionStart::Plain;
     work.maxStaleness = route.maxStaleness;
-    if (route.consistency == RouteConsistency::ReadYourWrites && this->lastWriteGroup == route.group)
-        work.lastWrite = this->lastWrite;
+    if (route.consistency == RouteConsistency::ReadYourWrites) {
+        const auto own = this->writes.in(route.group);
+        work.lastWrite = own.position;
+        work.needsPrimary = work.needsPrimary || own.needsPrimary;
+    }
     work.priority = route.priority;
     work.arrivedAt = now;
     work.expiresAt = now + route.statementTimeout;
@@ -414,10 +417,8 @@
     const bool commit = work.statement.kind == StatementKind::Commit;
     const bool wrote
         = commit ? this->transactionWrote : work.changesData() && this->transaction == TransactionPhase::None;
-    if (result.answer.succeeded && wrote && result.answer.position) {
-        this->lastWrite = result.answer.position;
-        this->lastWriteGroup = this->currentRoute->group;
-    }
+    if (result.answer.succeeded && wrote)
+        this->writes.add(this->currentRoute->group, result.answer.position);
     this->updateTransaction(work, result);
     SessionReply reply;
     reply.succeeded = result.answer.succeeded;
--- a/src/connection/client_session.h
+++ b/src/connection/client_session.h
@@ -2,6 +2,7 @@
 
 #include "base/timer_service.h"
 #include "connection/session_state.h"
+#include "connection/session_writes.h"
 #include "request/operation_gate.h"
 #include "request/statement_runner.h"
 #include "version/route_table.h"
@@ -199,9 +200,8 @@
     std::string failureReason;
     std::uint64_t idleTimer = 0;
     ExecutionPtr execution;
-    // Position of the last acknowledged write of the session, and the group that it was made in.
-    std::optional<Position> lastWrite;
-    DatabaseId lastWriteGroup;
+    // Acknowledged writes of the session.
+    SessionWrites writes;
 };
 
 } // namespace endivetrestle
