--- a/src/edge/peer_calls.cc
+++ b/src/edge/peer_calls.cc
@@ -43,6 +43,13 @@
     row.term = *term;
     row.writer = DaemonId(text(value, "writer"));
     row.version = *rowVersion;
+    const auto holders = value.find("holders");
+    if (holders != value.end()) {
+        auto list = holders->is_array() ? decodeHolders(*holders) : std::nullopt;
+        if (!list)
+            return std::nullopt;
+        row.holders = std::move(*list);
+    }
     row.assumeEarlierRelease();
     const auto claim = version(value, "claim");
     const auto previousEpoch = version(value, "previous_epoch");
@@ -75,6 +82,8 @@
         list.push_back({ { "group", row.group.value }, { "endpoint", row.endpoint.value }, { "term", row.term },
             { "version", toString(row.version) }, { "writer", row.writer.value },
             { "claim", toString(row.finishedClaim) }, { "previous_epoch", toString(row.previousEpoch) } });
+        if (!row.holders.empty())
+            list.back()["holders"] = encodeHolders(row.holders);
     }
     return json { { "rows", list } }.dump();
 }
--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -38,6 +38,7 @@
               [this](bool answered) { this->onStoreCall(answered); } })
     , promotions(this->context, this->settings.promotionAddress)
     , peers(this->context)
+    , probe(this->context, this->timers)
     , reachability(this->makeReachabilityHooks())
 {
 }
@@ -259,6 +260,7 @@
                      ConnectionId connection, const EndpointCommand& command) { transport->send(connection, command); };
     hooks.close = [transport = group.transport.get()](ConnectionId connection) { transport->close(connection); };
     hooks.leaseValid = [this](Time now) { return this->fleet->leaseValid(now); };
+    hooks.holdersRecorded = [this, id] { return this->fleet->holdersAreRecorded(id); };
     this->addReachabilityHooks(id, hooks);
     group.scheduler
         = std::make_unique<GroupScheduler>(id, this->settings.dataCentre, this->timers, std::move(hooks), bootNow());
@@ -291,10 +293,12 @@
 void SessionProxy::updateEndpoints()
 {
     const auto now = bootNow();
-    for (const auto& id : this->directory.takeChangedGroups()) {
+    const auto changed = this->directory.takeChangedGroups();
+    for (const auto& id : changed) {
         if (auto* scheduler = this->schedulerOf(id))
             scheduler->setEndpoints(this->directory.recordsOf(id), now);
     }
+    this->fleet->onEndpointsChanged(changed);
 }
 
 GroupScheduler* SessionProxy::schedulerOf(const DatabaseId& group)
@@ -315,6 +319,9 @@
     for (const auto& [id, group] : this->groups) {
         this->metrics.group(id, group.scheduler->statistics(), group.scheduler->positions().term(),
             group.scheduler->primaryUsable(now));
+        const auto missing = this->fleet->awaitedHolders().find(id);
+        this->metrics.missingHolders(id, missing == this->fleet->awaitedHolders().end() ? 0 : missing->second,
+            toSeconds(this->fleet->primaryMissingFor(id)));
         this->metrics.forwarding(id, group.forwarder->statistics(), group.placement.ownedHere);
         this->metrics.reachable(id, !this->reachability.isUnreachable(id));
     }
--- a/src/edge/session_proxy.h
+++ b/src/edge/session_proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/log_limiter.h"
+#include "edge/endpoint_probe.h"
 #include "edge/endpoint_transport.h"
 #include "edge/forward_links.h"
 #include "edge/http_server.h"
@@ -10,6 +11,7 @@
 #include "platform/store_client.h"
 #include "process/configuration_proof.h"
 #include "process/configuration_prover.h"
+#include "process/durability/sync_requirement.h"
 #include "process/endpoint_directory.h"
 #include "process/fleet_controller.h"
 #include "process/group_placement.h"
@@ -22,7 +24,6 @@
 #include "process/statement_forwarder.h"
 #include "process/stop_plan.h"
 #include "process/store_contact.h"
-#include "process/sync_requirement.h"
 #include "process/table_feed.h"
 #include "process/workspace_owners.h"
 
@@ -151,6 +152,7 @@
     StoreContact store;
     platform::PromotionClient promotions;
     PeerCalls peers;
+    EndpointProbe probe;
     std::shared_ptr<const RouteTable> routes;
     // Row from which the routes were read.
     StoreRow configurationRow;
--- a/src/edge/session_proxy_fleet.cc
+++ b/src/edge/session_proxy_fleet.cc
@@ -125,7 +125,10 @@
         }
         return result;
     };
-    hooks.absentEndpointsOf = [this](const DatabaseId& group) { return this->directory.absentOf(group, bootNow()); };
+    hooks.probeEndpoint
+        = [this](const DatabaseId& group, const CommitHolder& holder, std::function<void(bool)> callback) {
+              this->probe.ask(group, holder, bootNow(), std::move(callback));
+          };
     hooks.syncReplicas = [this](const DatabaseId& group) { return this->syncRequirement.of(group, bootNow()); };
     hooks.groups = [this] {
         std::vector<DatabaseId> result;
--- a/src/process/candidate_choice.h
+++ b/src/process/candidate_choice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "process/acknowledged_log.h"
+#include "process/durability/acknowledged_log.h"
 
 #include <set>
 
--- a/src/process/durability/sync_requirement.cc
+++ b/src/process/durability/sync_requirement.cc
@@ -1,4 +1,4 @@
-#include "process/sync_requirement.h"
+#include "process/durability/sync_requirement.h"
 
 #include <algorithm>
 
--- a/src/process/endpoint_directory.cc
+++ b/src/process/endpoint_directory.cc
@@ -18,7 +18,7 @@
         return false;
     if (found != this->listed.end())
         this->removeFromGroup(found->second);
-    this->put(*record, now);
+    this->put(*record);
     return true;
 }
 
@@ -37,9 +37,8 @@
     this->copyDistrustedUntil = now + removalGrace;
 }
 
-void EndpointDirectory::put(const EndpointRecord& record, Time now)
+void EndpointDirectory::put(const EndpointRecord& record)
 {
-    this->departed.onListed(record, now);
     this->listed[record.id] = record;
     this->members[record.group].insert(record.id);
     this->changedGroups.insert(record.group);
@@ -92,10 +91,8 @@
             ++entry;
             continue;
         }
-        if (const auto record = this->listed.extract(entry->first)) {
+        if (const auto record = this->listed.extract(entry->first))
             this->removeFromGroup(record.mapped());
-            this->departed.onLeft(record.mapped().id, now);
-        }
         entry = this->vanishedSince.erase(entry);
         changed = true;
     }
--- a/src/process/endpoint_directory.h
+++ b/src/process/endpoint_directory.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
-#include "process/departed_endpoints.h"
+#include "process/endpoint_record.h"
 
 #include <map>
 #include <optional>
@@ -53,18 +53,13 @@
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const { return this->listed; }
     // Returns the listed endpoints of one group, without iterating over other groups.
     [[nodiscard]] std::vector<EndpointRecord> recordsOf(const DatabaseId& group) const;
-    // Returns the endpoints of one group that have left and may alone hold commits (DepartedEndpoints).
-    [[nodiscard]] std::vector<EndpointId> absentOf(const DatabaseId& group, Time now) const
-    {
-        return this->departed.of(group, now);
-    }
     // Returns the groups whose listed records have changed since the last call.
     std::set<DatabaseId> takeChangedGroups();
     // Whether the entry has disappeared from the registry and is only kept for its grace period.
     [[nodiscard]] bool isVanished(const EndpointId& id) const { return this->vanishedSince.count(id) != 0; }
 
 private:
-    void put(const EndpointRecord& record, Time now);
+    void put(const EndpointRecord& record);
     [[nodiscard]] EndpointRecord withKnownDraining(EndpointRecord record, Time now) const;
     void removeFromGroup(const EndpointRecord& record);
 
@@ -77,7 +72,6 @@
     std::optional<Time> copyDistrustedUntil;
     // Start of the grace period of each vanished entry.
     std::map<EndpointId, Time> vanishedSince;
-    DepartedEndpoints departed;
 };
 
 } // namespace endivetrestle
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/durability/holder_list_keeper.h"
 #include "process/fleet_era.h"
 #include "process/fleet_hooks.h"
 #include "process/known_claims.h"
@@ -66,6 +67,11 @@
     // Handles an announcement of new primaries.
     void onAnnouncement(const std::vector<PrimaryRow>& rows);
 
+    // Call when the registered endpoints of some groups have changed.
+    void onEndpointsChanged(const std::set<DatabaseId>& groups);
+    // Whether a commit of a group may be acknowledged: all its endpoints are recorded as holders of commits.
+    [[nodiscard]] bool holdersAreRecorded(const DatabaseId& group) const { return this->holderLists.isRecorded(group); }
+
     [[nodiscard]] bool leaseValid(Time now) const { return this->lease.isValid(now); }
     [[nodiscard]] Time leaseEnd() const { return this->lease.end(); }
     // Whether the leases of the other daemons have been read at least once.
@@ -74,6 +80,10 @@
     // or after all leases have expired, the first list contains only those that have already stored their lease.
     [[nodiscard]] bool peerListComplete() const { return this->leaseListings > 1 || this->firstListComplete; }
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
+    // Time for which the primary of a group has been in replacement, as far as this daemon knows; zero if it is not.
+    [[nodiscard]] Duration primaryMissingFor(const DatabaseId& group) const;
+    // Number of holders of commits for which a replacement of this daemon waits, or has waited last, by group.
+    [[nodiscard]] const std::map<DatabaseId, std::size_t>& awaitedHolders() const { return this->missingHolders; }
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
     // The first daemon by name of this daemon's part of the fleet, which does for the others of the part what one call
     // to the store can do for all. No value if no other daemon is known; may be this daemon.
@@ -146,6 +156,9 @@
     [[nodiscard]] std::int64_t earlierLeasesEndMs() const;
     [[nodiscard]] Duration leaseLeft() const;
 
+    [[nodiscard]] HolderListContext holderListContext();
+    void publishRow(const PrimaryRow& row);
+
     // fleet_controller_adoption.cc
     void adoptGroups(Time now);
     [[nodiscard]] std::vector<std::pair<DatabaseId, EndpointId>> adoptableGroups(Time now);
@@ -218,6 +231,7 @@
     std::map<DatabaseId, Suspension> suspensions;
     // Time at which this daemon first saw that the primary of a group is being replaced.
     std::map<DatabaseId, Time> replacingSince;
+    std::map<DatabaseId, std::size_t> missingHolders;
     // Valid leases of the other daemons as of the last listing, and those of earlier eras that may be valid.
     std::map<DaemonId, LeaseRow> peers;
     std::size_t liveCount = 1;
@@ -229,6 +243,7 @@
     std::map<DatabaseId, Time> nextAttemptAt;
     // Time since which a planned replacement or an adoption of a group's primary has been due.
     std::map<DatabaseId, Time> plannedSince;
+    HolderListKeeper holderLists;
     std::optional<Adoption> adoption;
     Time nextAdoption;
     // Expires with the controller. Callbacks hold a weak reference and do nothing once it has expired.
--- a/src/process/fleet_controller_adoption.cc
+++ b/src/process/fleet_controller_adoption.cc
@@ -80,8 +80,12 @@
 // An endpoint that has not reported is asked again with the next adoption.
 void FleetController::onAdoptionReply(const DatabaseId& group, const EndpointId& endpoint, const EndpointReply& reply)
 {
-    if (reply.report && reply.report->isPrimary)
-        this->adoption->rows.push_back({ group, false, endpoint, reply.report->term, this->identity.daemon });
+    if (reply.report && reply.report->isPrimary) {
+        PrimaryRow row { group, false, endpoint, reply.report->term, this->identity.daemon };
+        if (this->hooks.syncReplicas(group) > 0)
+            row.holders = holdersOf(this->hooks.endpointsOf(group));
+        this->adoption->rows.push_back(std::move(row));
+    }
     if (--this->adoption->outstanding > 0)
         return;
     // What was found for an earlier era may have been carried over, or replaced, meanwhile.
--- a/src/process/fleet_controller_promotion.cc
+++ b/src/process/fleet_controller_promotion.cc
@@ -27,6 +27,7 @@
 {
     for (const auto& watched : this->hooks.watchedGroups()) {
         const auto& group = watched.id;
+        this->holderLists.update(watched);
         const auto found = this->rows.find(group);
         const auto pause = this->nextAttemptAt.find(group);
         const bool paused = pause != this->nextAttemptAt.end() && at < pause->second;
@@ -271,6 +272,11 @@
             return found != this->suspensions.end() && found->second.drained;
         },
         [this] { this->readFleet(); },
+        [this](const DatabaseId& group) { return this->holderLists.known(group); },
+        [this](const DatabaseId& group, std::size_t missing) {
+            this->missingHolders[group] = missing;
+            return this->primaryMissingFor(group);
+        },
     };
 }
 
--- a/src/process/fleet_era.cc
+++ b/src/process/fleet_era.cc
@@ -22,10 +22,14 @@
     const auto copied = table.earlier.find(row.group);
     if (row.endpoint.empty() && copied != table.earlier.end())
         row.term = std::max(row.term, copied->second.term);
+    if (copied != table.earlier.end())
+        row.holders = merged(copied->second.holders, row.holders);
     if (opening.basis == EraBasis::Copy) {
         // Whichever endpoint leads may be the primary.
         row.replacing = true;
         row.endpoint = EndpointId();
+        // Endpoints that joined after the copy was taken may hold commits as well.
+        row.mayLackHolders = !row.holders.empty();
     }
     row.writer = opening.openedBy;
     row.finishedClaim = row.previousEpoch = { table.era, 0 };
--- a/src/process/fleet_hooks.h
+++ b/src/process/fleet_hooks.h
@@ -70,8 +70,8 @@
     std::function<bool()> missingEndpointsAreGone;
     // Registered endpoints of a group, as this daemon last read them.
     std::function<std::vector<EndpointRecord>(const DatabaseId&)> endpointsOf;
-    // Endpoints of a group that left the registry, and whose log no registered endpoint has taken over.
-    std::function<std::vector<EndpointId>(const DatabaseId&)> absentEndpointsOf;
+    // Tells whether a process of the holder's id answers at its address, registered or not.
+    std::function<void(const DatabaseId&, const CommitHolder&, std::function<void(bool alive)>)> probeEndpoint;
     // Number of replicas of a group that receive a commit before it is acknowledged.
     std::function<std::size_t(const DatabaseId&)> syncReplicas;
     // Groups of the current configuration.
--- a/src/process/fleet_rows.cc
+++ b/src/process/fleet_rows.cc
@@ -57,6 +57,15 @@
         return address.value_or(SocketAddress {});
     }
 
+    // A row of an earlier release has no list.
+    CommitHolders holders(const char* name)
+    {
+        const auto* field = this->find(name, &json::is_array);
+        const auto list = field == nullptr ? CommitHolders() : decodeHolders(*field);
+        this->readable = this->readable && list;
+        return list.value_or(CommitHolders());
+    }
+
     // Whether all fields read so far are valid; logs the row if not.
     [[nodiscard]] bool allFieldsValid() const
     {
@@ -85,6 +94,36 @@
 
 } // namespace
 
+json encodeHolders(const CommitHolders& holders)
+{
+    json list = json::array();
+    for (const auto& holder : holders) {
+        json entry { { "id", holder.id.value }, { "start", holder.processStartMs },
+            { "address", toString(holder.address) } };
+        if (holder.draining)
+            entry["draining"] = true;
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+std::optional<CommitHolders> decodeHolders(const json& list)
+{
+    CommitHolders holders;
+    for (const auto& entry : list) {
+        const bool readable = entry.is_object() && entry.contains("id") && entry["id"].is_string()
+            && entry.contains("start") && entry["start"].is_number_integer() && entry.contains("address")
+            && entry["address"].is_string();
+        const auto address
+            = readable ? parseSocketAddress(entry["address"].get<std::string>()) : std::optional<SocketAddress>();
+        if (!address)
+            return std::nullopt;
+        holders.push_back({ EndpointId(entry["id"].get<std::string>()), entry["start"].get<std::int64_t>(), *address,
+            entry.value("draining", json()) == json(true) });
+    }
+    return holders;
+}
+
 std::string toString(const EraKey& key) { return std::to_string(key.era) + "/" + key.name; }
 
 std::optional<EraKey> parseEraKey(const std::string& key)
@@ -100,9 +139,14 @@
 
 StoreRow encodeRow(const PrimaryRow& row, std::uint64_t era)
 {
-    const json value { { "replacing", row.replacing }, { "endpoint", row.endpoint.value }, { "term", row.term },
+    json value { { "replacing", row.replacing }, { "endpoint", row.endpoint.value }, { "term", row.term },
         { "writer", row.writer.value }, { "claim", row.finishedClaim.number },
         { "previous_epoch", row.previousEpoch.number } };
+    // Earlier releases ignore the fields, and groups without synchronous replicas do not have them.
+    if (!row.holders.empty())
+        value["holders"] = encodeHolders(row.holders);
+    if (row.mayLackHolders)
+        value["may_lack_holders"] = true;
     return { fleetTable, toString(EraKey { era, std::string(primaryPrefix) + row.group.value }), value.dump() };
 }
 
@@ -140,6 +184,8 @@
     result.term = static_cast<std::uint64_t>(reader.integer("term"));
     result.writer = DaemonId(reader.text("writer"));
     result.version = { key->era, row.version.number };
+    result.holders = reader.holders("holders");
+    result.mayLackHolders = reader.flag("may_lack_holders");
     result.assumeEarlierRelease();
     if (reader.has("claim") && reader.has("previous_epoch")) {
         result.finishedClaim = reader.version("claim", key->era);
--- a/src/process/fleet_rows.h
+++ b/src/process/fleet_rows.h
@@ -2,10 +2,12 @@
 
 #include "base/identifier.h"
 #include "base/socket_address.h"
+#include "process/durability/commit_holders.h"
 #include "process/host_capacity.h"
 #include "process/table_store.h"
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 
@@ -52,6 +54,10 @@
     StoreVersion finishedClaim;
     // Epoch on condition of which the claim was made: there is no other claim between the two.
     StoreVersion previousEpoch;
+    // Endpoints that may hold acknowledged commits; empty without synchronous replicas.
+    CommitHolders holders;
+    // Whether there may be others, because the list was taken from a copy of the store.
+    bool mayLackHolders = false;
 
     // Version of the newest claim of the group.
     [[nodiscard]] StoreVersion claimVersion() const { return this->replacing ? this->version : this->finishedClaim; }
@@ -119,6 +125,10 @@
 StoreRow encodeRow(const LeaseRow& row);
 StoreRow encodeRow(const PromotionLockRow& row);
 std::optional<PrimaryRow> decodePrimaryRow(const StoreRow& row);
+// JSON form of a list of holders, in the rows and in messages between daemons.
+nlohmann::json encodeHolders(const CommitHolders& holders);
+// Returns no value if the list or one of its entries cannot be read.
+std::optional<CommitHolders> decodeHolders(const nlohmann::json& list);
 std::optional<LeaseRow> decodeLeaseRow(const StoreRow& row);
 std::optional<PromotionLockRow> decodePromotionLockRow(const StoreRow& row);
 
--- a/src/process/group_scheduler.cc
+++ b/src/process/group_scheduler.cc
@@ -96,6 +96,7 @@
     this->suspensionConfirmed = false;
     this->primaryReportedReadOnly = false;
     this->history.startTerm(term);
+    this->releaseCommits(now);
     this->dispatch(now);
 }
 
@@ -151,6 +152,7 @@
         this->timers.cancel(this->drainTimer);
     this->drainTimer = 0;
     this->suspensionConfirmed = true;
+    this->doubtHeldCommits();
     const auto callback = std::exchange(this->onDrained, nullptr);
     callback();
 }
@@ -162,6 +164,11 @@
     this->arrivals.add(now);
     if (this->needsPrimary(work))
         this->primaryArrivals.add(now);
+    const bool mayWrite = work.changesData() || work.start == TransactionStart::Plain;
+    if (mayWrite && this->recordingIsOverdue(now)) {
+        this->refuse(execution, ReplyCode::Busy, notRecordedText, "holders_not_recorded");
+        return;
+    }
     if (this->queue.empty() && this->tryStart(execution, now) == StartResult::Started) {
         if (!execution->finished)
             this->armTimer(execution, work.expiresAt);
@@ -194,13 +201,20 @@
         this->refuse(execution, ReplyCode::Aborted, "the transaction belongs to another workspace", "wrong_workspace");
         return;
     }
-    const bool usable = this->primaryUsable(now) && this->isPrimarySinceStart(*connection);
+    const bool usable
+        = this->primaryUsable(now) && this->isPrimarySinceStart(connection->endpoint, connection->startedInTerm);
     if (connection->writableTransaction && !usable) {
         this->hooks.close(id);
         this->eraseConnection(id);
         this->refuse(execution, ReplyCode::Aborted, "the primary was replaced", "primary_replaced");
         return;
     }
+    const bool commits = execution->work.statement.kind == StatementKind::Commit && connection->transactionWrote;
+    if (commits && this->recordingIsOverdue(now)) {
+        this->closeConnection(*connection);
+        this->refuse(execution, ReplyCode::Aborted, notRecordedText, "holders_not_recorded");
+        return;
+    }
     this->armTimer(execution, execution->work.expiresAt);
     auto* endpoint = this->findEndpoint(connection->endpoint);
     this->start(*connection, Target { endpoint, usable, std::nullopt }, execution, now);
@@ -300,6 +314,7 @@
 {
     auto statistics = this->counts;
     statistics.waiting = this->queue.size();
+    statistics.heldCommits = this->heldCommits.size();
     for (const auto& [id, endpoint] : this->endpoints)
         statistics.connections += endpoint.connections.size();
     return statistics;
--- a/src/process/group_scheduler.h
+++ b/src/process/group_scheduler.h
@@ -32,6 +32,9 @@
     std::function<void(ConnectionId)> close;
     // Whether this daemon's lease allows the use of primaries at the given time.
     std::function<bool(Time)> leaseValid;
+    // Whether all endpoints of the group are recorded as holders of commits, so that a commit may be acknowledged. May
+    // be null, which means that they are.
+    std::function<bool()> holdersRecorded;
 };
 
 // Why the scheduler suspects that the primary cannot serve statements.
@@ -63,6 +66,9 @@
     std::uint64_t evictions = 0;
     // Statements that waited for a connection of their workspace.
     std::uint64_t connectionWaits = 0;
+    // Commits whose acknowledgement waits, or has waited, until all endpoints of the group are recorded.
+    std::size_t heldCommits = 0;
+    std::uint64_t commitsHeld = 0;
 };
 
 // Decides which endpoint of one database group runs a statement, on which connection and when. The class performs no
@@ -71,6 +77,7 @@
 // Invariants:
 // - Writes, and reads that must see every acknowledged write, are sent only to the primary, while the lease is valid
 //   and the primary is not suspended. The lease and the suspension are checked again before a write is acknowledged.
+// - A commit is acknowledged only while all endpoints of the group are recorded as holders (holdersRecorded).
 // - A read with a staleness bound carries the position that the endpoint's log must contain, so that an endpoint that
 //   lags refuses it.
 // - A statement runs only on a connection of exactly its workspace.
@@ -183,6 +190,17 @@
         std::optional<Position> minimumPosition;
     };
 
+    // A commit that an endpoint has acknowledged, and that this daemon may not acknowledge yet.
+    struct HeldCommit {
+        ExecutionPtr execution;
+        StatementResult result;
+        // Term of the primary when the statement or its transaction was started.
+        std::uint64_t term = 0;
+    };
+
+    // What a client is told whose write is refused because the endpoints are not recorded.
+    static constexpr const char* notRecordedText = "the endpoints of the database are not recorded at present";
+
     // How a statement gets a connection to an endpoint.
     enum class ConnectionSource { None, Idle, Open, Evict };
 
@@ -235,8 +253,8 @@
     bool prepareAgain(EndpointConnection& connection, Time now);
     void recordPosition(EndpointState& endpoint, const EndpointConnection& connection,
         const std::optional<Position>& position, Time now);
-    [[nodiscard]] bool isPrimarySinceStart(const EndpointConnection& connection) const;
-    [[nodiscard]] bool mayAcknowledge(const EndpointConnection& connection, Time now) const;
+    [[nodiscard]] bool isPrimarySinceStart(const EndpointId& endpoint, std::uint64_t term) const;
+    [[nodiscard]] bool mayAcknowledge(const EndpointId& endpoint, std::uint64_t term, Time now) const;
     void onWrongTransaction(EndpointConnection& connection, Time now);
     void noteRefusal(const EndpointConnection& connection, const EndpointAnswer& answer, Time now);
     void requeueOrFail(const ExecutionPtr& execution, const EndpointAnswer& answer, Time now);
@@ -244,6 +262,15 @@
     void refuse(const ExecutionPtr& execution, ReplyCode code, const std::string& text, const std::string& reason);
     bool startControlTask(EndpointState& endpoint, EndpointConnection& connection, Time now);
 
+    // group_scheduler_holding.cc
+    [[nodiscard]] bool mustHold() const { return this->hooks.holdersRecorded && !this->hooks.holdersRecorded(); }
+    [[nodiscard]] bool recordingIsOverdue(Time now);
+    void holdCommit(const ExecutionPtr& execution, StatementResult result, std::uint64_t term, Time now);
+    void releaseCommits(Time now);
+    void doubtHeldCommits();
+    void doubt(const ExecutionPtr& execution, const std::string& text, const std::string& reason);
+    bool onHeldTimer(const ExecutionPtr& execution, Time now);
+
     // group_scheduler_release.cc
     void settle(EndpointConnection& connection, SessionPhase phase, Time now);
     void release(EndpointConnection& connection, Time now);
@@ -300,6 +327,9 @@
     bool workspacesInUse = false;
     // Whether a statement of a workspace was submitted, possibly before the configuration with the workspaces arrived.
     bool workspaceSeen = false;
+    std::vector<HeldCommit> heldCommits;
+    // Time since which endpoints of the group have been unrecorded, as far as statements or tick() have noticed.
+    std::optional<Time> unrecordedSince;
     // Time at which dispatchLater() runs a pass; no value if it is not due.
     std::optional<Time> dispatchDue;
     LogLimiter logLimiter;
--- a/src/process/group_scheduler_execution.cc
+++ b/src/process/group_scheduler_execution.cc
@@ -226,14 +226,14 @@
 
 // Whether the endpoint has been the primary since the statement or its transaction was started. An endpoint that was
 // replaced and leads again has dropped what it accepted in its earlier term.
-bool GroupScheduler::isPrimarySinceStart(const EndpointConnection& connection) const
+bool GroupScheduler::isPrimarySinceStart(const EndpointId& endpoint, std::uint64_t term) const
 {
-    return this->primaryId && connection.endpoint == *this->primaryId && connection.startedInTerm == this->primaryTerm;
+    return this->primaryId && endpoint == *this->primaryId && term == this->primaryTerm;
 }
 
-bool GroupScheduler::mayAcknowledge(const EndpointConnection& connection, Time now) const
+bool GroupScheduler::mayAcknowledge(const EndpointId& endpoint, std::uint64_t term, Time now) const
 {
-    return this->isPrimarySinceStart(connection) && !this->suspensionConfirmed && this->hooks.leaseValid(now);
+    return this->isPrimarySinceStart(endpoint, term) && !this->suspensionConfirmed && this->hooks.leaseValid(now);
 }
 
 void GroupScheduler::onStatementAnswer(EndpointConnection& connection, const ProvenAnswer& proven, Time now)
@@ -253,7 +253,10 @@
     const bool inTransaction = connection.inTransaction;
     const bool plain = connection.writableTransaction;
     const bool mustBePrimary = work.changesData() || (isCommit && plain && connection.transactionWrote);
-    const bool successInDoubt = answer.succeeded && mustBePrimary && !this->mayAcknowledge(connection, now);
+    const auto term = connection.startedInTerm;
+    const bool successInDoubt
+        = answer.succeeded && mustBePrimary && !this->mayAcknowledge(connection.endpoint, term, now);
+    const bool committed = answer.succeeded && mustBePrimary && (isCommit || !inTransaction);
     // A read at the primary that was answered after the lease expired may miss commits of a newer primary.
     const bool readOutlivedLease = !mustBePrimary && work.needsPrimary && !this->hooks.leaseValid(now);
     if (!answer.succeeded)
@@ -305,6 +308,8 @@
     }
     if (!answer.succeeded && provesNotRun(answer.code) && !inTransaction)
         this->requeueOrFail(execution, answer, now);
+    else if (committed && !successInDoubt && this->mustHold())
+        this->holdCommit(execution, std::move(result), term, now);
     else
         this->finish(execution, result);
     this->checkDrained(false);
--- a/src/process/group_scheduler_maintenance.cc
+++ b/src/process/group_scheduler_maintenance.cc
@@ -30,11 +30,13 @@
 {
     const bool failing = std::any_of(this->endpoints.begin(), this->endpoints.end(),
         [](const auto& entry) { return entry.second.openFailures > 0; });
-    return this->warmConnections() == 0 && this->endpointByConnection.empty() && this->queue.empty() && !failing;
+    return this->warmConnections() == 0 && this->endpointByConnection.empty() && this->queue.empty()
+        && this->heldCommits.empty() && !failing;
 }
 
 void GroupScheduler::tick(Time now)
 {
+    this->releaseCommits(now);
     for (auto& [id, endpoint] : this->endpoints) {
         endpoint.decayLagEstimate();
         this->maintainConnections(endpoint, now);
--- a/src/process/group_scheduler_release.cc
+++ b/src/process/group_scheduler_release.cc
@@ -149,6 +149,8 @@
 // Called when a statement has reached its longest wait in the queue or the timeout of its route.
 void GroupScheduler::onTimer(const ExecutionPtr& execution, Time now)
 {
+    if (this->onHeldTimer(execution, now))
+        return;
     std::vector<ConnectionId> runningOn;
     for (auto& [id, endpoint] : this->endpoints) {
         for (auto& [connectionId, connection] : endpoint.connections) {
--- a/src/process/promotion.cc
+++ b/src/process/promotion.cc
@@ -71,6 +71,7 @@
     row.replacing = true;
     row.writer = this->context.self;
     row.previousEpoch = this->context.epochVersion();
+    row.holders = this->knownHolders();
     StoreChange change;
     const auto era = this->initialRow.version.era;
     const auto encoded = encodeRow(row, era);
@@ -95,6 +96,13 @@
     }));
 }
 
+// Endpoints that may hold commits of the group; none without synchronous replicas.
+CommitHolders Promotion::knownHolders() const
+{
+    const auto& group = this->initialRow.group;
+    return this->context.hooks.syncReplicas(group) == 0 ? CommitHolders() : this->context.knownHolders(group);
+}
+
 void Promotion::readLeaseHolders()
 {
     this->context.store.readAll(leaseTable, this->guarded([this](const StoreResult& result) {
@@ -250,6 +258,12 @@
     row.writer = this->context.self;
     row.finishedClaim = this->ownClaim.version;
     row.previousEpoch = this->ownClaim.previousEpoch;
+    row.holders = this->knownHolders();
+    // Nothing may be acknowledged at the new primary before all endpoints that are registered now are recorded.
+    if (!row.holders.empty())
+        row.holders = merged(row.holders, holdersOf(this->context.hooks.endpointsOf(row.group)));
+    // The log of the new primary is proven to have everything.
+    row.mayLackHolders = false;
     if (this->stepName != "record")
         this->enterStep("record");
     StoreChange change;
--- a/src/process/promotion.h
+++ b/src/process/promotion.h
@@ -36,6 +36,10 @@
     std::function<bool(const DatabaseId&)> isDrained;
     // Reads the fleet table again, after a conflict or a lost answer.
     std::function<void()> rereadFleetTable;
+    // Endpoints that may hold acknowledged commits of a group, as far as this daemon knows.
+    std::function<CommitHolders(const DatabaseId&)> knownHolders;
+    // Notes how many of them a replacement waits for, and returns the time for which the primary has been missing.
+    std::function<Duration(const DatabaseId&, std::size_t missing)> noteMissingHolders;
 };
 
 // Replaces the primary of one group.
@@ -83,6 +87,7 @@
     void finish(bool succeeded);
     void enterStep(const char* step);
     void schedule(Duration delay, std::function<void()> action);
+    [[nodiscard]] CommitHolders knownHolders() const;
     [[nodiscard]] LogEvidence logEvidence() const;
     [[nodiscard]] CandidateInput candidateInput() const;
     [[nodiscard]] bool mustWaitForOldPrimary();
--- a/src/process/promotion_candidate.cc
+++ b/src/process/promotion_candidate.cc
@@ -94,10 +94,9 @@
     evidence.syncReplicas = this->context.hooks.syncReplicas(this->initialRow.group);
     evidence.oldPrimary = this->initialRow.endpoint;
     evidence.term = this->initialRow.term;
-    for (const auto& record : this->context.hooks.endpointsOf(this->initialRow.group))
-        evidence.members.insert(record.id);
-    for (const auto& id : this->context.hooks.absentEndpointsOf(this->initialRow.group))
-        evidence.members.insert(id);
+    evidence.mayLackMembers = this->initialRow.mayLackHolders;
+    addMembers(evidence, this->context.knownHolders(this->initialRow.group),
+        this->context.hooks.endpointsOf(this->initialRow.group));
     for (const auto& [id, reply] : this->replies) {
         if (reply.report)
             evidence.reports[id] = *reply.report;
@@ -170,15 +169,21 @@
 void Promotion::logMissingProof(const LogEvidence& evidence)
 {
     std::string missing;
+    std::size_t count = 0;
     for (const auto& id : evidence.members) {
         const auto reply = this->replies.find(id);
         const auto status = reply == this->replies.end() ? EndpointReplyStatus::Unregistered : reply->second.status;
-        if (status != EndpointReplyStatus::Reported)
-            missing += (missing.empty() ? "" : " ") + id.value + ":" + replyStatusName(status);
+        const bool reported = status == EndpointReplyStatus::Reported;
+        if (reported && evidence.restarted.count(id) == 0)
+            continue;
+        ++count;
+        missing += (missing.empty() ? "" : " ") + id.value + ":" + (reported ? "restarted" : replyStatusName(status));
     }
+    const auto since = this->context.noteMissingHolders(this->initialRow.group, count);
     logEvent(LogLevel::Warning, "promotion_waits_for_proof",
         { { "group", this->initialRow.group.value }, { "sync_replicas", evidence.syncReplicas },
             { "reported", evidence.reports.size() }, { "missing", missing },
+            { "list_complete", evidence.mayLackMembers ? 0 : 1 }, { "primary_missing_ms", toMilliseconds(since) },
             { "required", this->requiredPosition ? toString(*this->requiredPosition) : "" } });
 }
 
--- a/src/process/proxy_metrics.cc
+++ b/src/process/proxy_metrics.cc
@@ -71,6 +71,13 @@
     return *handle;
 }
 
+void ProxyMetrics::missingHolders(const DatabaseId& group, std::size_t missing, double seconds)
+{
+    this->gauge("missing_holders", "Endpoints that may hold commits and for which a replacement waits.", group)
+        .Set(static_cast<double>(missing));
+    this->gauge("primary_missing_seconds", "Time for which the primary has been in replacement.", group).Set(seconds);
+}
+
 void ProxyMetrics::group(
     const DatabaseId& group, const SchedulerStatistics& statistics, std::uint64_t term, bool primaryUsable)
 {
@@ -104,6 +111,10 @@
         static_cast<double>(statistics.evictions));
     set("connection_waits", "Statements that waited for a connection of their workspace.",
         static_cast<double>(statistics.connectionWaits));
+    set("held_commits", "Commits whose acknowledgement waits until all endpoints are recorded.",
+        static_cast<double>(statistics.heldCommits));
+    set("commits_held", "Commits whose acknowledgement has waited until all endpoints were recorded.",
+        static_cast<double>(statistics.commitsHeld));
     set("primary_term", "Term of the primary in use.", static_cast<double>(term));
     set("primary_usable", "1 if writes may be sent to the primary.", primaryUsable ? 1 : 0);
 }
--- a/src/process/proxy_metrics.h
+++ b/src/process/proxy_metrics.h
@@ -60,6 +60,8 @@
     void sessionEnd(const SessionEnd& end);
     // Sets the gauges of a group.
     void group(const DatabaseId& group, const SchedulerStatistics& statistics, std::uint64_t term, bool primaryUsable);
+    // Sets the gauges of a replacement: the endpoints that it waits for, and how long the primary has been missing.
+    void missingHolders(const DatabaseId& group, std::size_t missing, double seconds);
     // Sets the gauges for statements of a group that are forwarded to other daemons.
     void forwarding(const DatabaseId& group, const ForwarderStatistics& statistics, bool ownedHere);
     // Sets the gauges for the limits of workspaces.
--- a/src/process/proxy_metrics_test.cc
+++ b/src/process/proxy_metrics_test.cc
@@ -29,6 +29,8 @@
     statistics.waiting = 3;
     statistics.evictions = 4;
     statistics.connectionWaits = 6;
+    statistics.heldCommits = 2;
+    metrics.missingHolders(DatabaseId("shop"), 3, 12.5);
     statistics.workspaceConnectionsOpened = 9;
     metrics.group(DatabaseId("shop"), statistics, 7, true);
     ForwarderStatistics forwarder;
@@ -41,6 +43,9 @@
     const auto text = metrics.serialize();
     CHECK(text.find("endivetrestle_waiting_statements{group=\"shop\"} 3") != std::string::npos);
     CHECK(text.find("endivetrestle_connection_evictions{group=\"shop\"} 4") != std::string::npos);
+    CHECK(text.find("endivetrestle_held_commits{group=\"shop\"} 2") != std::string::npos);
+    CHECK(text.find("endivetrestle_missing_holders{group=\"shop\"} 3") != std::string::npos);
+    CHECK(text.find("endivetrestle_primary_missing_seconds{group=\"shop\"} 12.5") != std::string::npos);
     CHECK(text.find("endivetrestle_connection_waits{group=\"shop\"} 6") != std::string::npos);
     CHECK(text.find("endivetrestle_workspace_connections_opened{group=\"shop\"} 9") != std::string::npos);
     CHECK(text.find("endivetrestle_primary_term{group=\"shop\"} 7") != std::string::npos);
--- a/src/process/scheduler_fixture_test.h
+++ b/src/process/scheduler_fixture_test.h
@@ -29,6 +29,7 @@
         hooks.send = [this](ConnectionId id, const EndpointCommand& command) { this->sent.push_back({ id, command }); };
         hooks.close = [this](ConnectionId id) { this->closed.push_back(id); };
         hooks.leaseValid = [this](Time) { return this->lease; };
+        hooks.holdersRecorded = [this] { return this->holdersRecorded; };
         this->scheduler = std::make_unique<GroupScheduler>(
             DatabaseId("shop"), DataCentre("a"), this->timers, std::move(hooks), this->now);
         this->scheduler->setConnectionShare(this->connectionShare);
@@ -199,6 +200,7 @@
     Time now { std::chrono::seconds(1000) };
     TimerService timers;
     bool lease = true;
+    bool holdersRecorded = true;
     int connectionShare = 4;
     // Position that endpoints report when a session starts.
     std::optional<Position> positionAtStart;
