--- a/src/process/fleet_controller_holders_test.cc
+++ b/src/process/fleet_controller_holders_test.cc
@@ -148,6 +148,32 @@
     CHECK(simulation.violations.empty());
 }
 
+TEST_CASE("FleetController, does not believe a replica that was started again without its log")
+{
+    // Guards against a replica that is being filled again and has the present term (trials-3/replica-without-its-log).
+    HolderSimulation simulation;
+    simulation.commitToOneReplica();
+    auto& lost = simulation.endpoints[e2];
+    FleetSimulation::restart(lost, false);
+    simulation.runFor(500ms);
+    // It has the term of the primary and a part of the log.
+    lost.deaf = true;
+    lost.term = 1;
+    lost.received = 110;
+    CHECK(simulation.hasRecorded(e2, 1));
+    simulation.lose(e1);
+    simulation.runFor(12s);
+    CHECK(simulation.promotions == 0);
+    FleetSimulation::restart(simulation.endpoints[e1], true);
+    lost.deaf = simulation.endpoints[e3].deaf = false;
+    REQUIRE(simulation.runUntil([&] {
+        simulation.replicate();
+        return simulation.commit();
+    }));
+    INFO(simulation.describeViolations());
+    CHECK(simulation.violations.empty());
+}
+
 TEST_CASE("FleetController, takes a holder off the list once others have all that it may hold")
 {
     // Guards against a group that waits for an endpoint that is gone for good although nobody needs it.
