Teach the soak a group with synchronous replicas and a route that moves

One more group now has SyncReplicas 1, with one replica that receives sooner than the others; its stand-in answers a commit when a replica has it, and the audit calls every promotion that drops an acknowledged commit a violation. One route moves between the other groups, and the audit follows the session's writes in each group. The new scenario lost-holders loses the primary and the best replica together, at times with all daemons, takes the log of a replica, or gives its address to another group; mixed runs draw these faults too, so its seeds mean other faults than before.

--- a/src/cli/soak_command.cc
+++ b/src/cli/soak_command.cc
@@ -29,7 +29,8 @@
         "connections that an endpoint accepts (1 to 1000); below twice the number of daemons, statements are forwarded "
         "to owners. 0: by seed, 32 if it is even and one less than that bound if it is odd",
         false, 0, "N", line };
-    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists", "restored", "repeated-answers" };
+    std::vector<std::string> scenarios { "mixed", "cut-daemon", "old-lists", "restored", "repeated-answers",
+        "lost-holders" };
     TCLAP::ValuesConstraint<std::string> scenarioNames { scenarios };
     TCLAP::ValueArg<std::string> scenario { "", "scenario", "which faults are injected", false, "mixed", &scenarioNames,
         line };
@@ -63,6 +64,8 @@
         return soak::SoakScenario::Restored;
     if (name == "repeated-answers")
         return soak::SoakScenario::RepeatedAnswers;
+    if (name == "lost-holders")
+        return soak::SoakScenario::LostHolders;
     return name == "old-lists" ? soak::SoakScenario::OldLists : soak::SoakScenario::Mixed;
 }
 
--- a/src/soak/audit.cc
+++ b/src/soak/audit.cc
@@ -15,6 +15,8 @@
         return "wrong effect";
     case ViolationKind::StaleRead:
         return "stale read";
+    case ViolationKind::LostCommit:
+        return "lost commit";
     case ViolationKind::Promotion:
         return "promotion";
     case ViolationKind::UnexpectedMessage:
@@ -53,15 +55,26 @@
         return;
     ++this->readCount;
     const auto before = statement.maxStaleness ? now - *statement.maxStaleness : now;
-    const auto& known = this->acknowledgements[statement.group];
+    if (!statement.group.empty())
+        this->requireAcknowledged(entry, statement.group, before);
+    else {
+        for (const auto& [group, known] : this->acknowledgements)
+            this->requireAcknowledged(entry, group, before);
+    }
+    for (const auto& [group, position] : statement.ownWrites)
+        entry.required[group].push_back(position);
+}
+
+// Requires the newest position of a group that was acknowledged before the given time.
+void Audit::requireAcknowledged(Sent& entry, const std::string& group, Time before)
+{
+    const auto& known = this->acknowledgements[group];
     for (auto item = known.rbegin(); item != known.rend(); ++item) {
-        if (item->first < before && !this->isRolledBack(statement.group, item->second)) {
-            entry.required.push_back(item->second);
+        if (item->first < before && !this->isRolledBack(group, item->second)) {
+            entry.required[group].push_back(item->second);
             break;
         }
     }
-    if (statement.ownWrite)
-        entry.required.push_back(*statement.ownWrite);
 }
 
 void Audit::onCommitted(const std::string& id, const std::string& group, const Position& position, bool superseded)
@@ -69,6 +82,7 @@
     auto& commit = this->commits[id];
     if (++commit.count > 1 && !this->isRolledBack(group, commit.position))
         this->violate(ViolationKind::WrongEffect, "write " + id + " took effect twice");
+    commit.group = group;
     commit.position = position;
     commit.superseded = superseded;
     if (this->refused.count(id) != 0)
@@ -77,10 +91,18 @@
 
 void Audit::onRolledBack(const std::string& group, const Position& after, std::uint64_t newTerm)
 {
+    if (this->durableGroups.count(group) != 0) {
+        for (const auto& [at, position] : this->acknowledgements[group]) {
+            if (position.term < newTerm && position > after && !this->isRolledBack(group, position))
+                this->violate(ViolationKind::LostCommit,
+                    "term " + std::to_string(newTerm) + " of " + group + " begins after " + toString(after)
+                        + " and lacks the acknowledged " + toString(position));
+        }
+    }
     this->rollBacks[group].push_back({ after, newTerm });
 }
 
-void Audit::onAcknowledged(const std::string& group, const std::vector<std::string>& writes, Time now)
+void Audit::onAcknowledged(const std::vector<std::string>& writes, Time now)
 {
     ++this->acknowledgedCount;
     for (const auto& id : writes) {
@@ -91,6 +113,9 @@
         }
         if (commit->second.superseded)
             this->violate(ViolationKind::WrongEffect, "write " + id + " was acknowledged by a replaced primary");
+        const auto& group = commit->second.group;
+        if (this->durableGroups.count(group) != 0 && this->isRolledBack(group, commit->second.position))
+            this->violate(ViolationKind::LostCommit, "write " + id + " was acknowledged and had been dropped");
         auto& known = this->acknowledgements[group];
         // Replies overtake each other; the list keeps rising positions only.
         if (known.empty() || known.back().second < commit->second.position)
@@ -108,10 +133,12 @@
     }
 }
 
-std::optional<Position> Audit::positionOf(const std::string& write) const
+std::optional<std::pair<std::string, Position>> Audit::commitOf(const std::string& write) const
 {
     const auto commit = this->commits.find(write);
-    return commit == this->commits.end() ? std::nullopt : std::optional<Position>(commit->second.position);
+    if (commit == this->commits.end())
+        return std::nullopt;
+    return std::make_pair(commit->second.group, commit->second.position);
 }
 
 void Audit::onPromotion(const PromotionOrderSeen& order, bool inTouch, Time now)
--- a/src/soak/audit.h
+++ b/src/soak/audit.h
@@ -7,7 +7,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endivetrestle::soak {
@@ -25,6 +27,8 @@
     WrongEffect,
     // A read missed a write.
     StaleRead,
+    // A promotion dropped an acknowledged commit of a group with synchronous replicas.
+    LostCommit,
     // Promotions contradict each other.
     Promotion,
     // A client got a message that is no part of an answer.
@@ -45,6 +49,7 @@
 
 // What a client promises itself of a statement when it sends it.
 struct SentStatement {
+    // Group of the client's route; empty if the route moves between groups.
     std::string group;
     std::string text;
     // Shape that the client prepared under the name that an EXECUTE gives.
@@ -54,8 +59,8 @@
     bool reads = false;
     // Largest age of the data, or none if the read must see everything that was acknowledged before.
     std::optional<Duration> maxStaleness;
-    // Last write that the session must see.
-    std::optional<Position> ownWrite;
+    // Last write in each group that the session must see.
+    std::map<std::string, Position> ownWrites;
     // Session values acknowledged to the client.
     std::map<std::string, std::string> values;
 };
@@ -75,6 +80,8 @@
     std::vector<std::string> rows;
     // Unique among all runs.
     std::string signature;
+    // Group of the endpoint.
+    std::string group;
 };
 
 // Order to promote an endpoint, as the platform receives it.
@@ -96,8 +103,11 @@
         const auto* entry = this->checkRun(run);
         if (entry == nullptr || !entry->statement.reads)
             return;
-        for (const auto& required : entry->required) {
-            if (!this->isRolledBack(entry->statement.group, required) && !contains(required))
+        const auto found = entry->required.find(run.group);
+        if (found == entry->required.end())
+            return;
+        for (const auto& required : found->second) {
+            if (!this->isRolledBack(run.group, required) && !contains(required))
                 this->violate(ViolationKind::StaleRead, "read " + run.id + " missed " + toString(required));
         }
     }
@@ -111,10 +121,12 @@
     void onRolledBack(const std::string& group, const Position& after, std::uint64_t newTerm);
     // A client got its reply. `commits`: the statement was a write or a commit; `refused`: the code promises that
     // nothing is kept. `writes` are the statements whose effect the reply decides.
-    void onAcknowledged(const std::string& group, const std::vector<std::string>& writes, Time now);
+    void onAcknowledged(const std::vector<std::string>& writes, Time now);
     void onRefused(const std::vector<std::string>& writes);
-    // Position at which a write took effect.
-    [[nodiscard]] std::optional<Position> positionOf(const std::string& write) const;
+    // Position at which a write took effect, with its group; no value if it has not.
+    [[nodiscard]] std::optional<std::pair<std::string, Position>> commitOf(const std::string& write) const;
+    // The endpoints of the group acknowledge a commit only when a replica has it, so no promotion may drop it.
+    void declareDurable(const std::string& group) { this->durableGroups.insert(group); }
     // A daemon orders a promotion. Tokens never decrease, no two daemons use the same one, and two daemons do not
     // replace the primary of a group in turn while all daemons are in touch with the store.
     void onPromotion(const PromotionOrderSeen& order, bool inTouch, Time now);
@@ -130,7 +142,8 @@
 private:
     struct Sent {
         SentStatement statement;
-        std::vector<Position> required;
+        // Positions that the log of an endpoint must contain, by its group.
+        std::map<std::string, std::vector<Position>> required;
     };
     // What an endpoint answered to one run.
     struct RunAnswer {
@@ -138,6 +151,7 @@
         std::vector<std::string> rows;
     };
     struct Commit {
+        std::string group;
         Position position;
         int count = 0;
         bool superseded = false;
@@ -157,6 +171,7 @@
     void checkTransaction(const SentStatement& statement, const StatementRun& run);
     void checkCommitted(const SentStatement& statement, const StatementRun& run);
     void checkTurns();
+    void requireAcknowledged(Sent& entry, const std::string& group, Time before);
     [[nodiscard]] bool isRolledBack(const std::string& group, const Position& position) const;
 
     std::map<std::string, Sent> sent;
@@ -168,6 +183,7 @@
     std::map<std::string, Commit> commits;
     std::map<std::string, bool> refused;
     std::map<std::string, std::vector<RollBack>> rollBacks;
+    std::set<std::string> durableGroups;
     // Acknowledged positions of each group with the time of their acknowledgement; positions rise.
     std::map<std::string, std::deque<std::pair<Time, Position>>> acknowledgements;
     // Promotion orders by their arrival; of those with one token the first one.
--- a/src/soak/audit_test.cc
+++ b/src/soak/audit_test.cc
@@ -31,6 +31,7 @@
 {
     StatementRun run;
     run.id = id;
+    run.group = "g";
     run.signature = "e1.1." + id;
     return run;
 }
@@ -40,7 +41,7 @@
 {
     audit.onSent("w", SentStatement { "g" }, start);
     audit.onCommitted("w", "g", { 1, 1 }, false);
-    audit.onAcknowledged("g", { "w" }, start + 10ms);
+    audit.onAcknowledged({ "w" }, start + 10ms);
 }
 
 } // namespace
@@ -98,7 +99,7 @@
 {
     Audit audit;
     audit.onCommitted("w", "g", { 1, 1 }, true);
-    audit.onAcknowledged("g", { "w", "never" }, start);
+    audit.onAcknowledged({ "w", "never" }, start);
     CHECK(audit.violations().size() == 2);
 }
 
--- a/src/soak/daemon_process.cc
+++ b/src/soak/daemon_process.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -29,6 +30,8 @@
     if (child < 0)
         throw std::system_error(errno, std::generic_category(), "fork");
     if (child == 0) {
+        // A daemon ends with the soak, however that ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -22,6 +22,9 @@
     Restored,
     // Endpoints send a share of their answers twice all the while; all other kinds of faults occur less often.
     RepeatedAnswers,
+    // The primary of a group with synchronous replicas is lost together with a replica, at times with all daemons, and
+    // a route moves between groups whose replicas are late.
+    LostHolders,
 };
 
 struct SoakSettings {
@@ -29,6 +32,7 @@
     SoakScenario scenario = SoakScenario::Mixed;
     int seconds = 20;
     int daemons = 4;
+    // Groups with asynchronous replicas.
     int groups = 2;
     int clients = 24;
     // Connections that an endpoint accepts. Below twice the number of daemons, statements are forwarded to owners.
@@ -56,10 +60,11 @@
 // Runs real daemons as processes of their own against stand-ins of the store and of the groups, injects faults drawn
 // from the seed, and checks the promises from what clients and endpoints see. Faults are signals (kill, terminate, stop
 // and continue), harmed connections to the store, to endpoints and between daemons, endpoints that crash, lag, drain,
-// leave, lose answers or send them twice, and a store that is down, loses answers, forgets its history or comes back
-// from an older copy. Every daemon has connections of its own to the store, to each endpoint and to each other daemon,
-// so that a fault may concern some daemons only. At the end everything is healed, and most statements must succeed
-// again, in each group and for writes and reads apart, and every daemon must stop within its grace period.
+// leave, lose their log, lose answers or send them twice, and a store that is down, loses answers, forgets its history
+// or comes back from an older copy. Every daemon has connections of its own to the store, to each endpoint and to each
+// other daemon, so that a fault may concern some daemons only. One more group has synchronous replicas, of which no
+// commit may be lost, and one route moves between the others. At the end everything is healed, and most statements must
+// succeed again, in each group and for writes and reads apart, and every daemon must stop within its grace period.
 SoakReport runSoak(const SoakSettings& settings);
 
 std::string formatReport(const SoakReport& report);
--- a/src/soak/soak_client.cc
+++ b/src/soak/soak_client.cc
@@ -58,7 +58,7 @@
     this->transactionWrites.clear();
     this->values.clear();
     this->prepared.clear();
-    this->ownWrite.reset();
+    this->ownWrites.clear();
     this->expected = Expect::Startup;
     this->outstanding = true;
     this->socket = std::make_shared<LineSocket>(asio::ip::tcp::socket(this->context), platform::maxLineBytes);
@@ -162,13 +162,10 @@
     case Expect::Write:
         if (this->inTransaction)
             break;
-        this->audit.onAcknowledged(this->route.group, { this->currentId }, bootNow());
-        this->ownWrite = this->audit.positionOf(this->currentId);
+        this->onCommitted({ this->currentId });
         break;
     case Expect::Commit:
-        this->audit.onAcknowledged(this->route.group, this->transactionWrites, bootNow());
-        if (!this->transactionWrites.empty())
-            this->ownWrite = this->audit.positionOf(this->transactionWrites.back());
+        this->onCommitted(this->transactionWrites);
         break;
     case Expect::Rollback:
         this->audit.onRefused(this->transactionWrites);
@@ -182,6 +179,14 @@
     }
 }
 
+void SoakClient::onCommitted(const std::vector<std::string>& writes)
+{
+    this->audit.onAcknowledged(writes, bootNow());
+    const auto commit = writes.empty() ? std::nullopt : this->audit.commitOf(writes.back());
+    if (commit)
+        this->ownWrites[commit->first] = commit->second;
+}
+
 void SoakClient::onFailure(const std::string& state)
 {
     const bool promise = promisesNothingKept(this->errorCode);
@@ -281,7 +286,7 @@
     statement.maxStaleness = this->route.maxStaleness;
     statement.values = this->values;
     if (this->route.readsOwnWrites)
-        statement.ownWrite = this->ownWrite;
+        statement.ownWrites = this->ownWrites;
     this->audit.onSent(this->currentId, statement, bootNow());
     if (this->inTransaction && kind == Expect::Write)
         this->transactionWrites.push_back(this->currentId);
--- a/src/soak/soak_client.h
+++ b/src/soak/soak_client.h
@@ -14,6 +14,7 @@
 // Database that a client uses, and what its route promises.
 struct ClientRoute {
     std::string database;
+    // Empty if the route moves between groups.
     std::string group;
     // Age bound of reads; none on routes whose reads see everything.
     std::optional<Duration> maxStaleness;
@@ -64,6 +65,7 @@
     [[nodiscard]] std::optional<std::string> preparedName(bool writes) const;
     void onFailure(const std::string& state);
     void onSuccess();
+    void onCommitted(const std::vector<std::string>& writes);
     void armTimeout();
     // Counts of the kind to which the present statement belongs.
     [[nodiscard]] ClientCounts& presentCounts();
@@ -100,7 +102,8 @@
     std::pair<std::string, std::string> pendingValue;
     std::map<std::string, PreparedShape> prepared;
     std::pair<std::string, PreparedShape> pendingPrepare;
-    std::optional<Position> ownWrite;
+    // Last acknowledged write of the session in each group.
+    std::map<std::string, Position> ownWrites;
 };
 
 } // namespace endivetrestle::soak
--- a/src/soak/soak_faults.cc
+++ b/src/soak/soak_faults.cc
@@ -28,6 +28,9 @@
         return std::chrono::milliseconds(9000 + this->random() % 5000);
     case SoakScenario::RepeatedAnswers:
         return std::chrono::milliseconds(1500 + this->random() % 3500);
+    case SoakScenario::LostHolders:
+        // Leaves time for all members to come back.
+        return std::chrono::milliseconds(12000 + this->random() % 3000);
     case SoakScenario::Mixed:
         break;
     }
@@ -58,8 +61,17 @@
         this->restoreStore();
         return;
     }
-    const auto kind = this->random() % 26;
-    if (kind == 25)
+    if (this->settings.scenario == SoakScenario::LostHolders) {
+        this->loseHolders();
+        this->moveRoute();
+        return;
+    }
+    const auto kind = this->random() % 28;
+    if (kind == 27)
+        this->loseHolders();
+    else if (kind == 26)
+        this->moveRoute();
+    else if (kind == 25)
         this->repeatAnswers();
     else if (kind == 24)
         this->restoreStore();
@@ -168,7 +180,8 @@
         endpoint->crash();
         member.lapsesAt = bootNow() + std::chrono::seconds(2);
         this->later(duration, [&member, endpoint] {
-            if (member.left)
+            // Another fault may have started it again.
+            if (member.left || endpoint->up)
                 return;
             ++member.processStartMs;
             endpoint->restart();
--- a/src/soak/soak_partial_faults.cc
+++ b/src/soak/soak_partial_faults.cc
@@ -109,8 +109,11 @@
     this->note("cut " + leader->id + " from daemons" + numbersOf(chosen) + ", " + linkCutName(how) + ", for "
         + std::to_string(duration.count()) + " ms");
     const auto apply = [chosen, &target = *member](LinkCut cut) {
-        for (const auto index : chosen)
-            target.links[index]->cut(cut);
+        // Another member may have taken over the links.
+        for (const auto index : chosen) {
+            if (index < target.links.size())
+                target.links[index]->cut(cut);
+        }
     };
     apply(how);
     this->later(duration, [apply] { apply(LinkCut::None); });
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -75,11 +75,19 @@
 
 void SoakRun::makeGroups()
 {
-    for (int i = 1; i <= this->settings.groups; ++i) {
+    // One replica of the last group receives commits sooner than the others, so it usually acknowledges them alone.
+    constexpr std::chrono::milliseconds fastReplica { 3 };
+    for (int i = 1; i <= this->settings.groups + 1; ++i) {
         this->groups.push_back(
             std::make_unique<StandinGroup>(this->context, "g" + std::to_string(i), this->audit, this->random));
-        this->groups.back()->maxConnections = static_cast<std::size_t>(this->settings.connections);
-        for (const auto& endpoint : this->groups.back()->members)
+        auto& group = *this->groups.back();
+        group.maxConnections = static_cast<std::size_t>(this->settings.connections);
+        if (i > this->settings.groups) {
+            group.syncReplicas = 1;
+            group.members[1]->receivesAfter = fastReplica;
+            this->audit.declareDurable(group.name);
+        }
+        for (const auto& endpoint : group.members)
             this->addMember(*endpoint);
     }
 }
@@ -88,10 +96,11 @@
 {
     auto& member = this->members.emplace_back();
     member.endpoint = &endpoint;
+    member.linkTarget = std::make_shared<StandinMember*>(&endpoint);
     endpoint.answerTwice = this->usualRepeatShare();
     for (int i = 0; i < this->settings.daemons; ++i)
         member.links.push_back(std::make_unique<FaultLink>(
-            this->context, this->random, [&endpoint] { return loopback(endpoint.port()); }));
+            this->context, this->random, [target = member.linkTarget] { return loopback((*target)->port()); }));
     return member;
 }
 
@@ -100,14 +109,18 @@
     json routes = json::array();
     json services = json::array();
     for (const auto& group : this->groups) {
-        services.push_back(
-            { { "Name", group->name }, { "MaxConns", this->settings.connections }, { "SyncReplicas", 0 } });
+        services.push_back({ { "Name", group->name }, { "MaxConns", this->settings.connections },
+            { "SyncReplicas", group->syncReplicas } });
         for (const char* type : { "primary", "bounded_staleness", "read_your_writes" }) {
             routes.push_back({ { "Name", group->name + type }, { "Host", group->name + "-" + type }, { "Type", type },
                 { "TimeoutMs", 800 }, { "TargetLatencyMs", 200 }, { "Priority", 1 }, { "Service", group->name },
                 { "MaxStalenessMs", staleness.count() / 1000 } });
         }
     }
+    routes.push_back(
+        { { "Name", movingDatabase }, { "Host", movingDatabase }, { "Type", "read_your_writes" }, { "TimeoutMs", 800 },
+            { "TargetLatencyMs", 200 }, { "Priority", 1 }, { "Service", this->groups.at(this->movingTarget)->name },
+            { "MaxStalenessMs", movingStaleness.count() / 1000 } });
     this->configurationVersion += 3;
     this->store.put("op", "config",
         json { { "Version", this->configurationVersion }, { "Routes", routes }, { "Services", services },
@@ -197,7 +210,7 @@
     }
     const auto member = std::find_if(this->members.begin(), this->members.end(),
         [&](const Member& candidate) { return candidate.endpoint->id == key; });
-    if (table != "servers" || value.empty() || member == this->members.end())
+    if (table != "servers" || value.empty() || member == this->members.end() || member->links.empty())
         return value;
     auto row = json::parse(value);
     row["Address"] = toString(linkAddress(*member->links[daemon]));
@@ -224,11 +237,15 @@
 void SoakRun::startClients()
 {
     for (int i = 0; i < this->settings.clients; ++i) {
-        const auto& group = this->groups.at(static_cast<std::size_t>(i) % this->groups.size())->name;
+        const auto number = static_cast<std::size_t>(i);
+        const auto& group = this->groups.at(number % this->groups.size())->name;
+        const auto type = number / this->groups.size() % 3;
         ClientRoute route { group + "-primary", group };
-        if (i % 3 == 1)
+        if (i < movingClients)
+            route = { movingDatabase, "", movingStaleness, true };
+        else if (type == 1)
             route = { group + "-bounded_staleness", group, staleness };
-        else if (i % 3 == 2)
+        else if (type == 2)
             route = { group + "-read_your_writes", group, staleness, true };
         this->clients.push_back(std::make_unique<SoakClient>(this->context, this->random, this->audit,
             this->report.counts, "c" + std::to_string(i), route,
@@ -263,7 +280,8 @@
                 + std::to_string(daemon.process->lastStatus()));
     daemon.endExpected = false;
     daemon.stopped = true;
-    this->later(std::chrono::milliseconds(100 + this->random() % 900), [this, index] {
+    const auto downFor = std::chrono::ceil<std::chrono::milliseconds>(daemon.startNotBefore - bootNow());
+    this->later(std::max(std::chrono::milliseconds(100 + this->random() % 900), downFor), [this, index] {
         this->daemons.at(index).process->start();
         this->daemons.at(index).stopped = false;
     });
@@ -336,9 +354,10 @@
     };
     for (const auto& client : this->clients) {
         const auto& route = client->usedRoute();
-        add("statements at the primary of " + route.group, client->primaryCounts());
+        const auto& name = route.group.empty() ? route.database : route.group;
+        add("statements at the primary of " + name, client->primaryCounts());
         if (route.maxStaleness)
-            add("reads of " + route.group, client->readCounts());
+            add("reads of " + name, client->readCounts());
     }
     return result;
 }
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -25,8 +25,10 @@
 private:
     struct Member {
         StandinMember* endpoint = nullptr;
-        // Through these the daemons reach it, by their index.
+        // Through these the daemons reach it, by their index. Empty if another member has taken over its address.
         std::vector<std::unique_ptr<FaultLink>> links;
+        // Member to which the links lead.
+        std::shared_ptr<StandinMember*> linkTarget;
         bool draining = false;
         // Whether it has ended for good.
         bool left = false;
@@ -54,6 +56,8 @@
         // Whether an end of the process is expected.
         bool endExpected = false;
         bool stopped = false;
+        // Time before which it is not started again.
+        Time startNotBefore;
     };
 
     // soak_run.cc
@@ -109,7 +113,21 @@
     [[nodiscard]] std::vector<std::size_t> someDaemons();
     [[nodiscard]] LinkCut anyCut();
 
+    // soak_holder_faults.cc
+    void loseHolders();
+    void loseHoldersTogether(Member& primary, Member& replica, bool withDaemons);
+    void loseLogOfReplica(Member& primary, Member& replica, Member& other);
+    void reuseAddress(Member& lost);
+    void crash(Member& member, std::chrono::milliseconds backAfter);
+    void endAllDaemons();
+    void moveRoute();
+    [[nodiscard]] Member* memberOf(const StandinMember* endpoint);
+
     static constexpr Duration staleness = std::chrono::milliseconds(600);
+    // Age bound of the route that moves; longer than its replicas are late.
+    static constexpr Duration movingStaleness = std::chrono::milliseconds(2500);
+    static constexpr const char* movingDatabase = "moving";
+    static constexpr int movingClients = 4;
 
     SoakSettings settings;
     std::mt19937_64 random;
@@ -125,6 +143,8 @@
     asio::steady_timer ticker;
     asio::steady_timer faultTimer;
     int configurationVersion = 0;
+    // Number of the group to which the moving route leads.
+    std::size_t movingTarget = 0;
     // Whether the operators and the endpoints have not yet written again what the store has lost.
     bool writersAway = false;
     // End of the latest fault of the store.
--- a/src/soak/standin_group.cc
+++ b/src/soak/standin_group.cc
@@ -35,6 +35,13 @@
     return nullptr;
 }
 
+bool StandinGroup::isReplicated(const Position& position)
+{
+    const auto received = std::count_if(this->members.begin(), this->members.end(),
+        [&](const auto& member) { return !member->primary && member->up && member->holds(position); });
+    return static_cast<std::size_t>(received) >= this->syncReplicas;
+}
+
 void StandinGroup::promote(const std::string& id)
 {
     auto* member = this->find(id);
@@ -55,11 +62,13 @@
     auto* source = this->leader();
     if (source == nullptr || !source->up)
         return;
-    const auto due = bootNow() - this->replicationDelay;
-    const auto available
-        = static_cast<std::size_t>(std::partition_point(source->log.begin(), source->log.end(),
-                                       [&](const StandinMember::Record& record) { return record.committedAt <= due; })
+    const auto now = bootNow();
+    const auto availableAfter = [&](Duration delay) {
+        return static_cast<std::size_t>(
+            std::partition_point(source->log.begin(), source->log.end(),
+                [&](const StandinMember::Record& record) { return record.committedAt <= now - delay; })
             - source->log.begin());
+    };
     // A replaced primary learns of its successor after about a second.
     constexpr int ticksUntilLearned = 200;
     for (const auto& member : this->members) {
@@ -73,7 +82,8 @@
             --common;
         member->log.resize(common);
         member->term = source->term;
-        const auto target = std::max(common, available);
+        const auto available = availableAfter(member->receivesAfter.value_or(this->replicationDelay));
+        const auto target = std::min(std::max(common, available), common + member->recordsPerTick);
         member->log.insert(member->log.end(), source->log.begin() + static_cast<std::ptrdiff_t>(common),
             source->log.begin() + static_cast<std::ptrdiff_t>(target));
         member->appliedCount = member->log.size();
--- a/src/soak/standin_group.h
+++ b/src/soak/standin_group.h
@@ -10,7 +10,7 @@
 
 namespace endivetrestle::soak {
 
-// A replicated group with asynchronous replication, terms and promotions.
+// A replicated group with terms and promotions. A commit is acknowledged at once, or when a replica has received it.
 class StandinGroup {
 public:
     StandinGroup(asio::io_context& context, std::string name, Audit& audit, std::mt19937_64& random);
@@ -25,12 +25,16 @@
     // for the primary does not lead.
     StandinMember* leader();
     StandinMember* find(const std::string& id);
+    // Whether as many replicas as syncReplicas have received the position.
+    [[nodiscard]] bool isReplicated(const Position& position);
 
     std::string name;
     Audit& audit;
     std::mt19937_64& random;
     // Time after its commit until a replica receives a record.
     std::chrono::milliseconds replicationDelay { 40 };
+    // Replicas that must receive a commit before it is acknowledged.
+    std::size_t syncReplicas = 0;
     // Connections that each member accepts.
     std::size_t maxConnections = 32;
     std::vector<std::unique_ptr<StandinMember>> members;
--- a/src/soak/standin_member.cc
+++ b/src/soak/standin_member.cc
@@ -35,8 +35,12 @@
     : id(std::move(id))
     , context(context)
     , group(group)
+    , reservation(context, asio::ip::tcp::v4())
     , acceptor(context)
 {
+    this->reservation.set_option(asio::socket_base::reuse_address(true));
+    this->reservation.bind({ asio::ip::address_v4::loopback(), 0 });
+    this->boundPort = this->reservation.local_endpoint().port();
     this->listen();
 }
 
@@ -49,7 +53,6 @@
     this->acceptor.set_option(asio::socket_base::reuse_address(true));
     this->acceptor.bind(address);
     this->acceptor.listen();
-    this->boundPort = this->acceptor.local_endpoint().port();
     this->accept();
 }
 
@@ -78,6 +81,14 @@
     this->connections.clear();
 }
 
+void StandinMember::restartEmpty()
+{
+    this->log.clear();
+    this->appliedCount = 0;
+    this->term = 0;
+    this->restart();
+}
+
 void StandinMember::restart()
 {
     this->up = true;
@@ -97,6 +108,12 @@
         [&](const Record& record) { return record.position == position; });
 }
 
+bool StandinMember::holds(const Position& position) const
+{
+    return position.index > 0 && position.index <= this->log.size()
+        && this->log[position.index - 1].position == position;
+}
+
 std::string StandinMember::ready(const Connection& connection) const
 {
     return std::string("READY ") + (connection.transaction.empty() ? "I " : "T ") + toDotted(this->applied()) + "\r\n";
@@ -167,14 +184,52 @@
     auto request = connection.requests.front();
     const auto queryId = takeWord(request);
     bool ran = false;
+    const auto before = this->log.size();
     const auto result = this->answer(connection, queryId, std::move(request), ran);
-    if (!ran || !this->happens(this->loseAnswers))
+    const bool answered = !ran || !this->happens(this->loseAnswers);
+    if (answered && this->log.size() > before && this->group.syncReplicas > 0) {
+        this->replyWhenReplicated(number, result + this->ready(connection), this->received());
+        return;
+    }
+    if (answered)
         this->reply(number, result + this->ready(connection));
+    this->endRequest(number);
+}
+
+void StandinMember::endRequest(std::uint64_t number)
+{
+    auto& connection = this->connections.at(number);
     connection.requests.pop_front();
     if (!connection.requests.empty())
         this->runNextLater(number);
 }
 
+// Answers a commit once enough replicas have it, and ends the connection if that cannot happen any more.
+void StandinMember::replyWhenReplicated(std::uint64_t number, const std::string& bytes, const Position& position)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    if (!this->holds(position) || !this->primary) {
+        found->second.socket->close();
+        this->connections.erase(found);
+        return;
+    }
+    if (this->group.isReplicated(position)) {
+        this->reply(number, bytes);
+        this->endRequest(number);
+        return;
+    }
+    constexpr std::chrono::milliseconds checkInterval { 3 };
+    const auto timer = std::make_shared<asio::steady_timer>(this->context);
+    timer->expires_after(checkInterval);
+    timer->async_wait(
+        [this, weak = std::weak_ptr<int>(this->lifetime), timer, number, bytes, position](const asio::error_code&) {
+            if (!weak.expired())
+                this->replyWhenReplicated(number, bytes, position);
+        });
+}
+
 // Sends an answer, and at times the same bytes again later, whatever the connection is used for by then.
 void StandinMember::reply(std::uint64_t number, const std::string& bytes)
 {
--- a/src/soak/standin_member.h
+++ b/src/soak/standin_member.h
@@ -5,6 +5,7 @@
 #include "soak/audit.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,9 +34,14 @@
     // Closes all connections and the port; the log stays.
     void crash();
     void restart();
+    // Starts again and holds nothing of before.
+    void restartEmpty();
 
     [[nodiscard]] std::uint16_t port() const { return this->boundPort; }
+    // Whether reads see the position.
     [[nodiscard]] bool contains(const Position& position) const;
+    // Whether the log has the position.
+    [[nodiscard]] bool holds(const Position& position) const;
     [[nodiscard]] Position applied() const { return this->positionAt(this->appliedCount); }
     [[nodiscard]] Position received() const { return this->positionAt(this->log.size()); }
 
@@ -45,6 +51,10 @@
     std::uint64_t term = 1;
     // Receives nothing from the primary.
     bool deaf = false;
+    // Time after its commit until it receives a record, if it is not that of its group.
+    std::optional<Duration> receivesAfter;
+    // Most records that it receives every few milliseconds.
+    std::size_t recordsPerTick = std::numeric_limits<std::size_t>::max() / 2;
     // Probability that an answer is lost after the statement ran.
     double loseAnswers = 0;
     // Probability that an answer of any kind is sent again, byte for byte, some time after the first one.
@@ -79,6 +89,8 @@
     bool onStartup(std::uint64_t connection, std::string fields);
     void runNextLater(std::uint64_t connection);
     void runNext(std::uint64_t connection);
+    void replyWhenReplicated(std::uint64_t connection, const std::string& bytes, const Position& position);
+    void endRequest(std::uint64_t connection);
     void reply(std::uint64_t connection, const std::string& bytes);
     [[nodiscard]] std::string ready(const Connection& connection) const;
     [[nodiscard]] Position positionAt(std::size_t count) const;
@@ -98,6 +110,8 @@
 
     asio::io_context& context;
     StandinGroup& group;
+    // Keeps the port while the member is down.
+    asio::ip::tcp::socket reservation;
     asio::ip::tcp::acceptor acceptor;
     std::uint16_t boundPort = 0;
     std::map<std::uint64_t, Connection> connections;
--- a/src/soak/standin_member_statements.cc
+++ b/src/soak/standin_member_statements.cc
@@ -142,6 +142,7 @@
 // Reports a run to the audit and returns the answer to it.
 std::string StandinMember::recordRun(const Connection& connection, StatementRun run)
 {
+    run.group = this->group.name;
     run.values = connection.values;
     run.transaction = connection.transaction;
     run.signature = this->id + "." + std::to_string(++this->lastRun) + "." + run.id;
