--- a/src/edge/line_socket.cc
+++ b/src/edge/line_socket.cc
@@ -107,7 +107,7 @@
             this->closeAfterWrites();
             return false;
         }
-        if (!this->socket.is_open() || this->closing)
+        if (!this->socket.is_open() || this->closing || this->overflowed)
             return false;
     }
     this->partial = input;
@@ -122,12 +122,12 @@
 
 void LineSocket::write(std::string_view text)
 {
-    if (!this->socket.is_open() || this->closing)
+    if (!this->socket.is_open() || this->closing || this->overflowed)
         return;
     if (this->writing) {
         this->outgoing += text;
         if (this->outgoing.size() > maxPendingWrite)
-            this->fail();
+            this->onOverflow();
         return;
     }
     asio::error_code error;
@@ -145,6 +145,17 @@
     this->flush();
 }
 
+// The peer does not read. The loss is reported from the event loop, because whoever writes may be destroyed by it.
+void LineSocket::onOverflow()
+{
+    this->overflowed = true;
+    this->outgoing = std::string();
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        if (self->socket.is_open())
+            self->fail();
+    });
+}
+
 void LineSocket::flush()
 {
     this->inFlight = std::move(this->outgoing);
--- a/src/edge/line_socket.h
+++ b/src/edge/line_socket.h
@@ -15,7 +15,8 @@
 // no read buffer: all connections of a loop share one.
 //
 // The line callback returns false to stop reading, after which the connection is closed. The closed callback runs once,
-// unless close() was called before. The callbacks must not keep the socket alive.
+// unless close() was called before, and never inside a call of this class. The callbacks must not keep the socket
+// alive.
 class LineSocket : public std::enable_shared_from_this<LineSocket> {
 public:
     using LineCallback = std::function<bool(std::string_view line)>;
@@ -52,6 +53,7 @@
     bool takeUnits();
     void flush();
     void fail();
+    void onOverflow();
     void setOptions();
 
     asio::ip::tcp::socket socket;
@@ -66,6 +68,8 @@
     std::string inFlight;
     bool writing = false;
     bool closing = false;
+    // Whether more waits than may. Nothing is read or written any more, and the loss is reported soon.
+    bool overflowed = false;
 };
 
 } // namespace endivetrestle
