Do not take a later process of an endpoint off the list because the registry is old

Found by reading: a daemon that has missed a restart lists the earlier process of the endpoint. It took the later one, which another daemon had recorded, for one that had ended, and could take it off the list of commit holders; or it added the earlier one again and held acknowledgements back for it. Only a later start shows that a process has ended now, and a registered process of which the list has a later one is left out.

--- a/src/process/durability/commit_holders.cc
+++ b/src/process/durability/commit_holders.cc
@@ -30,6 +30,13 @@
     return std::any_of(holders.begin(), holders.end(), [&](const CommitHolder& holder) { return holder.id == id; });
 }
 
+bool containsLater(const CommitHolders& holders, const CommitHolder& holder)
+{
+    return std::any_of(holders.begin(), holders.end(), [&](const CommitHolder& other) {
+        return other.id == holder.id && other.processStartMs > holder.processStartMs;
+    });
+}
+
 CommitHolders merged(const CommitHolders& first, const CommitHolders& second)
 {
     auto result = second;
@@ -60,8 +67,10 @@
 
 bool containsAll(const CommitHolders& holders, const std::vector<EndpointRecord>& listed)
 {
-    return std::all_of(listed.begin(), listed.end(),
-        [&](const EndpointRecord& record) { return contains(holders, holderOf(record)); });
+    return std::all_of(listed.begin(), listed.end(), [&](const EndpointRecord& record) {
+        const auto holder = holderOf(record);
+        return contains(holders, holder) || containsLater(holders, holder);
+    });
 }
 
 std::optional<EndpointId> successorOf(const CommitHolder& holder, const std::vector<EndpointRecord>& listed)
--- a/src/process/durability/commit_holders.h
+++ b/src/process/durability/commit_holders.h
@@ -39,13 +39,15 @@
 bool contains(const CommitHolders& holders, const CommitHolder& holder);
 // Whether the list has any process of the endpoint.
 bool containsEndpoint(const CommitHolders& holders, const EndpointId& id);
+// Whether the list has a later process of the holder's endpoint, so that the holder has ended.
+bool containsLater(const CommitHolders& holders, const CommitHolder& holder);
 // Returns all holders of both lists. Of a process that is in both, the entry of the second one counts.
 CommitHolders merged(const CommitHolders& first, const CommitHolders& second);
 // Returns the holders that are not in the second list.
 CommitHolders without(const CommitHolders& holders, const CommitHolders& others);
 // Returns the list of the processes that are registered now.
 CommitHolders holdersOf(const std::vector<EndpointRecord>& listed);
-// Whether the list has the processes of all registered endpoints.
+// Whether the list has the processes of all registered endpoints, or later ones if the registry is old.
 bool containsAll(const CommitHolders& holders, const std::vector<EndpointRecord>& listed);
 
 // Returns the registered endpoint to which the platform has handed the log of a holder: the holder was draining and is
--- a/src/process/durability/commit_holders_test.cc
+++ b/src/process/durability/commit_holders_test.cc
@@ -47,6 +47,9 @@
     CHECK(containsAll(holders, {}));
     CHECK_FALSE(containsAll(holders, { record("a", 1), record("b", 2, 2) }));
     CHECK_FALSE(containsAll(holders, { record("c", 2) }));
+    CHECK(containsLater(holdersOf({ record("a", 1, 2) }), holders[0]));
+    CHECK_FALSE(containsLater(holders, holders[0]));
+    CHECK_FALSE(containsLater(holders, holder("a", 1, 2)));
 }
 
 TEST_CASE("CommitHolders, takes an endpoint for the successor of another one only if that one was draining")
--- a/src/process/durability/holder_list_keeper.cc
+++ b/src/process/durability/holder_list_keeper.cc
@@ -44,7 +44,7 @@
     // Nothing is acknowledged while the primary is being replaced, so a further process of a known endpoint holds
     // nothing alone then. One that starts again and again would make the list grow without a limit.
     const auto known = this->known(id);
-    for (const auto& holder : holdersOf(this->context.hooks.endpointsOf(id))) {
+    for (const auto& holder : this->registered(id)) {
         if (row == nullptr || !row->replacing || !containsEndpoint(known, holder.id))
             group.unrecorded = merged(group.unrecorded, { holder });
     }
@@ -55,6 +55,16 @@
     group.lastEra = row->version.era;
 }
 
+// Processes of the registered endpoints, but for those of which the list has a later one: the registry is old then.
+CommitHolders HolderListKeeper::registered(const DatabaseId& id) const
+{
+    const auto* row = this->context.row(id);
+    auto holders = holdersOf(this->context.hooks.endpointsOf(id));
+    if (row != nullptr)
+        std::erase_if(holders, [&](const CommitHolder& holder) { return containsLater(row->holders, holder); });
+    return holders;
+}
+
 void HolderListKeeper::update(const WatchedGroup& watched)
 {
     const auto& id = watched.id;
@@ -71,8 +81,7 @@
     if (!writable || group.writePending || now < group.nextWrite)
         return;
     // Of a process that is registered, the present address and state count.
-    const auto listed = holdersOf(this->context.hooks.endpointsOf(id));
-    auto wanted = merged(merged(row->holders, group.unrecorded), listed);
+    auto wanted = merged(merged(row->holders, group.unrecorded), this->registered(id));
     if (wanted == row->holders) {
         group.dueSince.reset();
         this->updateDeparture(watched, group, *row);
@@ -136,15 +145,16 @@
     return found == this->groups.end() ? recorded : merged(recorded, found->second.unrecorded);
 }
 
-// Holders whose process is not registered any more: the endpoint has left, or has started again.
+// Holders whose process is not registered any more: the endpoint has left, or has started again. A registry that tells
+// of an earlier process than the list is old.
 CommitHolders HolderListKeeper::departedFrom(const DatabaseId& id, const PrimaryRow& row) const
 {
     const auto present = holdersOf(this->context.hooks.endpointsOf(id));
     const bool missingAreGone = this->context.hooks.missingEndpointsAreGone();
     CommitHolders departed;
     for (const auto& holder : without(row.holders, present)) {
-        const bool startedAgain = containsEndpoint(present, holder.id);
-        if (startedAgain || missingAreGone)
+        const bool startedAgain = containsLater(present, holder);
+        if (startedAgain || (missingAreGone && !containsEndpoint(present, holder.id)))
             departed.push_back(holder);
     }
     return departed;
--- a/src/process/durability/holder_list_keeper.h
+++ b/src/process/durability/holder_list_keeper.h
@@ -82,6 +82,7 @@
     };
 
     void remember(const DatabaseId& id, Group& group, const PrimaryRow* row);
+    [[nodiscard]] CommitHolders registered(const DatabaseId& id) const;
     [[nodiscard]] CommitHolders departedFrom(const DatabaseId& id, const PrimaryRow& row) const;
     void write(const DatabaseId& id, Group& group, PrimaryRow row, CommitHolders holders);
     void updateDeparture(const WatchedGroup& watched, Group& group, const PrimaryRow& row);
--- a/src/process/fleet_controller_holders_test.cc
+++ b/src/process/fleet_controller_holders_test.cc
@@ -209,6 +209,23 @@
     CHECK(simulation.daemonsUsingLeader() == 4);
 }
 
+TEST_CASE("FleetController, takes no process off the list because a daemon has an old registry")
+{
+    // Guards against a daemon that believes an endpoint's earlier process to be the present one.
+    HolderSimulation simulation;
+    simulation.loseRegistryWatch(0);
+    FleetSimulation::restart(simulation.endpoints[e2], true);
+    simulation.replicate();
+    for (int i = 0; i < 100; ++i) {
+        simulation.runFor(100ms);
+        if (i > 10)
+            REQUIRE(simulation.hasRecorded(e2, 2));
+    }
+    // The one with the old registry neither adds the earlier process again nor holds commits back for it.
+    CHECK_FALSE(simulation.hasRecorded(e2, 1));
+    CHECK(simulation.daemons[0]->controller->holdersAreRecorded(FleetSimulation::group()));
+}
+
 TEST_CASE("FleetController, keeps a holder on the list that is only cut off from the store")
 {
     // Guards against a replica that receives commits, and counts, while its entry has lapsed.
