--- a/src/edge/session_proxy.cc
+++ b/src/edge/session_proxy.cc
@@ -319,9 +319,8 @@
     for (const auto& [id, group] : this->groups) {
         this->metrics.group(id, group.scheduler->statistics(), group.scheduler->positions().term(),
             group.scheduler->primaryUsable(now));
-        const auto missing = this->fleet->awaitedHolders().find(id);
-        this->metrics.missingHolders(id, missing == this->fleet->awaitedHolders().end() ? 0 : missing->second,
-            toSeconds(this->fleet->primaryMissingFor(id)));
+        this->metrics.missingHolders(
+            id, this->fleet->awaitedHolders(id), toSeconds(this->fleet->primaryMissingFor(id)));
         this->metrics.forwarding(id, group.forwarder->statistics(), group.placement.ownedHere);
         this->metrics.reachable(id, !this->reachability.isUnreachable(id));
     }
--- a/src/process/fleet_controller.h
+++ b/src/process/fleet_controller.h
@@ -82,8 +82,8 @@
     [[nodiscard]] const std::map<DatabaseId, PrimaryRow>& primaries() const { return this->rows; }
     // Time for which the primary of a group has been in replacement, as far as this daemon knows; zero if it is not.
     [[nodiscard]] Duration primaryMissingFor(const DatabaseId& group) const;
-    // Number of holders of commits for which a replacement of this daemon waits, or has waited last, by group.
-    [[nodiscard]] const std::map<DatabaseId, std::size_t>& awaitedHolders() const { return this->missingHolders; }
+    // Number of holders of commits for which a replacement of this daemon waits, or has waited last.
+    [[nodiscard]] std::size_t awaitedHolders(const DatabaseId& group) const;
     [[nodiscard]] std::size_t liveDaemons() const { return this->liveCount; }
     // The first daemon by name of this daemon's part of the fleet, which does for the others of the part what one call
     // to the store can do for all. No value if no other daemon is known; may be this daemon.
@@ -156,6 +156,7 @@
     [[nodiscard]] std::int64_t earlierLeasesEndMs() const;
     [[nodiscard]] Duration leaseLeft() const;
 
+    // fleet_controller_holders.cc
     [[nodiscard]] HolderListContext holderListContext();
     void publishRow(const PrimaryRow& row);
 
